Add the workspace, the design page and the core's state machines

The project had no code. This adds the five crates, the configuration types with their validation, the event catalogue, and first state machines of the entry host and the upstream process behind the handle(now, input) interface.

--- /dev/null
+++ b/crates/core/src/entry/mod.rs
@@ -0,0 +1,218 @@
+//! State machine of the entry host.
+//!
+//! It holds each request with its one current attempt. Chunks are accepted
+//! only from that attempt; whatever else arrives is dropped and counted.
+//!
+//! ```
+//! use std::sync::Arc;
+//! use std::time::Duration;
+//!
+//! use eelgrasshold_core::config::{Config, Service, Team};
+//! use eelgrasshold_core::entry::{AttemptEvent, Entry, Input, Output, UpstreamInfo};
+//! use eelgrasshold_core::types::{Load, Request, WorkClass};
+//!
+//! let mut cfg = Config { revision: 1, ..Config::default() };
+//! cfg.services.insert("drafts".into(), Service::default());
+//! cfg.teams.insert("classers".into(), Team::default());
+//!
+//! let mut entry = Entry::new("entry-1".into(), 7);
+//! let now = Duration::ZERO;
+//! entry.handle(now, Input::Config(Arc::new(cfg)));
+//! let upstream = UpstreamInfo::new("up-1", "drafts");
+//! entry.handle(now, Input::Upstreams(vec![upstream]));
+//!
+//! let request = Request {
+//!     id: "r-1".into(),
+//!     service: "drafts".into(),
+//!     team: "classers".into(),
+//!     priority: 4,
+//!     deadline: Duration::from_secs(30),
+//!     class: WorkClass::Idempotent,
+//!     idempotency_key: None,
+//!     fingerprint: 1,
+//!     prefix: None,
+//!     prompt_tokens: 20,
+//!     max_tokens: 100,
+//!     resume_from: 0,
+//! };
+//! let out = entry.handle(now, Input::Request { handle: 1, request });
+//! let attempt = out
+//!     .iter()
+//!     .find_map(|o| if let Output::Dispatch { attempt, .. } = o { Some(*attempt) } else { None })
+//!     .unwrap();
+//! let finished = Input::Attempt(attempt, AttemptEvent::Finished(Load::default()));
+//! let out = entry.handle(now, finished);
+//! assert!(out.iter().any(|o| matches!(o, Output::Finish { handle: 1 })));
+//! ```
+
+mod machine;
+
+#[cfg(test)]
+mod tests;
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+pub use machine::Entry;
+
+use crate::config::Config;
+use crate::event::Event;
+use crate::types::{
+    AttemptId, DataCentreId, HostId, Incarnation, Load, Now, Refusal, Request, RequestHandle, Run,
+    ServiceId,
+};
+use crate::upstream::Bounce;
+
+/// What an entry host knows about an upstream process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UpstreamInfo {
+    /// Name.
+    pub host: HostId,
+    /// Life of the process that dispatches are meant for.
+    pub incarnation: Incarnation,
+    /// Data centre.
+    pub data_centre: DataCentreId,
+    /// Service that it serves.
+    pub service: ServiceId,
+    /// Address of its data listener, `IP:PORT`.
+    pub address: String,
+    /// It is leaving and takes nothing new.
+    pub leaving: bool,
+}
+
+impl UpstreamInfo {
+    /// A live upstream of a service, without an address.
+    #[must_use]
+    pub fn new(host: &str, service: &str) -> Self {
+        Self {
+            host: host.into(),
+            incarnation: 0,
+            data_centre: DataCentreId::new(),
+            service: service.into(),
+            address: String::new(),
+            leaving: false,
+        }
+    }
+}
+
+/// What the machine is told.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// A configuration came into force.
+    Config(Arc<Config>),
+    /// The known upstreams, all of them, changed.
+    Upstreams(Vec<UpstreamInfo>),
+    /// A caller's request arrived.
+    Request {
+        /// Handle that the driver gave it.
+        handle: RequestHandle,
+        /// Its metadata.
+        request: Request,
+    },
+    /// A caller went away.
+    CallerGone(RequestHandle),
+    /// An attempt made progress or ended.
+    Attempt(AttemptId, AttemptEvent),
+    /// The claim of a non-idempotent request was settled.
+    Claim(RequestHandle, ClaimResult),
+    /// A graceful shutdown begins: nothing new is taken.
+    Drain,
+    /// A timer that was set has fired.
+    Timer(Timer),
+}
+
+/// What an attempt's driver saw.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum AttemptEvent {
+    /// The upstream began to answer.
+    Accepted(Load),
+    /// Tokens `first .. first + count` arrived; plain answers count chunks.
+    Chunk {
+        /// Index of the first token.
+        first: u32,
+        /// Number of tokens.
+        count: u32,
+    },
+    /// The answer ended as a whole.
+    Finished(Load),
+    /// The upstream returned the work unstarted.
+    Bounced(Bounce, Load),
+    /// The attempt failed; `NotRun` only if it certainly did not begin.
+    Failed(Run),
+}
+
+/// How a claim was settled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ClaimResult {
+    /// This request holds the key.
+    Granted,
+    /// Another request holds or held it.
+    Taken,
+    /// It could not be written; nothing was dispatched.
+    Unavailable,
+}
+
+/// What the driver shall do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Send an attempt to an upstream.
+    Dispatch {
+        /// Request.
+        handle: RequestHandle,
+        /// Attempt.
+        attempt: AttemptId,
+        /// Upstream.
+        upstream: UpstreamInfo,
+        /// First token that the caller lacks.
+        resume_from: u32,
+    },
+    /// Drop an attempt: close its stream.
+    Cancel(AttemptId),
+    /// Pass the chunk just reported on to the caller, without its first `skip` tokens.
+    Forward {
+        /// Request.
+        handle: RequestHandle,
+        /// Tokens at the start of the chunk that the caller already has.
+        skip: u32,
+    },
+    /// End the answer as a whole.
+    Finish {
+        /// Request.
+        handle: RequestHandle,
+    },
+    /// Refuse the request, or cut its answer if that has begun.
+    Refuse {
+        /// Request.
+        handle: RequestHandle,
+        /// Reason.
+        refusal: Refusal,
+    },
+    /// Write the claim of a non-idempotent request before it is dispatched.
+    Claim {
+        /// Request.
+        handle: RequestHandle,
+        /// Service and key, the identity of the work.
+        key: String,
+    },
+    /// Call back at a time.
+    SetTimer {
+        /// When.
+        at: Now,
+        /// With what.
+        timer: Timer,
+    },
+    /// Keep an event.
+    Event(Event),
+    /// All requests have ended after `Drain`.
+    Drained,
+}
+
+/// Timers of the machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Timer {
+    /// The deadline of a request.
+    Deadline(RequestHandle),
+}
--- /dev/null
+++ b/crates/core/src/event/catalogue.rs
@@ -0,0 +1,75 @@
+//! Catalogue of the numbered events; `docs/events.md` lists the same.
+//!
+//! Numbers are grouped: 1000 process, 2000 requests at entry hosts, 3000 work
+//! at upstream processes, 4000 expert groups, 5000 membership, 6000
+//! configuration, 7000 platform. A number is never used again for another kind.
+
+macro_rules! catalogue {
+    ($($kind:ident = $number:literal, $text:literal;)+) => {
+        /// Kind of an event.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+        pub enum EventKind {
+            $(#[doc = $text] $kind,)+
+        }
+
+        impl EventKind {
+            /// All kinds, by number.
+            pub const ALL: &'static [Self] = &[$(Self::$kind),+];
+
+            /// Number in the catalogue.
+            #[must_use]
+            pub fn number(self) -> u16 {
+                match self { $(Self::$kind => $number,)+ }
+            }
+
+            /// Name in the catalogue.
+            #[must_use]
+            pub fn name(self) -> &'static str {
+                match self { $(Self::$kind => stringify!($kind),)+ }
+            }
+
+            /// What the event says.
+            #[must_use]
+            pub fn text(self) -> &'static str {
+                match self { $(Self::$kind => $text,)+ }
+            }
+        }
+    };
+}
+
+catalogue! {
+    DaemonStarted = 1001, "the daemon started";
+    DaemonReady = 1002, "the daemon is ready to serve";
+    DrainStarted = 1003, "a graceful shutdown began";
+    DrainFinished = 1004, "all requests ended and the daemon stops";
+    DrainCut = 1005, "the drain limit or a second signal cut requests";
+    SettingsRefused = 1006, "the settings are invalid";
+
+    RequestAdmitted = 2001, "a request was admitted";
+    RequestDispatched = 2002, "an attempt was dispatched";
+    RequestFinished = 2003, "the whole answer was passed on";
+    RequestRefused = 2004, "a request was refused";
+    RequestRetried = 2005, "another attempt follows a failed one";
+    RequestCut = 2006, "an answer was cut after it had begun";
+    CallerGone = 2007, "the caller went away";
+    ChunkDropped = 2008, "a late, duplicate or crossed chunk was dropped";
+    BadInput = 2009, "a caller sent malformed or oversized input";
+
+    WorkQueued = 3001, "work was queued";
+    WorkStarted = 3002, "work was passed to the engine";
+    WorkBounced = 3003, "work was returned without being started";
+    WorkFinished = 3004, "the engine finished work";
+    WorkFailed = 3005, "the engine failed work";
+    WorkCancelled = 3006, "work was cancelled";
+
+    MemberJoined = 5001, "a process joined";
+    MemberSuspected = 5002, "a process did not answer probes";
+    MemberGone = 5003, "a process is gone";
+    MemberLeaving = 5004, "a process is leaving";
+
+    ConfigApplied = 6001, "a configuration came into force";
+    ConfigRefused = 6002, "a configuration was refused";
+
+    PlatformUnavailable = 7001, "the platform does not answer";
+    PlatformRecovered = 7002, "the platform answers again";
+}
--- /dev/null
+++ b/crates/core/src/group/mod.rs
@@ -0,0 +1,1 @@
+//! Expert-parallel model groups: maps, switches, leases and placement.
--- /dev/null
+++ b/crates/core/src/serving/mod.rs
@@ -0,0 +1,1 @@
+//! Policies of serving: pure functions and small structs that the roles combine.
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,2 @@
+//! Client.
+fn main() {}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,2 @@
+//! Daemon.
+fn main() {}
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,1 @@
+//! Sockets and timers around the core.
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for outside systems.
