--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod event;
 pub mod fleet;
 pub mod group;
+pub mod platform;
 pub mod serving;
 pub mod types;
 pub mod upstream;
