--- a/crates/standins/examples/experiment/report.rs
+++ b/crates/standins/examples/experiment/report.rs
@@ -25,6 +25,9 @@
     pub extrapolated: bool,
 }
 
+/// Points of each policy's line.
+type Lines<'a> = BTreeMap<&'a str, Vec<(f64, f64)>>;
+
 /// Prints one JSON object a line.
 pub fn print_json(rows: &[Row]) {
     for row in rows {
@@ -65,7 +68,7 @@
 /// If the folder can't be made or a file can't be written.
 pub fn plot(rows: &[Row], dir: &Path) -> Result<(), Box<dyn Error>> {
     std::fs::create_dir_all(dir)?;
-    let mut metrics: BTreeMap<&str, BTreeMap<&str, Vec<(f64, f64)>>> = BTreeMap::new();
+    let mut metrics: BTreeMap<&str, Lines<'_>> = BTreeMap::new();
     for row in rows {
         let lines = metrics.entry(row.metric).or_default();
         lines
@@ -80,11 +83,7 @@
     Ok(())
 }
 
-fn plot_metric(
-    path: &Path,
-    metric: &str,
-    lines: &BTreeMap<&str, Vec<(f64, f64)>>,
-) -> Result<(), Box<dyn Error>> {
+fn plot_metric(path: &Path, metric: &str, lines: &Lines<'_>) -> Result<(), Box<dyn Error>> {
     let points = || lines.values().flatten();
     let max_x = points().map(|p| p.0).fold(f64::MIN_POSITIVE, f64::max);
     let max_y = points()
