Add the data path: entry driver, upstream driver and platform client

Until now nothing but the core existed, so no request could be served. The entry driver runs each request as one task that obeys the machine's commands, with bounded channels for back-pressure and the end mark of a draft checked on both hops; the upstream driver queues a dispatch in the machine and passes it to the engine when the machine starts it.

--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -143,6 +143,17 @@
     Failed(Run),
 }
 
+impl AttemptEvent {
+    /// Whether nothing follows it.
+    #[must_use]
+    pub fn is_last(&self) -> bool {
+        matches!(
+            self,
+            Self::Finished(_) | Self::Bounced(..) | Self::Failed(_)
+        )
+    }
+}
+
 /// How a claim was settled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- /dev/null
+++ b/crates/net/src/entry/attempt.rs
@@ -0,0 +1,166 @@
+//! One attempt at an upstream process, as the entry host's client sees it.
+
+use bytes::Bytes;
+use eelgrasshold_core::config::ServiceKind;
+use eelgrasshold_core::entry::UpstreamInfo;
+use eelgrasshold_core::event::Stamp;
+use eelgrasshold_core::types::{AttemptId, Load, Run};
+use eelgrasshold_core::upstream::Bounce;
+use http::response::Parts;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming as IncomingBody;
+
+use super::driver::EntryDriver;
+use crate::http::full;
+use crate::wire::{Incoming, SseEvent, SseSplitter, headers};
+
+/// How an attempt's answer begins.
+pub(super) enum Head {
+    /// The upstream answers.
+    Answer(Box<Stream>),
+    /// It returned the work unstarted.
+    Bounced(Bounce, Load),
+    /// It failed.
+    Failed(Run),
+}
+
+/// What comes next in an answer.
+pub(super) enum Piece {
+    /// A token or the end mark of a draft.
+    Event(SseEvent),
+    /// A piece of any other answer.
+    Bytes(Bytes),
+    /// The answer ended as a whole.
+    End(Load),
+    /// It broke off.
+    Broken,
+}
+
+/// An answer that has begun.
+pub(super) struct Stream {
+    pub(super) parts: Parts,
+    pub(super) load: Load,
+    /// The answer is a draft: a stream of token events.
+    pub(super) is_draft: bool,
+    body: IncomingBody,
+    splitter: SseSplitter,
+    done: bool,
+}
+
+pub(super) async fn send(
+    driver: &EntryDriver,
+    incoming: &Incoming,
+    attempt: AttemptId,
+    upstream: &UpstreamInfo,
+    resume_from: u32,
+) -> Head {
+    let Some(request) = dispatch(driver, incoming, attempt, upstream, resume_from) else {
+        return Head::Failed(Run::NotRun);
+    };
+    match driver.client().request(request).await {
+        Ok(response) => read_head(driver, incoming, response),
+        Err(error) if error.is_connect() => Head::Failed(Run::NotRun),
+        Err(_) => Head::Failed(Run::Unknown),
+    }
+}
+
+fn dispatch(
+    driver: &EntryDriver,
+    incoming: &Incoming,
+    attempt: AttemptId,
+    upstream: &UpstreamInfo,
+    resume_from: u32,
+) -> Option<Request<crate::http::Body>> {
+    let uri = format!("http://{}{}", upstream.address, incoming.target.path);
+    let mut request = Request::new(full(incoming.body.clone()));
+    *request.method_mut() = incoming.parts.method.clone();
+    *request.uri_mut() = uri.parse().ok()?;
+    *request.version_mut() = http::Version::HTTP_2;
+    let fields = request.headers_mut();
+    *fields = incoming.parts.headers.clone();
+    for name in headers::HOP_BY_HOP {
+        fields.remove(name);
+    }
+    fields.remove(http::header::HOST);
+    fields.insert(headers::ATTEMPT, headers::value(&attempt.to_string()));
+    fields.insert(headers::REQUEST, headers::json_value(&incoming.request));
+    fields.insert(
+        headers::RESUME_FROM,
+        headers::value(&resume_from.to_string()),
+    );
+    fields.insert(headers::CLOCK, headers::value(&driver.stamp().to_string()));
+    fields.insert(
+        headers::INCARNATION,
+        headers::value(&upstream.incarnation.to_string()),
+    );
+    Some(request)
+}
+
+fn read_head(driver: &EntryDriver, incoming: &Incoming, response: Response<IncomingBody>) -> Head {
+    let (parts, body) = response.into_parts();
+    if let Ok(Some(stamp)) = headers::parsed::<Stamp>(&parts.headers, &headers::CLOCK) {
+        driver.observe(stamp);
+    }
+    let load = headers::json(&parts.headers, &headers::LOAD).unwrap_or_default();
+    if let Some(name) = headers::text(&parts.headers, &headers::BOUNCE) {
+        let name = serde_json::Value::String(name.to_owned());
+        let reason = serde_json::from_value(name).unwrap_or(Bounce::QueueFull);
+        return Head::Bounced(reason, load);
+    }
+    if let Some(run) = headers::text(&parts.headers, &headers::FAILED) {
+        return Head::Failed(if run == "not_run" {
+            Run::NotRun
+        } else {
+            Run::Unknown
+        });
+    }
+    let is_draft = incoming.kind == ServiceKind::Model
+        && incoming.parts.method == http::Method::POST
+        && parts.status == StatusCode::OK;
+    let splitter = SseSplitter::default();
+    Head::Answer(Box::new(Stream {
+        parts,
+        load,
+        is_draft,
+        body,
+        splitter,
+        done: false,
+    }))
+}
+
+impl Stream {
+    /// The next piece of the answer.
+    pub(super) async fn next(&mut self) -> Piece {
+        loop {
+            if let Some(event) = self.splitter.next_event() {
+                self.done |= event.done;
+                return Piece::Event(event);
+            }
+            if self.splitter.is_oversized() {
+                return Piece::Broken;
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) if self.is_draft => self.splitter.push(&data),
+                    Ok(data) => return Piece::Bytes(data),
+                    Err(frame) => {
+                        if let Ok(trailers) = frame.into_trailers() {
+                            self.take_load(&trailers);
+                        }
+                    }
+                },
+                Some(Err(_)) => return Piece::Broken,
+                // A draft without its end mark was cut, however its framing ended.
+                None if self.is_draft && !self.done => return Piece::Broken,
+                None => return Piece::End(self.load),
+            }
+        }
+    }
+
+    fn take_load(&mut self, trailers: &HeaderMap) {
+        if let Some(load) = headers::json(trailers, &headers::LOAD) {
+            self.load = load;
+        }
+    }
+}
--- /dev/null
+++ b/crates/net/src/entry/flow.rs
@@ -0,0 +1,267 @@
+//! One request from its admission to the end of its answer.
+
+use std::future::pending;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use eelgrasshold_core::entry::{AttemptEvent, Input};
+use eelgrasshold_core::event::{Event, EventKind};
+use eelgrasshold_core::types::{AttemptId, Refusal, RequestHandle, Run};
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use http::Response;
+use hyper::body::Frame;
+use tokio::sync::oneshot;
+
+use super::attempt::{self, Head, Piece, Stream};
+use super::driver::{Command, EntryDriver};
+use crate::http::{Body, BodySender, channel_body, full};
+use crate::wire::{Incoming, SseEvent, headers, problem_response};
+
+/// The attempt that is current.
+enum Current {
+    None,
+    Pending(AttemptId, BoxFuture<'static, Head>),
+    Streaming(AttemptId, Box<Stream>),
+}
+
+/// The caller's side of the answer.
+enum Caller {
+    Waiting(oneshot::Sender<Response<Body>>),
+    Streaming(BodySender),
+    Gone,
+}
+
+struct Flow {
+    driver: Arc<EntryDriver>,
+    handle: RequestHandle,
+    incoming: Arc<Incoming>,
+    current: Current,
+    caller: Caller,
+    /// Index of the next piece of an answer that is not a draft.
+    next_piece: u32,
+    over: bool,
+}
+
+/// Runs a request and answers its caller through `tx`.
+pub(super) async fn run(
+    driver: Arc<EntryDriver>,
+    incoming: Incoming,
+    tx: oneshot::Sender<Response<Body>>,
+) {
+    let (handle, mut commands) = driver.register();
+    let request = incoming.request.clone();
+    let mut flow = Flow {
+        driver: Arc::clone(&driver),
+        handle,
+        incoming: Arc::new(incoming),
+        current: Current::None,
+        caller: Caller::Waiting(tx),
+        next_piece: 0,
+        over: false,
+    };
+    driver.feed(Input::Request { handle, request });
+    while !flow.over {
+        tokio::select! {
+            biased;
+            Some(command) = commands.recv() => flow.obey(command).await,
+            () = flow.caller.gone() => flow.caller_gone(),
+            step = flow.current.step() => flow.advance(step).await,
+        }
+    }
+    driver.forget(handle);
+}
+
+/// Progress of the current attempt.
+enum Step {
+    Head(AttemptId, Head),
+    Piece(AttemptId, Piece),
+}
+
+impl Current {
+    async fn step(&mut self) -> Step {
+        match self {
+            Self::None => pending().await,
+            Self::Pending(attempt, head) => Step::Head(*attempt, head.await),
+            Self::Streaming(attempt, stream) => Step::Piece(*attempt, stream.next().await),
+        }
+    }
+
+    fn is(&self, id: AttemptId) -> bool {
+        matches!(self, Self::Pending(a, _) | Self::Streaming(a, _) if *a == id)
+    }
+}
+
+impl Caller {
+    async fn gone(&mut self) {
+        match self {
+            Self::Waiting(tx) => tx.closed().await,
+            Self::Streaming(tx) => tx.closed().await,
+            Self::Gone => pending().await,
+        }
+    }
+}
+
+impl Flow {
+    async fn obey(&mut self, command: Command) {
+        match command {
+            Command::Dispatch {
+                attempt,
+                upstream,
+                resume_from,
+            } => {
+                let driver = Arc::clone(&self.driver);
+                let incoming = Arc::clone(&self.incoming);
+                let head = async move {
+                    attempt::send(&driver, &incoming, attempt, &upstream, resume_from).await
+                };
+                self.current = Current::Pending(attempt, head.boxed());
+            }
+            Command::Cancel(attempt) if self.current.is(attempt) => self.current = Current::None,
+            Command::Cancel(_) => {}
+            Command::Refuse(refusal) => self.refuse(&refusal).await,
+            Command::Finish => self.over = true,
+        }
+    }
+
+    async fn advance(&mut self, step: Step) {
+        match step {
+            Step::Head(attempt, head) => self.head(attempt, head),
+            Step::Piece(attempt, piece) => self.piece(attempt, piece).await,
+        }
+    }
+
+    fn head(&mut self, attempt: AttemptId, head: Head) {
+        self.current = Current::None;
+        match head {
+            Head::Answer(stream) => {
+                self.report(attempt, AttemptEvent::Accepted(stream.load));
+                if let Caller::Waiting(_) = self.caller {
+                    self.begin_answer(&stream);
+                }
+                self.current = Current::Streaming(attempt, stream);
+            }
+            Head::Bounced(reason, load) => {
+                self.report(attempt, AttemptEvent::Bounced(reason, load));
+            }
+            Head::Failed(run) => self.report(attempt, AttemptEvent::Failed(run)),
+        }
+    }
+
+    fn begin_answer(&mut self, stream: &Stream) {
+        let mut response = Response::new(());
+        *response.status_mut() = stream.parts.status;
+        let fields = response.headers_mut();
+        *fields = stream.parts.headers.clone();
+        for name in headers::HOP_BY_HOP {
+            fields.remove(name);
+        }
+        for name in [headers::LOAD, headers::CLOCK] {
+            fields.remove(name);
+        }
+        fields.insert(
+            headers::REQUEST_ID,
+            headers::value(&self.incoming.request.id),
+        );
+        let (tx, body) = channel_body();
+        let caller = std::mem::replace(&mut self.caller, Caller::Streaming(tx));
+        if let Caller::Waiting(head) = caller
+            && head.send(response.map(|()| body)).is_err()
+        {
+            self.caller_gone();
+        }
+    }
+
+    async fn piece(&mut self, attempt: AttemptId, piece: Piece) {
+        match piece {
+            Piece::Event(event) => self.event(attempt, event).await,
+            Piece::Bytes(bytes) => {
+                let index = self.next_piece;
+                self.next_piece += 1;
+                if self.driver.feed_chunk(attempt, index, 1).is_some() {
+                    self.forward(bytes).await;
+                }
+            }
+            Piece::End(load) => {
+                self.current = Current::None;
+                self.report(attempt, AttemptEvent::Finished(load));
+            }
+            Piece::Broken => self.broken(attempt).await,
+        }
+    }
+
+    async fn event(&mut self, attempt: AttemptId, event: SseEvent) {
+        let Some(id) = event.id else {
+            if event.done {
+                self.forward(event.raw).await;
+            }
+            return;
+        };
+        if self.driver.feed_chunk(attempt, id, 1) == Some(0) {
+            self.forward(event.raw).await;
+        }
+    }
+
+    async fn broken(&mut self, attempt: AttemptId) {
+        let is_draft = matches!(&self.current, Current::Streaming(_, s) if s.is_draft);
+        self.current = Current::None;
+        if is_draft {
+            self.report(attempt, AttemptEvent::Failed(Run::Unknown));
+            return;
+        }
+        // Pieces of a plain answer have no index that a second attempt could resume at.
+        self.driver.feed(Input::CallerGone(self.handle));
+        self.cut("the upstream's answer broke off").await;
+    }
+
+    async fn forward(&mut self, bytes: Bytes) {
+        let Caller::Streaming(tx) = &self.caller else {
+            return;
+        };
+        let deadline = tokio::time::sleep(self.incoming.request.deadline);
+        let sent = tokio::select! {
+            sent = tx.send(Ok(Frame::data(bytes))) => sent.is_ok(),
+            // The deadline's refusal is waiting in the queue of commands by then.
+            () = deadline => true,
+        };
+        if !sent {
+            self.caller_gone();
+        }
+    }
+
+    fn caller_gone(&mut self) {
+        self.driver.feed(Input::CallerGone(self.handle));
+        self.caller = Caller::Gone;
+        self.over = true;
+    }
+
+    async fn refuse(&mut self, refusal: &Refusal) {
+        self.over = true;
+        match std::mem::replace(&mut self.caller, Caller::Gone) {
+            Caller::Waiting(tx) => {
+                let response = problem_response(refusal, &self.incoming.request.id);
+                // The caller may have gone away at the same time.
+                let _ = tx.send(response.map(full));
+            }
+            streaming => {
+                self.caller = streaming;
+                self.cut(&refusal.detail).await;
+            }
+        }
+    }
+
+    /// Ends an answer that has begun so that the caller sees that it is not whole.
+    async fn cut(&mut self, reason: &str) {
+        self.over = true;
+        let event = Event::new(EventKind::RequestCut, reason);
+        self.driver
+            .record(event.about_request(self.incoming.request.id.clone()));
+        if let Caller::Streaming(tx) = &self.caller {
+            let _ = tx.send(Err(reason.into())).await;
+        }
+    }
+
+    fn report(&self, attempt: AttemptId, event: AttemptEvent) {
+        self.driver.feed(Input::Attempt(attempt, event));
+    }
+}
--- /dev/null
+++ b/crates/net/src/http/mod.rs
@@ -0,0 +1,9 @@
+//! HTTP servers and clients with the limits that all of them share.
+
+mod body;
+mod client;
+mod server;
+
+pub use body::{Body, BodyError, BodySender, channel_body, collect, empty, full};
+pub use client::{Client, plain_client, prior_knowledge_client};
+pub use server::{Limits, LimitsBuilder, Server};
--- /dev/null
+++ b/crates/net/src/http/server.rs
@@ -0,0 +1,174 @@
+//! HTTP/1.1 and HTTP/2 server with limits and a graceful shutdown.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+
+use super::Body;
+
+/// Pause after a failed accept, so that a lack of file descriptors causes no busy loop.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Limits of a listener.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    header_bytes: usize,
+    header_timeout: Duration,
+    connections: usize,
+    streams: u32,
+}
+
+/// Builder of [`Limits`].
+#[derive(Clone, Debug)]
+pub struct LimitsBuilder {
+    limits: Limits,
+}
+
+impl Limits {
+    /// Limits that fit a callers' listener of a small host.
+    #[must_use]
+    pub fn builder() -> LimitsBuilder {
+        LimitsBuilder {
+            limits: Self {
+                header_bytes: 32 * 1_024,
+                header_timeout: Duration::from_secs(5),
+                connections: 10_000,
+                streams: 1_000,
+            },
+        }
+    }
+}
+
+impl LimitsBuilder {
+    /// Largest size of all headers of a request, in bytes; at least 8 KiB.
+    #[must_use]
+    pub fn header_bytes(mut self, bytes: usize) -> Self {
+        self.limits.header_bytes = bytes.max(8 * 1_024);
+        self
+    }
+
+    /// Longest time until a connection has sent the headers of a request.
+    #[must_use]
+    pub fn header_timeout(mut self, timeout: Duration) -> Self {
+        self.limits.header_timeout = timeout;
+        self
+    }
+
+    /// Most connections at once; more wait to be accepted.
+    #[must_use]
+    pub fn connections(mut self, connections: usize) -> Self {
+        self.limits.connections = connections.max(1);
+        self
+    }
+
+    /// Most streams at once on an HTTP/2 connection.
+    #[must_use]
+    pub fn streams(mut self, streams: u32) -> Self {
+        self.limits.streams = streams.max(1);
+        self
+    }
+
+    /// The limits.
+    #[must_use]
+    pub fn build(self) -> Limits {
+        self.limits
+    }
+}
+
+/// A listener and what its connections share.
+#[derive(Debug)]
+pub struct Server {
+    listener: TcpListener,
+    limits: Limits,
+}
+
+impl Server {
+    /// A server on a bound listener.
+    #[must_use]
+    pub fn new(listener: TcpListener, limits: Limits) -> Self {
+        Self { listener, limits }
+    }
+
+    /// Serves until `shutdown`, then lets open requests end.
+    pub async fn run<F, R>(self, shutdown: CancellationToken, handler: F)
+    where
+        F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+        R: Future<Output = Response<Body>> + Send + 'static,
+    {
+        let builder = connection_builder(&self.limits);
+        let graceful = GracefulShutdown::new();
+        let slots = Arc::new(Semaphore::new(self.limits.connections));
+        loop {
+            let accepted = tokio::select! {
+                accepted = accept(&self.listener, &slots) => accepted,
+                () = shutdown.cancelled() => break,
+            };
+            let Some((stream, slot)) = accepted else {
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            let handler = handler.clone();
+            let service = service_fn(move |req| {
+                let answer = handler(req);
+                async move { Ok::<_, Infallible>(answer.await) }
+            });
+            let connection = builder
+                .serve_connection(TokioIo::new(stream), service)
+                .into_owned();
+            let connection = graceful.watch(connection);
+            tokio::spawn(async move {
+                if let Err(error) = connection.await {
+                    log::debug!("a connection ended with an error: {error}");
+                }
+                drop(slot);
+            });
+        }
+        drop(self.listener);
+        graceful.shutdown().await;
+    }
+}
+
+async fn accept(
+    listener: &TcpListener,
+    slots: &Arc<Semaphore>,
+) -> Option<(tokio::net::TcpStream, tokio::sync::OwnedSemaphorePermit)> {
+    let slot = Arc::clone(slots).acquire_owned().await.ok()?;
+    match listener.accept().await {
+        Ok((stream, _)) => {
+            if let Err(error) = stream.set_nodelay(true) {
+                log::debug!("can't disable delayed sends: {error}");
+            }
+            Some((stream, slot))
+        }
+        Err(error) => {
+            log::warn!("can't accept a connection: {error}");
+            None
+        }
+    }
+}
+
+fn connection_builder(limits: &Limits) -> auto::Builder<TokioExecutor> {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .max_buf_size(limits.header_bytes)
+        .header_read_timeout(limits.header_timeout);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .adaptive_window(true)
+        .max_concurrent_streams(limits.streams)
+        .max_header_list_size(u32::try_from(limits.header_bytes).unwrap_or(u32::MAX));
+    builder
+}
--- /dev/null
+++ b/crates/net/src/upstream/driver.rs
@@ -0,0 +1,181 @@
+//! The state machine with its clock, its timers and the work in flight.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use eelgrasshold_core::event::Stamp;
+use eelgrasshold_core::types::{AttemptId, Incarnation, Load, Run};
+use eelgrasshold_core::upstream::{Bounce, Input, Output, Timer, Upstream};
+use http::{Request, Response};
+use hyper::body::Incoming;
+use tokio::sync::{mpsc, watch};
+
+use super::engine::Engine;
+use super::work;
+use crate::http::Body;
+use crate::runtime::{Clock, Timeline, Timers};
+
+/// Interval of connection attempts to an engine that is down.
+const ENGINE_PROBE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// What the machine decided about one attempt.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Command {
+    Start { priority: u8 },
+    Bounce { reason: Bounce, load: Load },
+    Fail { run: Run },
+    Stop,
+}
+
+/// Drives the machine of one upstream.
+#[derive(Debug)]
+pub struct UpstreamDriver {
+    machine: Mutex<Upstream>,
+    clock: Clock,
+    timers: Timers<Timer>,
+    timeline: Arc<Timeline>,
+    incarnation: Incarnation,
+    engine: Engine,
+    attempts: Mutex<BTreeMap<AttemptId, mpsc::UnboundedSender<Command>>>,
+    drained: watch::Sender<bool>,
+}
+
+impl UpstreamDriver {
+    /// A driver around a machine and its engine.
+    #[must_use]
+    pub fn new(
+        machine: Upstream,
+        engine: Engine,
+        incarnation: Incarnation,
+        timeline: Arc<Timeline>,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            machine: Mutex::new(machine),
+            clock: Clock::start(),
+            timers: Timers::new(),
+            timeline,
+            incarnation,
+            engine,
+            attempts: Mutex::new(BTreeMap::new()),
+            drained: watch::Sender::new(false),
+        })
+    }
+
+    /// Fires the machine's timers; never returns.
+    pub async fn run_timers(self: Arc<Self>) {
+        self.timers
+            .run(self.clock, |timer| self.feed(Input::Timer(timer)))
+            .await;
+    }
+
+    /// Answers an entry host's dispatch.
+    pub async fn serve(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        work::serve(self, request).await
+    }
+
+    /// Begins a graceful shutdown; [`Self::drained`] tells when it is over.
+    pub fn leave(&self) {
+        self.feed(Input::Leave);
+    }
+
+    /// Waits until all work has ended after [`Self::leave`].
+    pub async fn drained(&self) {
+        let mut seen = self.drained.subscribe();
+        // The sender lives as long as the driver.
+        let _ = seen.wait_for(|drained| *drained).await;
+    }
+
+    /// Present load.
+    #[must_use]
+    pub fn load(&self) -> Load {
+        self.lock_machine().load()
+    }
+
+    pub(super) fn engine(&self) -> &Engine {
+        &self.engine
+    }
+
+    pub(super) fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    pub(super) fn stamp(&self) -> Stamp {
+        self.timeline.stamp()
+    }
+
+    pub(super) fn observe(&self, stamp: Stamp) -> Duration {
+        self.timeline.observe(stamp)
+    }
+
+    pub(super) fn register(&self, attempt: AttemptId) -> mpsc::UnboundedReceiver<Command> {
+        let (tx, rx) = mpsc::unbounded_channel();
+        self.lock_attempts().insert(attempt, tx);
+        rx
+    }
+
+    pub(super) fn forget(&self, attempt: AttemptId) {
+        self.lock_attempts().remove(&attempt);
+    }
+
+    /// Marks the engine as down and probes it until it accepts connections again.
+    pub(super) fn engine_down(self: &Arc<Self>) {
+        self.feed(Input::EngineDown);
+        let driver = Arc::clone(self);
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(ENGINE_PROBE_INTERVAL).await;
+                if driver.engine.is_up().await {
+                    driver.feed(Input::EngineUp);
+                    return;
+                }
+            }
+        });
+    }
+
+    pub(super) fn feed(&self, input: Input) {
+        let outputs = self.lock_machine().handle(self.clock.now(), input);
+        for output in outputs {
+            self.act(output);
+        }
+    }
+
+    fn act(&self, output: Output) {
+        match output {
+            Output::Start { attempt, priority } => {
+                self.command(attempt, Command::Start { priority });
+            }
+            // The engine's interface has no call to change the priority of a running draft.
+            Output::Reprioritize { .. } => {}
+            Output::Stop(attempt) => self.command(attempt, Command::Stop),
+            Output::Bounce {
+                attempt,
+                reason,
+                load,
+            } => {
+                self.command(attempt, Command::Bounce { reason, load });
+            }
+            Output::Fail { attempt, run } => self.command(attempt, Command::Fail { run }),
+            Output::SetTimer { at, timer } => self.timers.set(at, timer),
+            Output::Event(event) => self.timeline.record(event),
+            Output::Drained => {
+                self.drained.send_replace(true);
+            }
+        }
+    }
+
+    fn command(&self, attempt: AttemptId, command: Command) {
+        if let Some(tx) = self.lock_attempts().get(&attempt) {
+            // The receiver is gone when its entry host closed the stream at the same time.
+            let _ = tx.send(command);
+        }
+    }
+
+    fn lock_machine(&self) -> MutexGuard<'_, Upstream> {
+        self.machine.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn lock_attempts(&self) -> MutexGuard<'_, BTreeMap<AttemptId, mpsc::UnboundedSender<Command>>> {
+        self.attempts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/net/src/upstream/engine.rs
@@ -0,0 +1,162 @@
+//! Client of the engine or plain service on this host.
+
+use bytes::Bytes;
+use eelgrasshold_core::config::ServiceKind;
+use eelgrasshold_core::types::{Request as Meta, Run};
+use http::request::Parts;
+use http::{Request, Response, Uri, header};
+use hyper::body::Incoming;
+use serde_json::Value;
+use snafu::Snafu;
+
+use crate::http::{Client, empty, full, plain_client};
+use crate::wire::headers;
+
+/// Why the engine gave no answer.
+#[derive(Debug, Snafu)]
+pub enum EngineError {
+    /// It refuses connections; the work certainly did not begin.
+    #[snafu(display("the engine refuses connections"))]
+    Unreachable,
+    /// The connection broke after the request was sent.
+    #[snafu(display("the engine's connection broke"))]
+    Broken,
+    /// The request can't be expressed to the engine.
+    #[snafu(display("the request can't be passed on: {reason}"))]
+    BadRequest {
+        /// Reason.
+        reason: String,
+    },
+}
+
+impl EngineError {
+    /// Whether the work ran.
+    #[must_use]
+    pub fn run(&self) -> Run {
+        match self {
+            Self::Unreachable | Self::BadRequest { .. } => Run::NotRun,
+            Self::Broken => Run::Unknown,
+        }
+    }
+}
+
+/// The engine or plain service behind this process.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    address: String,
+    kind: ServiceKind,
+    client: Client,
+}
+
+impl Engine {
+    /// A client of the engine at `IP:PORT`.
+    #[must_use]
+    pub fn new(address: String, kind: ServiceKind) -> Self {
+        Self {
+            address,
+            kind,
+            client: plain_client(),
+        }
+    }
+
+    /// What it is.
+    #[must_use]
+    pub fn kind(&self) -> ServiceKind {
+        self.kind
+    }
+
+    /// Passes a request on and returns the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// If the engine can't be reached, its connection breaks or the request is unusable.
+    pub async fn send(
+        &self,
+        meta: &Meta,
+        priority: u8,
+        parts: &Parts,
+        body: &Bytes,
+    ) -> Result<Response<Incoming>, EngineError> {
+        let path = parts
+            .uri
+            .path_and_query()
+            .map_or("/", http::uri::PathAndQuery::as_str);
+        let uri: Uri = format!("http://{}{path}", self.address).parse().map_err(
+            |e: http::uri::InvalidUri| EngineError::BadRequest {
+                reason: e.to_string(),
+            },
+        )?;
+        let is_draft = self.kind == ServiceKind::Model && parts.method == http::Method::POST;
+        let body = if is_draft {
+            completion_body(body, meta, priority)?
+        } else {
+            body.clone()
+        };
+        let mut request = Request::new(full(body));
+        *request.method_mut() = parts.method.clone();
+        *request.uri_mut() = uri;
+        *request.headers_mut() = pass_through(parts);
+        request
+            .headers_mut()
+            .insert(headers::X_REQUEST_ID, headers::value(&meta.id));
+        self.client.request(request).await.map_err(|error| {
+            if error.is_connect() {
+                EngineError::Unreachable
+            } else {
+                EngineError::Broken
+            }
+        })
+    }
+
+    /// Asks the engine to stop a draft; best effort, since a closed connection stops it as well.
+    pub async fn cancel(&self, request_id: &str) {
+        if self.kind != ServiceKind::Model {
+            return;
+        }
+        let uri = format!("http://{}/v1/completions/{request_id}", self.address);
+        if let Ok(request) = Request::delete(uri).body(empty()) {
+            let _ = self.client.request(request).await;
+        }
+    }
+
+    /// Whether the engine accepts connections.
+    pub async fn is_up(&self) -> bool {
+        tokio::net::TcpStream::connect(&self.address).await.is_ok()
+    }
+}
+
+fn pass_through(parts: &Parts) -> http::HeaderMap {
+    let mut fields = parts.headers.clone();
+    for name in headers::HOP_BY_HOP {
+        fields.remove(name);
+    }
+    let ours = [
+        headers::ATTEMPT,
+        headers::REQUEST,
+        headers::RESUME_FROM,
+        headers::CLOCK,
+        headers::INCARNATION,
+        header::CONTENT_LENGTH,
+        header::HOST,
+    ];
+    for name in ours {
+        fields.remove(name);
+    }
+    fields
+}
+
+/// The caller's completion request with the priority and the first token to produce.
+fn completion_body(body: &Bytes, meta: &Meta, priority: u8) -> Result<Bytes, EngineError> {
+    let unusable = |reason: String| EngineError::BadRequest { reason };
+    let mut value: Value = serde_json::from_slice(body).map_err(|e| unusable(e.to_string()))?;
+    let Value::Object(fields) = &mut value else {
+        return Err(unusable("the body is not an object".into()));
+    };
+    fields.insert("stream".into(), true.into());
+    fields.insert("priority".into(), priority.into());
+    fields.insert("max_tokens".into(), meta.max_tokens.into());
+    fields.insert("resume_from".into(), meta.resume_from.into());
+    serde_json::to_vec(&value)
+        .map(Bytes::from)
+        .map_err(|e| unusable(e.to_string()))
+}
--- /dev/null
+++ b/crates/net/src/upstream/work.rs
@@ -0,0 +1,283 @@
+//! One attempt: from an entry host's dispatch to the end of the engine's answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eelgrasshold_core::config::ServiceKind;
+use eelgrasshold_core::event::Stamp;
+use eelgrasshold_core::types::{AttemptId, Load, Request as Meta, Run};
+use eelgrasshold_core::upstream::{Bounce, EngineEvent, Input};
+use http::request::Parts;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::{Frame, Incoming};
+use tokio::sync::mpsc;
+
+use super::driver::{Command, UpstreamDriver};
+use super::engine::EngineError;
+use crate::http::{Body, BodySender, channel_body, collect, empty};
+use crate::wire::{SseSplitter, headers};
+
+/// Largest body of a dispatch, in bytes; entry hosts accept no larger one.
+const MAX_BODY_BYTES: usize = 4 << 20;
+/// Longest time for the body of a dispatch.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Tells the machine when the entry host goes away before the attempt has ended.
+struct Guard {
+    driver: Arc<UpstreamDriver>,
+    attempt: AttemptId,
+    ended: bool,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.driver.forget(self.attempt);
+        if !self.ended {
+            self.driver.feed(Input::Cancel(self.attempt));
+        }
+    }
+}
+
+impl Guard {
+    fn report(&mut self, event: EngineEvent) {
+        self.ended = !matches!(event, EngineEvent::Tokens(_));
+        self.driver.feed(Input::Engine(self.attempt, event));
+    }
+}
+
+struct Dispatch {
+    attempt: AttemptId,
+    meta: Meta,
+    age: Duration,
+    parts: Parts,
+    body: Bytes,
+}
+
+pub(super) async fn serve(
+    driver: Arc<UpstreamDriver>,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let dispatch = match read_dispatch(&driver, request).await {
+        Ok(dispatch) => dispatch,
+        Err(response) => return *response,
+    };
+    let attempt = dispatch.attempt;
+    let mut commands = driver.register(attempt);
+    let mut guard = Guard {
+        driver: Arc::clone(&driver),
+        attempt,
+        ended: false,
+    };
+    let (request, age) = (dispatch.meta.clone(), dispatch.age);
+    driver.feed(Input::Work {
+        attempt,
+        request,
+        age,
+    });
+    let priority = match commands.recv().await {
+        Some(Command::Start { priority }) => priority,
+        Some(Command::Bounce { reason, load }) => {
+            guard.ended = true;
+            return bounce(reason, load);
+        }
+        Some(Command::Fail { run }) => {
+            guard.ended = true;
+            return failed(run);
+        }
+        Some(Command::Stop) | None => return failed(Run::NotRun),
+    };
+    let call = driver
+        .engine()
+        .send(&dispatch.meta, priority, &dispatch.parts, &dispatch.body);
+    let answer = tokio::select! {
+        answer = call => answer,
+        command = commands.recv() => {
+            guard.ended = true;
+            let run = if let Some(Command::Fail { run }) = command { run } else { Run::Unknown };
+            return failed(run);
+        }
+    };
+    match answer {
+        Ok(answer) if is_failure(driver.engine().kind(), answer.status()) => {
+            guard.report(EngineEvent::Failed(Run::Unknown));
+            failed(Run::Unknown)
+        }
+        Ok(answer) => stream(guard, dispatch.meta, answer, commands),
+        Err(error) => {
+            guard.report(EngineEvent::Failed(error.run()));
+            if matches!(error, EngineError::Unreachable) {
+                driver.engine_down();
+            }
+            failed(error.run())
+        }
+    }
+}
+
+/// A plain service's error is its answer; an engine's is a failure that another engine may mend.
+fn is_failure(kind: ServiceKind, status: StatusCode) -> bool {
+    kind == ServiceKind::Model && status.is_server_error()
+}
+
+async fn read_dispatch(
+    driver: &UpstreamDriver,
+    request: Request<Incoming>,
+) -> Result<Dispatch, Box<Response<Body>>> {
+    let refuse = |reason| Box::new(bounce(reason, driver.load()));
+    let (parts, body) = request.into_parts();
+    let attempt = headers::parsed(&parts.headers, &headers::ATTEMPT)
+        .ok()
+        .flatten();
+    let meta: Option<Meta> = headers::json(&parts.headers, &headers::REQUEST);
+    let (Some(attempt), Some(mut meta)) = (attempt, meta) else {
+        let mut response = Response::new(empty());
+        *response.status_mut() = StatusCode::BAD_REQUEST;
+        response
+            .headers_mut()
+            .insert(headers::FAILED, headers::value("not_run"));
+        return Err(Box::new(response));
+    };
+    let meant = headers::parsed(&parts.headers, &headers::INCARNATION)
+        .ok()
+        .flatten();
+    if meant.is_some_and(|meant: u64| meant != driver.incarnation()) {
+        return Err(refuse(Bounce::Stale));
+    }
+    if let Ok(Some(resume_from)) = headers::parsed(&parts.headers, &headers::RESUME_FROM) {
+        meta.resume_from = resume_from;
+    }
+    let age = match headers::parsed::<Stamp>(&parts.headers, &headers::CLOCK) {
+        Ok(Some(stamp)) => driver.observe(stamp),
+        _ => Duration::ZERO,
+    };
+    let Ok(body) = collect(body, MAX_BODY_BYTES, BODY_TIMEOUT).await else {
+        return Err(Box::new(failed(Run::NotRun)));
+    };
+    Ok(Dispatch {
+        attempt,
+        meta,
+        age,
+        parts,
+        body,
+    })
+}
+
+fn bounce(reason: Bounce, load: Load) -> Response<Body> {
+    let mut response = Response::new(empty());
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    let name = serde_json::to_value(reason).ok();
+    let name = name
+        .as_ref()
+        .and_then(serde_json::Value::as_str)
+        .unwrap_or("unknown");
+    response
+        .headers_mut()
+        .insert(headers::BOUNCE, headers::value(name));
+    response
+        .headers_mut()
+        .insert(headers::LOAD, headers::json_value(&load));
+    response
+}
+
+fn failed(run: Run) -> Response<Body> {
+    let mut response = Response::new(empty());
+    *response.status_mut() = StatusCode::BAD_GATEWAY;
+    let name = if run == Run::NotRun {
+        "not_run"
+    } else {
+        "unknown"
+    };
+    response
+        .headers_mut()
+        .insert(headers::FAILED, headers::value(name));
+    response
+}
+
+fn stream(
+    guard: Guard,
+    meta: Meta,
+    answer: Response<Incoming>,
+    commands: mpsc::UnboundedReceiver<Command>,
+) -> Response<Body> {
+    let (mut parts, body) = answer.into_parts();
+    for name in headers::HOP_BY_HOP {
+        parts.headers.remove(name);
+    }
+    parts
+        .headers
+        .insert(headers::LOAD, headers::json_value(&guard.driver.load()));
+    parts.headers.insert(
+        headers::CLOCK,
+        headers::value(&guard.driver.stamp().to_string()),
+    );
+    parts.version = http::Version::HTTP_2;
+    let (tx, out) = channel_body();
+    let is_draft =
+        guard.driver.engine().kind() == ServiceKind::Model && parts.status == StatusCode::OK;
+    tokio::spawn(pump(guard, meta, body, tx, commands, is_draft));
+    Response::from_parts(parts, out)
+}
+
+/// Passes the answer on until it ends, fails or nobody wants it any more.
+async fn pump(
+    mut guard: Guard,
+    meta: Meta,
+    mut body: Incoming,
+    tx: BodySender,
+    mut commands: mpsc::UnboundedReceiver<Command>,
+    is_draft: bool,
+) {
+    let mut splitter = SseSplitter::default();
+    let mut done = false;
+    loop {
+        let frame = tokio::select! {
+            frame = body.frame() => frame,
+            () = tx.closed() => break,
+            _ = commands.recv() => {
+                guard.ended = true;
+                let _ = tx.send(Err("the work was stopped".into())).await;
+                break;
+            }
+        };
+        match frame {
+            Some(Ok(frame)) => {
+                if is_draft && let Some(data) = frame.data_ref() {
+                    done |= count_tokens(&mut guard, &mut splitter, data);
+                }
+                if tx.send(Ok(frame)).await.is_err() {
+                    break;
+                }
+            }
+            None if done || !is_draft => {
+                guard.report(EngineEvent::Finished);
+                let mut trailers = HeaderMap::new();
+                let load = guard.driver.load();
+                trailers.insert(headers::LOAD, headers::json_value(&load));
+                let _ = tx.send(Ok(Frame::trailers(trailers))).await;
+                return;
+            }
+            Some(Err(_)) | None => {
+                guard.report(EngineEvent::Failed(Run::Unknown));
+                let _ = tx.send(Err("the engine's answer broke off".into())).await;
+                return;
+            }
+        }
+    }
+    drop(body);
+    guard.driver.engine().cancel(&meta.id).await;
+}
+
+/// Reports the tokens in a piece of the stream; true if it ends the answer.
+fn count_tokens(guard: &mut Guard, splitter: &mut SseSplitter, data: &[u8]) -> bool {
+    splitter.push(data);
+    let (mut tokens, mut done) = (0, false);
+    while let Some(event) = splitter.next_event() {
+        done |= event.done;
+        tokens += u32::from(event.id.is_some());
+    }
+    if tokens > 0 {
+        guard.report(EngineEvent::Tokens(tokens));
+    }
+    done
+}
--- /dev/null
+++ b/crates/net/src/wire/mod.rs
@@ -0,0 +1,13 @@
+//! Headers, documents and streams as they look on the wire.
+
+pub mod headers;
+mod incoming;
+mod problem;
+mod sse;
+
+#[cfg(test)]
+mod tests;
+
+pub use incoming::{Incoming, Target, parse_caller_request};
+pub use problem::{internal_error, problem_response};
+pub use sse::{SseEvent, SseSplitter};
