Add messages, platform calls and the live entry hosts to the entry machine

Claims, suspects and other knowledge travel between entry hosts, and claims are kept in the platform, but the entry machine could neither send to a peer nor call the platform. Adds Output::Send with Input::Peer, Output::Platform with Input::Platform, Input::EntryHosts, a crash as an end of an attempt, and the replay of a kept answer. The old claim pair stays until the machine handles claims itself.

--- a/crates/core/src/entry/machine.rs
+++ b/crates/core/src/entry/machine.rs
@@ -102,6 +102,10 @@
             Input::Claim(handle, result) => self.claim(now, handle, result, &mut out),
             Input::Drain => self.draining = true,
             Input::Timer(Timer::Deadline(handle)) => self.deadline(now, handle, &mut out),
+            Input::EntryHosts(_)
+            | Input::Peer { .. }
+            | Input::Platform { .. }
+            | Input::Timer(_) => {}
         }
         if self.draining && self.requests.is_empty() {
             out.push(Output::Drained);
@@ -249,6 +253,7 @@
             attempt,
             upstream,
             resume_from: held.next_token,
+            alone: false,
         });
     }
 
@@ -309,6 +314,10 @@
                 self.end_attempt(attempt);
                 self.retry(now, handle, run, out);
             }
+            AttemptEvent::Crashed => {
+                self.end_attempt(attempt);
+                self.retry(now, handle, Run::Unknown, out);
+            }
         }
     }
 
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -46,6 +46,7 @@
 //! ```
 
 mod machine;
+mod message;
 
 #[cfg(test)]
 mod tests;
@@ -55,9 +56,11 @@
 use serde::{Deserialize, Serialize};
 
 pub use machine::Entry;
+pub use message::{Claim, ClaimResult, Nonce, PeerMessage, Suspect};
 
 use crate::config::Config;
 use crate::event::Event;
+use crate::platform::{Call, CallId, Reply};
 use crate::types::{
     AttemptId, DataCentreId, HostId, Incarnation, Load, Now, Refusal, Request, RequestHandle, Run,
     ServiceId,
@@ -115,8 +118,26 @@
     CallerGone(RequestHandle),
     /// An attempt made progress or ended.
     Attempt(AttemptId, AttemptEvent),
-    /// The claim of a non-idempotent request was settled.
+    /// The claim of a non-idempotent request was settled. It goes away once the machine
+    /// handles claims by itself.
     Claim(RequestHandle, ClaimResult),
+    /// The live entry hosts, this one included, changed.
+    EntryHosts(Vec<HostId>),
+    /// A message of another daemon arrived.
+    Peer {
+        /// Its sender.
+        from: HostId,
+        /// What it says.
+        message: PeerMessage,
+    },
+    /// The platform answered a call. Each call gets one reply, [`Reply::Lost`] at the latest
+    /// when the driver stops waiting.
+    Platform {
+        /// Call that it answers.
+        id: CallId,
+        /// Answer.
+        reply: Reply,
+    },
     /// A graceful shutdown begins: nothing new is taken.
     Drain,
     /// A timer that was set has fired.
@@ -141,24 +162,14 @@
     Bounced(Bounce, Load),
     /// The attempt failed; `NotRun` only if it certainly did not begin.
     Failed(Run),
-}
-
-/// How a claim was settled.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum ClaimResult {
-    /// This request holds the key.
-    Granted,
-    /// Another request holds or held it.
-    Taken,
-    /// It could not be written; nothing was dispatched.
-    Unavailable,
+    /// The upstream or its engine died while the attempt was in flight.
+    Crashed,
 }
 
 /// What the driver shall do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Output {
-    /// Send an attempt to an upstream.
+    /// Send an attempt to an upstream, stamped with the clock at the time of this decision.
     Dispatch {
         /// Request.
         handle: RequestHandle,
@@ -168,6 +179,8 @@
         upstream: UpstreamInfo,
         /// First token that the caller lacks.
         resume_from: u32,
+        /// The request is suspected of crashing upstreams and shall run alone.
+        alone: bool,
     },
     /// Drop an attempt: close its stream.
     Cancel(AttemptId),
@@ -190,7 +203,32 @@
         /// Reason.
         refusal: Refusal,
     },
-    /// Write the claim of a non-idempotent request before it is dispatched.
+    /// Answer with the kept answer of an earlier request with the same idempotency key, or
+    /// refuse if the driver no longer has it.
+    Replay {
+        /// Request.
+        handle: RequestHandle,
+        /// Earlier request, which finished on this host.
+        of: RequestHandle,
+        /// Refusal for an answer that was not kept.
+        otherwise: Refusal,
+    },
+    /// Send a message to another daemon; it may be lost.
+    Send {
+        /// Its receiver.
+        to: HostId,
+        /// What it says.
+        message: PeerMessage,
+    },
+    /// Call the platform.
+    Platform {
+        /// Number that comes back with the reply.
+        id: CallId,
+        /// Call.
+        call: Call,
+    },
+    /// Write the claim of a non-idempotent request. It goes away once the machine handles
+    /// claims by itself.
     Claim {
         /// Request.
         handle: RequestHandle,
@@ -215,4 +253,14 @@
 pub enum Timer {
     /// The deadline of a request.
     Deadline(RequestHandle),
+    /// The claim of a request is late: claim without the shard's owner, or give up.
+    Claim(RequestHandle),
+    /// Write the claims that were collected for a shard.
+    Shard(u8),
+    /// The first answer of a request is late: start a hedge.
+    Hedge(RequestHandle),
+    /// Tell entry hosts again that have not acknowledged a suspect.
+    Suspects,
+    /// Regular call, by whose absence the process notices that it was paused.
+    Tick,
 }
