Merge the entry machine's messages and platform calls

The machine can now start a hedge beside a running attempt and tell crashes from other failures, so the driver keeps several attempts of a request at once, and upstream processes say in headers or trailers that an engine died.

--- a/crates/net/src/entry/attempt.rs
+++ b/crates/net/src/entry/attempt.rs
@@ -2,17 +2,17 @@
 
 use bytes::Bytes;
 use eelgrasshold_core::config::ServiceKind;
-use eelgrasshold_core::entry::UpstreamInfo;
+use eelgrasshold_core::entry::AttemptEvent;
 use eelgrasshold_core::event::Stamp;
-use eelgrasshold_core::types::{AttemptId, Load, Run};
+use eelgrasshold_core::types::{Load, Run};
 use eelgrasshold_core::upstream::Bounce;
 use http::response::Parts;
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming as IncomingBody;
 
-use super::driver::EntryDriver;
-use crate::http::full;
+use super::driver::{Dispatch, EntryDriver};
+use crate::http::{Body, full};
 use crate::wire::{Incoming, SseEvent, SseSplitter, headers};
 
 /// How an attempt's answer begins.
@@ -22,7 +22,7 @@
     /// It returned the work unstarted.
     Bounced(Bounce, Load),
     /// It failed.
-    Failed(Run),
+    Failed(AttemptEvent),
 }
 
 /// What comes next in an answer.
@@ -34,9 +34,12 @@
     /// The answer ended as a whole.
     End(Load),
     /// It broke off.
-    Broken,
+    Broken(AttemptEvent),
 }
 
+/// A stream that broke without a word from the upstream process.
+const BROKEN: Piece = Piece::Broken(AttemptEvent::Failed(Run::Unknown));
+
 /// An answer that has begun.
 pub(super) struct Stream {
     pub(super) parts: Parts,
@@ -48,30 +51,23 @@
     done: bool,
 }
 
-pub(super) async fn send(
-    driver: &EntryDriver,
-    incoming: &Incoming,
-    attempt: AttemptId,
-    upstream: &UpstreamInfo,
-    resume_from: u32,
-) -> Head {
-    let Some(request) = dispatch(driver, incoming, attempt, upstream, resume_from) else {
-        return Head::Failed(Run::NotRun);
+pub(super) async fn send(driver: &EntryDriver, incoming: &Incoming, dispatch: &Dispatch) -> Head {
+    let Some(request) = dispatch_request(driver, incoming, dispatch) else {
+        return Head::Failed(AttemptEvent::Failed(Run::NotRun));
     };
     match driver.client().request(request).await {
         Ok(response) => read_head(driver, incoming, response),
-        Err(error) if error.is_connect() => Head::Failed(Run::NotRun),
-        Err(_) => Head::Failed(Run::Unknown),
+        Err(error) if error.is_connect() => Head::Failed(AttemptEvent::Failed(Run::NotRun)),
+        Err(_) => Head::Failed(AttemptEvent::Failed(Run::Unknown)),
     }
 }
 
-fn dispatch(
+fn dispatch_request(
     driver: &EntryDriver,
     incoming: &Incoming,
-    attempt: AttemptId,
-    upstream: &UpstreamInfo,
-    resume_from: u32,
-) -> Option<Request<crate::http::Body>> {
+    dispatch: &Dispatch,
+) -> Option<Request<Body>> {
+    let upstream = &dispatch.upstream;
     let uri = format!("http://{}{}", upstream.address, incoming.target.path);
     let mut request = Request::new(full(incoming.body.clone()));
     *request.method_mut() = incoming.parts.method.clone();
@@ -83,17 +79,23 @@
         fields.remove(name);
     }
     fields.remove(http::header::HOST);
-    fields.insert(headers::ATTEMPT, headers::value(&attempt.to_string()));
+    fields.insert(
+        headers::ATTEMPT,
+        headers::value(&dispatch.attempt.to_string()),
+    );
     fields.insert(headers::REQUEST, headers::json_value(&incoming.request));
     fields.insert(
         headers::RESUME_FROM,
-        headers::value(&resume_from.to_string()),
+        headers::value(&dispatch.resume_from.to_string()),
     );
     fields.insert(headers::CLOCK, headers::value(&driver.stamp().to_string()));
     fields.insert(
         headers::INCARNATION,
         headers::value(&upstream.incarnation.to_string()),
     );
+    if dispatch.alone {
+        fields.insert(headers::ALONE, headers::value("true"));
+    }
     Some(request)
 }
 
@@ -108,12 +110,8 @@
         let reason = serde_json::from_value(name).unwrap_or(Bounce::QueueFull);
         return Head::Bounced(reason, load);
     }
-    if let Some(run) = headers::text(&parts.headers, &headers::FAILED) {
-        return Head::Failed(if run == "not_run" {
-            Run::NotRun
-        } else {
-            Run::Unknown
-        });
+    if let Some(event) = failure(&parts.headers) {
+        return Head::Failed(event);
     }
     let is_draft = incoming.kind == ServiceKind::Model
         && incoming.parts.method == http::Method::POST
@@ -129,6 +127,15 @@
     }))
 }
 
+/// The failure that an upstream process reports in headers or trailers.
+fn failure(fields: &HeaderMap) -> Option<AttemptEvent> {
+    Some(match headers::text(fields, &headers::FAILED)? {
+        headers::FAILED_NOT_RUN => AttemptEvent::Failed(Run::NotRun),
+        headers::FAILED_CRASHED => AttemptEvent::Crashed,
+        _ => AttemptEvent::Failed(Run::Unknown),
+    })
+}
+
 impl Stream {
     /// The next piece of the answer.
     pub(super) async fn next(&mut self) -> Piece {
@@ -138,21 +145,23 @@
                 return Piece::Event(event);
             }
             if self.splitter.is_oversized() {
-                return Piece::Broken;
+                return BROKEN;
             }
             match self.body.frame().await {
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) if self.is_draft => self.splitter.push(&data),
                     Ok(data) => return Piece::Bytes(data),
                     Err(frame) => {
-                        if let Ok(trailers) = frame.into_trailers() {
-                            self.take_load(&trailers);
+                        let trailers = frame.into_trailers().unwrap_or_default();
+                        if let Some(event) = failure(&trailers) {
+                            return Piece::Broken(event);
                         }
+                        self.take_load(&trailers);
                     }
                 },
-                Some(Err(_)) => return Piece::Broken,
+                Some(Err(_)) => return BROKEN,
                 // A draft without its end mark was cut, however its framing ended.
-                None if self.is_draft && !self.done => return Piece::Broken,
+                None if self.is_draft && !self.done => return BROKEN,
                 None => return Piece::End(self.load),
             }
         }
--- a/crates/net/src/entry/driver.rs
+++ b/crates/net/src/entry/driver.rs
@@ -20,16 +20,21 @@
 /// What the machine decided about one request.
 #[derive(Debug)]
 pub(super) enum Command {
-    Dispatch {
-        attempt: AttemptId,
-        upstream: UpstreamInfo,
-        resume_from: u32,
-    },
+    Dispatch(Dispatch),
     Cancel(AttemptId),
     Refuse(Refusal),
     Finish,
 }
 
+/// An attempt to be sent.
+#[derive(Debug)]
+pub(super) struct Dispatch {
+    pub(super) attempt: AttemptId,
+    pub(super) upstream: UpstreamInfo,
+    pub(super) resume_from: u32,
+    pub(super) alone: bool,
+}
+
 /// What the driver asks of the rest of the process.
 pub struct Callbacks {
     /// Answers `GET /v1/entry-hosts`, as JSON.
@@ -195,16 +200,16 @@
                 attempt,
                 upstream,
                 resume_from,
+                alone,
             } => {
                 self.lock_attempts().insert(attempt, handle);
-                self.command(
-                    handle,
-                    Command::Dispatch {
-                        attempt,
-                        upstream,
-                        resume_from,
-                    },
-                );
+                let dispatch = Dispatch {
+                    attempt,
+                    upstream,
+                    resume_from,
+                    alone,
+                };
+                self.command(handle, Command::Dispatch(dispatch));
             }
             Output::Cancel(attempt) => self.cancel(attempt),
             Output::Refuse { handle, refusal } => self.command(handle, Command::Refuse(refusal)),
--- a/crates/net/src/entry/flow.rs
+++ b/crates/net/src/entry/flow.rs
@@ -1,14 +1,15 @@
 //! One request from its admission to the end of its answer.
 
+use std::collections::BTreeMap;
 use std::future::pending;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use eelgrasshold_core::entry::{AttemptEvent, Input};
 use eelgrasshold_core::event::{Event, EventKind};
-use eelgrasshold_core::types::{AttemptId, Refusal, RequestHandle, Run};
+use eelgrasshold_core::types::{AttemptId, Refusal, RequestHandle};
 use futures::FutureExt;
-use futures::future::BoxFuture;
+use futures::future::{BoxFuture, select_all};
 use http::Response;
 use hyper::body::Frame;
 use tokio::sync::oneshot;
@@ -18,13 +19,15 @@
 use crate::http::{Body, BodySender, channel_body, full};
 use crate::wire::{Incoming, SseEvent, headers, problem_response};
 
-/// The attempt that is current.
-enum Current {
-    None,
-    Pending(AttemptId, BoxFuture<'static, Head>),
-    Streaming(AttemptId, Box<Stream>),
+/// An attempt in progress.
+enum Progress {
+    Pending(BoxFuture<'static, Head>),
+    Streaming(Box<Stream>),
 }
 
+/// Attempts in progress; more than one only while a hedge runs.
+type Attempts = BTreeMap<AttemptId, Progress>;
+
 /// The caller's side of the answer.
 enum Caller {
     Waiting(oneshot::Sender<Response<Body>>),
@@ -36,7 +39,7 @@
     driver: Arc<EntryDriver>,
     handle: RequestHandle,
     incoming: Arc<Incoming>,
-    current: Current,
+    attempts: Attempts,
     caller: Caller,
     /// Index of the next piece of an answer that is not a draft.
     next_piece: u32,
@@ -55,7 +58,7 @@
         driver: Arc::clone(&driver),
         handle,
         incoming: Arc::new(incoming),
-        current: Current::None,
+        attempts: Attempts::new(),
         caller: Caller::Waiting(tx),
         next_piece: 0,
         over: false,
@@ -66,29 +69,34 @@
             biased;
             Some(command) = commands.recv() => flow.obey(command).await,
             () = flow.caller.gone() => flow.caller_gone(),
-            step = flow.current.step() => flow.advance(step).await,
+            step = next_step(&mut flow.attempts) => flow.advance(step).await,
         }
     }
     driver.forget(handle);
 }
 
-/// Progress of the current attempt.
+/// What an attempt did.
 enum Step {
     Head(AttemptId, Head),
     Piece(AttemptId, Piece),
 }
 
-impl Current {
-    async fn step(&mut self) -> Step {
-        match self {
-            Self::None => pending().await,
-            Self::Pending(attempt, head) => Step::Head(*attempt, head.await),
-            Self::Streaming(attempt, stream) => Step::Piece(*attempt, stream.next().await),
-        }
+async fn next_step(attempts: &mut Attempts) -> Step {
+    if attempts.is_empty() {
+        return pending().await;
     }
+    let steps = attempts
+        .iter_mut()
+        .map(|(id, progress)| progress.step(*id).boxed());
+    select_all(steps).await.0
+}
 
-    fn is(&self, id: AttemptId) -> bool {
-        matches!(self, Self::Pending(a, _) | Self::Streaming(a, _) if *a == id)
+impl Progress {
+    async fn step(&mut self, attempt: AttemptId) -> Step {
+        match self {
+            Self::Pending(head) => Step::Head(attempt, head.await),
+            Self::Streaming(stream) => Step::Piece(attempt, stream.next().await),
+        }
     }
 }
 
@@ -105,20 +113,17 @@
 impl Flow {
     async fn obey(&mut self, command: Command) {
         match command {
-            Command::Dispatch {
-                attempt,
-                upstream,
-                resume_from,
-            } => {
+            Command::Dispatch(dispatch) => {
+                let attempt = dispatch.attempt;
                 let driver = Arc::clone(&self.driver);
                 let incoming = Arc::clone(&self.incoming);
-                let head = async move {
-                    attempt::send(&driver, &incoming, attempt, &upstream, resume_from).await
-                };
-                self.current = Current::Pending(attempt, head.boxed());
+                let head =
+                    async move { attempt::send(&driver, &incoming, &dispatch).await }.boxed();
+                self.attempts.insert(attempt, Progress::Pending(head));
+            }
+            Command::Cancel(attempt) => {
+                self.attempts.remove(&attempt);
             }
-            Command::Cancel(attempt) if self.current.is(attempt) => self.current = Current::None,
-            Command::Cancel(_) => {}
             Command::Refuse(refusal) => self.refuse(&refusal).await,
             Command::Finish => self.over = true,
         }
@@ -132,19 +137,19 @@
     }
 
     fn head(&mut self, attempt: AttemptId, head: Head) {
-        self.current = Current::None;
+        self.attempts.remove(&attempt);
         match head {
             Head::Answer(stream) => {
                 self.report(attempt, AttemptEvent::Accepted(stream.load));
                 if let Caller::Waiting(_) = self.caller {
                     self.begin_answer(&stream);
                 }
-                self.current = Current::Streaming(attempt, stream);
+                self.attempts.insert(attempt, Progress::Streaming(stream));
             }
             Head::Bounced(reason, load) => {
                 self.report(attempt, AttemptEvent::Bounced(reason, load));
             }
-            Head::Failed(run) => self.report(attempt, AttemptEvent::Failed(run)),
+            Head::Failed(event) => self.report(attempt, event),
         }
     }
 
@@ -183,10 +188,10 @@
                 }
             }
             Piece::End(load) => {
-                self.current = Current::None;
+                self.attempts.remove(&attempt);
                 self.report(attempt, AttemptEvent::Finished(load));
             }
-            Piece::Broken => self.broken(attempt).await,
+            Piece::Broken(event) => self.broken(attempt, event).await,
         }
     }
 
@@ -202,11 +207,11 @@
         }
     }
 
-    async fn broken(&mut self, attempt: AttemptId) {
-        let is_draft = matches!(&self.current, Current::Streaming(_, s) if s.is_draft);
-        self.current = Current::None;
+    async fn broken(&mut self, attempt: AttemptId, event: AttemptEvent) {
+        let progress = self.attempts.remove(&attempt);
+        let is_draft = matches!(progress, Some(Progress::Streaming(s)) if s.is_draft);
         if is_draft {
-            self.report(attempt, AttemptEvent::Failed(Run::Unknown));
+            self.report(attempt, event);
             return;
         }
         // Pieces of a plain answer have no index that a second attempt could resume at.
--- a/crates/net/src/upstream/driver.rs
+++ b/crates/net/src/upstream/driver.rs
@@ -1,6 +1,7 @@
 //! The state machine with its clock, its timers and the work in flight.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -38,6 +39,7 @@
     incarnation: Incarnation,
     engine: Engine,
     attempts: Mutex<BTreeMap<AttemptId, mpsc::UnboundedSender<Command>>>,
+    probing: AtomicBool,
     drained: watch::Sender<bool>,
 }
 
@@ -58,6 +60,7 @@
             incarnation,
             engine,
             attempts: Mutex::new(BTreeMap::new()),
+            probing: AtomicBool::new(false),
             drained: watch::Sender::new(false),
         })
     }
@@ -118,19 +121,27 @@
         self.lock_attempts().remove(&attempt);
     }
 
-    /// Marks the engine as down and probes it until it accepts connections again.
-    pub(super) fn engine_down(self: &Arc<Self>) {
+    /// Finds out whether the engine died; if so, probes it until it accepts connections again.
+    pub(super) async fn check_engine(self: &Arc<Self>) -> bool {
+        if self.engine.is_up().await {
+            return false;
+        }
+        if self.probing.swap(true, Ordering::Relaxed) {
+            return true;
+        }
         self.feed(Input::EngineDown);
         let driver = Arc::clone(self);
         tokio::spawn(async move {
             loop {
                 tokio::time::sleep(ENGINE_PROBE_INTERVAL).await;
                 if driver.engine.is_up().await {
+                    driver.probing.store(false, Ordering::Relaxed);
                     driver.feed(Input::EngineUp);
                     return;
                 }
             }
         });
+        true
     }
 
     pub(super) fn feed(&self, input: Input) {
--- a/crates/net/src/upstream/work.rs
+++ b/crates/net/src/upstream/work.rs
@@ -15,7 +15,6 @@
 use tokio::sync::mpsc;
 
 use super::driver::{Command, UpstreamDriver};
-use super::engine::EngineError;
 use crate::http::{Body, BodySender, channel_body, collect, empty};
 use crate::wire::{SseSplitter, headers};
 
@@ -84,9 +83,9 @@
         }
         Some(Command::Fail { run }) => {
             guard.ended = true;
-            return failed(run);
+            return failed(run_name(run));
         }
-        Some(Command::Stop) | None => return failed(Run::NotRun),
+        Some(Command::Stop) | None => return failed(headers::FAILED_NOT_RUN),
     };
     let call = driver
         .engine()
@@ -95,22 +94,23 @@
         answer = call => answer,
         command = commands.recv() => {
             guard.ended = true;
-            let run = if let Some(Command::Fail { run }) = command { run } else { Run::Unknown };
-            return failed(run);
+            return failed(how_stopped(command));
         }
     };
     match answer {
         Ok(answer) if is_failure(driver.engine().kind(), answer.status()) => {
             guard.report(EngineEvent::Failed(Run::Unknown));
-            failed(Run::Unknown)
+            failed(headers::FAILED_UNKNOWN)
         }
         Ok(answer) => stream(guard, dispatch.meta, answer, commands),
         Err(error) => {
             guard.report(EngineEvent::Failed(error.run()));
-            if matches!(error, EngineError::Unreachable) {
-                driver.engine_down();
-            }
-            failed(error.run())
+            let crashed = driver.check_engine().await && error.run() == Run::Unknown;
+            failed(if crashed {
+                headers::FAILED_CRASHED
+            } else {
+                run_name(error.run())
+            })
         }
     }
 }
@@ -152,7 +152,7 @@
         _ => Duration::ZERO,
     };
     let Ok(body) = collect(body, MAX_BODY_BYTES, BODY_TIMEOUT).await else {
-        return Err(Box::new(failed(Run::NotRun)));
+        return Err(Box::new(failed(headers::FAILED_NOT_RUN)));
     };
     Ok(Dispatch {
         attempt,
@@ -180,20 +180,37 @@
     response
 }
 
-fn failed(run: Run) -> Response<Body> {
+fn run_name(run: Run) -> &'static str {
+    match run {
+        Run::NotRun => headers::FAILED_NOT_RUN,
+        Run::Unknown => headers::FAILED_UNKNOWN,
+    }
+}
+
+fn failed(how: &'static str) -> Response<Body> {
     let mut response = Response::new(empty());
     *response.status_mut() = StatusCode::BAD_GATEWAY;
-    let name = if run == Run::NotRun {
-        "not_run"
-    } else {
-        "unknown"
-    };
     response
         .headers_mut()
-        .insert(headers::FAILED, headers::value(name));
+        .insert(headers::FAILED, headers::value(how));
     response
 }
 
+/// Work that has started fails only because its engine died; else it was stopped.
+fn how_stopped(command: Option<Command>) -> &'static str {
+    match command {
+        Some(Command::Fail { .. }) => headers::FAILED_CRASHED,
+        _ => headers::FAILED_UNKNOWN,
+    }
+}
+
+async fn send_failure(tx: &BodySender, how: &'static str) {
+    let mut trailers = HeaderMap::new();
+    trailers.insert(headers::FAILED, headers::value(how));
+    // The entry host may have closed the stream at the same time.
+    let _ = tx.send(Ok(Frame::trailers(trailers))).await;
+}
+
 fn stream(
     guard: Guard,
     meta: Meta,
@@ -234,9 +251,9 @@
         let frame = tokio::select! {
             frame = body.frame() => frame,
             () = tx.closed() => break,
-            _ = commands.recv() => {
+            command = commands.recv() => {
                 guard.ended = true;
-                let _ = tx.send(Err("the work was stopped".into())).await;
+                send_failure(&tx, how_stopped(command)).await;
                 break;
             }
         };
@@ -259,7 +276,13 @@
             }
             Some(Err(_)) | None => {
                 guard.report(EngineEvent::Failed(Run::Unknown));
-                let _ = tx.send(Err("the engine's answer broke off".into())).await;
+                let crashed = guard.driver.check_engine().await;
+                let how = if crashed {
+                    headers::FAILED_CRASHED
+                } else {
+                    headers::FAILED_UNKNOWN
+                };
+                send_failure(&tx, how).await;
                 return;
             }
         }
--- a/crates/net/src/wire/headers.rs
+++ b/crates/net/src/wire/headers.rs
@@ -35,8 +35,16 @@
 pub const LOAD: HeaderName = HeaderName::from_static("eel-load");
 /// Reason why work was returned unstarted.
 pub const BOUNCE: HeaderName = HeaderName::from_static("eel-bounce");
-/// Whether failed work ran, `not_run` or `unknown`.
+/// How work failed; in headers or, once the answer has begun, in trailers.
 pub const FAILED: HeaderName = HeaderName::from_static("eel-failed");
+/// Value of [`FAILED`]: the work certainly did not run.
+pub const FAILED_NOT_RUN: &str = "not_run";
+/// Value of [`FAILED`]: the work may have run.
+pub const FAILED_UNKNOWN: &str = "unknown";
+/// Value of [`FAILED`]: the engine died while it ran the work.
+pub const FAILED_CRASHED: &str = "crashed";
+/// The work is suspected of crashing upstreams and shall run alone.
+pub const ALONE: HeaderName = HeaderName::from_static("eel-alone");
 
 /// Headers that belong to one connection and are never passed on.
 pub const HOP_BY_HOP: [HeaderName; 7] = [
