Add TLS identities, metrics and the links between daemons

The daemons had no way to reach each other. The module for links is not compiled yet: it waits for the fleet's messages.

--- /dev/null
+++ b/crates/net/src/control/io.rs
@@ -0,0 +1,78 @@
+//! Byte streams of links: plain or TLS, with their traffic counted.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Bytes that all links of a process have carried.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    sent: AtomicU64,
+    received: AtomicU64,
+}
+
+impl Traffic {
+    /// Bytes sent.
+    #[must_use]
+    pub fn sent(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+
+    /// Bytes received.
+    #[must_use]
+    pub fn received(&self) -> u64 {
+        self.received.load(Ordering::Relaxed)
+    }
+}
+
+/// A stream whose traffic is counted.
+#[derive(Debug)]
+pub(super) struct Counted<S> {
+    inner: S,
+    traffic: Arc<Traffic>,
+}
+
+impl<S> Counted<S> {
+    pub(super) fn new(inner: S, traffic: Arc<Traffic>) -> Self {
+        Self { inner, traffic }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Counted<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.inner).poll_read(cx, buf);
+        let read = buf.filled().len() - before;
+        self.traffic.received.fetch_add(read as u64, Ordering::Relaxed);
+        polled
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Counted<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        let polled = Pin::new(&mut self.inner).poll_write(cx, buf);
+        if let Poll::Ready(Ok(written)) = polled {
+            self.traffic.sent.fetch_add(written as u64, Ordering::Relaxed);
+        }
+        polled
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -2,7 +2,9 @@
 
 pub mod entry;
 pub mod http;
+pub mod metrics;
 pub mod platform;
 pub mod runtime;
+pub mod tls;
 pub mod upstream;
 pub mod wire;
