Add the platform's stand-in

Network code and tests need the platform's object API, its host list and its faults before they can be written.

The server under it keeps its port while it is stopped.

--- /dev/null
+++ b/crates/standins/src/server/tests.rs
@@ -0,0 +1,42 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::StatusCode;
+use tokio::net::TcpStream;
+
+use super::Server;
+use crate::http_util::empty;
+
+fn start() -> Server {
+    Server::start(|_| Arc::new(|_| Box::pin(async { Ok(empty(StatusCode::OK)) }))).unwrap()
+}
+
+/// Guards against a killed stand-in that still accepts connections, and
+/// against one that comes back under another address.
+#[tokio::test]
+async fn stopped_server_refuses_connections_until_started() {
+    let server = start();
+    TcpStream::connect(server.address()).await.unwrap();
+    for _ in 0..3 {
+        server.control().stop().await;
+        let error = TcpStream::connect(server.address()).await.unwrap_err();
+        assert_eq!(error.kind(), std::io::ErrorKind::ConnectionRefused);
+        server.control().start().await;
+        TcpStream::connect(server.address()).await.unwrap();
+    }
+    server.close().await;
+}
+
+/// Guards against a crash that leaves the server down for ever.
+#[tokio::test(start_paused = true)]
+async fn crashed_server_comes_back() {
+    let server = start();
+    server.control().crash(Duration::from_secs(5));
+    // The second command is handled after the crash, so the server is down when it returns.
+    server.control().stop().await;
+    assert!(TcpStream::connect(server.address()).await.is_err());
+    server.control().crash(Duration::from_secs(5));
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    TcpStream::connect(server.address()).await.unwrap();
+    server.close().await;
+}
