--- /dev/null
+++ b/crates/daemon/src/logs/mod.rs
@@ -0,0 +1,59 @@
+//! Logs as JSON lines on standard error, with the number of each event.
+
+use std::fmt;
+use std::io;
+use std::time::SystemTime;
+
+use fern::FormatCallback;
+use log::kv::{Error, Key, Value, VisitSource};
+use log::{LevelFilter, Record};
+use serde_json::Map;
+
+/// Sets up the process's log.
+///
+/// # Errors
+///
+/// If a log was set up before.
+pub fn init(level: LevelFilter) -> Result<(), log::SetLoggerError> {
+    fern::Dispatch::new()
+        .level(LevelFilter::Warn)
+        .level_for("eelgrasshold_net", level)
+        .level_for("eelgrassholdd", level)
+        .format(format)
+        .chain(io::stderr())
+        .apply()
+}
+
+fn format(out: FormatCallback<'_>, message: &fmt::Arguments<'_>, record: &Record<'_>) {
+    let time = humantime::format_rfc3339_millis(SystemTime::now()).to_string();
+    out.finish(format_args!("{}", line(&time, &message.to_string(), record)));
+}
+
+/// One line of the log.
+pub fn line(time: &str, message: &str, record: &Record<'_>) -> String {
+    let mut fields = Fields(Map::new());
+    fields.0.insert("time".into(), time.into());
+    fields.0.insert("level".into(), record.level().as_str().to_lowercase().into());
+    // The visitor below never fails.
+    let _ = record.key_values().visit(&mut fields);
+    fields.0.insert("message".into(), message.into());
+    serde_json::Value::Object(fields.0).to_string()
+}
+
+struct Fields(Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let value = match value.to_u64() {
+            Some(number) => number.into(),
+            None => value.to_string().into(),
+        };
+        if value != serde_json::Value::String(String::new()) {
+            self.0.insert(key.to_string(), value);
+        }
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,2 +1,38 @@
-//! Daemon.
-fn main() {}
+//! The daemon: reads its settings, starts its role, and drains on SIGTERM.
+
+mod cli;
+mod logs;
+mod run;
+mod settings;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args = cli::parse();
+    let settings = match settings::read(&args.settings) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("eelgrassholdd: {error}");
+            return ExitCode::from(cli::EXIT_SETTINGS);
+        }
+    };
+    if args.check {
+        println!("{}: the settings are valid", args.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    if let Err(error) = logs::init(settings.log_level) {
+        eprintln!("eelgrassholdd: can't set up the log: {error}");
+        return ExitCode::FAILURE;
+    }
+    match run::run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(run::RunError::Cut { open }) => {
+            eprintln!("eelgrassholdd: {open} requests were cut");
+            ExitCode::from(cli::EXIT_CUT)
+        }
+        Err(error) => {
+            eprintln!("eelgrassholdd: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/run/mod.rs
@@ -0,0 +1,130 @@
+//! Runs a role until a signal or an operator ends it.
+
+use std::time::Duration;
+
+use eelgrasshold_net::host::{
+    Drained, EngineOptions, EntryHost, HostOptions, StartError, UpstreamHost,
+};
+use eelgrasshold_net::tls::{Identity, TlsError};
+use snafu::{ResultExt, Snafu};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use crate::settings::{EngineSettings, Settings};
+
+/// Why the process failed.
+#[derive(Debug, Snafu)]
+pub enum RunError {
+    /// The runtime or the signals can't be set up.
+    #[snafu(display("can't set up the process: {source}"))]
+    Setup {
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// Certificates can't be used.
+    #[snafu(display("{source}"), context(false))]
+    Tls {
+        /// Cause.
+        source: TlsError,
+    },
+    /// The role did not start.
+    #[snafu(display("{source}"), context(false))]
+    Start {
+        /// Cause.
+        source: StartError,
+    },
+    /// The shutdown cut requests.
+    #[snafu(display("{open} requests were cut"))]
+    Cut {
+        /// Requests that were open.
+        open: u64,
+    },
+}
+
+/// Signals that end the process.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    fn new() -> Result<Self, RunError> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate()).context(SetupSnafu)?,
+            interrupt: signal(SignalKind::interrupt()).context(SetupSnafu)?,
+        })
+    }
+
+    async fn next(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
+
+/// Runs the process that the settings describe.
+///
+/// # Errors
+///
+/// If it can't start, or if its shutdown cut requests.
+pub fn run(settings: Settings) -> Result<(), RunError> {
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().enable_all().build().context(SetupSnafu)?;
+    runtime.block_on(run_role(settings))
+}
+
+async fn run_role(settings: Settings) -> Result<(), RunError> {
+    let mut signals = Signals::new()?;
+    let options = options(&settings)?;
+    let drained = match settings.engine {
+        None => {
+            let host = EntryHost::start(options).await?;
+            tokio::select! {
+                () = signals.next() => {}
+                () = host.drain_wanted() => {}
+            }
+            host.close(signals.next()).await
+        }
+        Some(engine) => {
+            let host = UpstreamHost::start(options, engine_options(engine)).await?;
+            tokio::select! {
+                () = signals.next() => {}
+                () = host.drain_wanted() => {}
+            }
+            host.close(signals.next()).await
+        }
+    };
+    match drained {
+        Drained::Whole => Ok(()),
+        Drained::Cut(open) => CutSnafu { open }.fail(),
+    }
+}
+
+fn options(settings: &Settings) -> Result<HostOptions, RunError> {
+    let identity = match &settings.tls {
+        None => None,
+        Some(tls) => Some(Identity::from_files(
+            &tls.certificate_file,
+            &tls.key_file,
+            &tls.authority_file,
+        )?),
+    };
+    Ok(HostOptions::builder(&settings.host, &settings.platform_url)
+        .place(&settings.region, &settings.data_centre)
+        .data(settings.data_address)
+        .control(settings.control_address)
+        .admin(settings.admin_address)
+        .seeds(settings.seeds.iter().map(ToString::to_string).collect())
+        .identity(identity)
+        .drain_limit(Duration::from_secs(settings.drain_limit_s))
+        .build())
+}
+
+fn engine_options(engine: EngineSettings) -> EngineOptions {
+    EngineOptions {
+        address: engine.address.to_string(),
+        service: engine.service,
+        kind: engine.kind,
+        concurrency: engine.concurrency,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/settings/check.rs
@@ -0,0 +1,71 @@
+//! Checks that types can't express.
+
+use std::net::SocketAddr;
+
+use super::{Role, Settings};
+
+/// Longest graceful shutdown, in seconds.
+const MAX_DRAIN_LIMIT_S: u64 = 3_600;
+
+/// All problems of the settings, each with its JSON path.
+pub fn problems(settings: &Settings) -> Vec<String> {
+    let mut problems = Vec::new();
+    let mut report = |path: &str, reason: &str| problems.push(format!("at `{path}`: {reason}"));
+    for (path, name) in [
+        ("host", &settings.host),
+        ("region", &settings.region),
+        ("data_centre", &settings.data_centre),
+    ] {
+        if name.is_empty() {
+            report(path, "must not be empty");
+        }
+    }
+    match (settings.role, &settings.engine) {
+        (None, _) => report("role", "must be `entry` or `upstream`"),
+        (Some(Role::Upstream), None) => report("engine", "the role `upstream` needs an engine"),
+        (Some(Role::Entry), Some(_)) => report("engine", "the role `entry` has no engine; remove it"),
+        _ => {}
+    }
+    if let Some(engine) = &settings.engine {
+        if engine.concurrency == 0 {
+            report("engine.concurrency", "must be at least 1");
+        }
+        if engine.service.is_empty() {
+            report("engine.service", "must name the service");
+        }
+        if engine.address.ip().is_unspecified() {
+            report("engine.address", "must be the address of the engine");
+        }
+    }
+    if settings.role == Some(Role::Upstream) && settings.seeds.is_empty() {
+        report("seeds", "an upstream process needs the control address of an entry host");
+    }
+    if !settings.platform_url.starts_with("http://") {
+        report("platform_url", "must start with http://");
+    }
+    if !(1..=MAX_DRAIN_LIMIT_S).contains(&settings.drain_limit_s) {
+        report("drain_limit_s", "must be 1 to 3600");
+    }
+    for (path, address) in [
+        ("data_address", settings.data_address),
+        ("control_address", settings.control_address),
+        ("admin_address", settings.admin_address),
+    ] {
+        if address.ip().is_unspecified() {
+            report(path, "must be set to an address of this host that others can reach");
+        }
+    }
+    let open = |address: SocketAddr| !address.ip().is_loopback();
+    if settings.tls.is_none() && !settings.allow_plain_links {
+        let reason = "needs `tls`, or `allow_plain_links` set to true, when it is not loopback";
+        for (path, address) in [
+            ("control_address", settings.control_address),
+            ("admin_address", settings.admin_address),
+        ] {
+            if open(address) {
+                report(path, reason);
+            }
+        }
+    }
+    problems
+}
--- /dev/null
+++ b/crates/daemon/src/settings/model.rs
@@ -0,0 +1,113 @@
+//! Types of the settings.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+
+use eelgrasshold_core::config::ServiceKind;
+use log::LevelFilter;
+use serde::Deserialize;
+
+/// What a process does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// Takes callers' requests.
+    Entry,
+    /// Stands next to an upstream.
+    Upstream,
+}
+
+/// Settings of a process.
+///
+/// What has no usable default stays empty or unspecified, and the checks ask for it.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// What the process does.
+    pub role: Option<Role>,
+    /// Name, unique in the fleet.
+    pub host: String,
+    /// Region.
+    pub region: String,
+    /// Data centre.
+    pub data_centre: String,
+    /// Listener for callers or dispatches, `IP:PORT`.
+    pub data_address: SocketAddr,
+    /// Listener for links of other daemons, `IP:PORT`.
+    pub control_address: SocketAddr,
+    /// Listener for operators, `IP:PORT`.
+    pub admin_address: SocketAddr,
+    /// Control addresses of a few entry hosts to join through.
+    pub seeds: Vec<SocketAddr>,
+    /// Base URL of the platform's object API.
+    pub platform_url: String,
+    /// Longest time of a graceful shutdown, in seconds.
+    pub drain_limit_s: u64,
+    /// Least important log lines that are written.
+    pub log_level: LevelFilter,
+    /// Certificates for mutual TLS between daemons and for operators.
+    pub tls: Option<TlsSettings>,
+    /// Allows links and the admin address on addresses other than loopback without TLS.
+    pub allow_plain_links: bool,
+    /// The engine or plain service, for the role `upstream`.
+    pub engine: Option<EngineSettings>,
+}
+
+/// Certificates.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TlsSettings {
+    /// PEM file with the certificate chain.
+    pub certificate_file: PathBuf,
+    /// PEM file with the private key.
+    pub key_file: PathBuf,
+    /// PEM file with the authority of the other daemons.
+    pub authority_file: PathBuf,
+}
+
+/// The engine or plain service next to an upstream process.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EngineSettings {
+    /// Its address, `IP:PORT`.
+    pub address: SocketAddr,
+    /// Service that it serves.
+    pub service: String,
+    /// What it is: `model` or `plain`.
+    pub kind: ServiceKind,
+    /// Requests that it runs at once.
+    pub concurrency: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        let unspecified = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
+        Self {
+            role: None,
+            host: String::new(),
+            region: "region-1".to_owned(),
+            data_centre: String::new(),
+            data_address: unspecified,
+            control_address: unspecified,
+            admin_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            seeds: Vec::new(),
+            platform_url: String::new(),
+            drain_limit_s: 60,
+            log_level: LevelFilter::Info,
+            tls: None,
+            allow_plain_links: false,
+            engine: None,
+        }
+    }
+}
+
+impl Default for EngineSettings {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
+            service: String::new(),
+            kind: ServiceKind::Model,
+            concurrency: 16,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/settings/tests.rs
@@ -0,0 +1,47 @@
+use super::*;
+
+const ENTRY: &str = r#"{
+  "role": "entry",
+  "host": "entry-1",
+  "data_centre": "erie-1",
+  "data_address": "127.0.0.1:8080",
+  "control_address": "127.0.0.1:7000",
+  "platform_url": "http://127.0.0.1:9000"
+}"#;
+
+#[test]
+fn short_settings_get_defaults() {
+    let settings = parse("entry.json", ENTRY).unwrap();
+    assert_eq!(settings.drain_limit_s, 60);
+    assert_eq!(settings.region, "region-1");
+}
+
+// Guards against a misspelt setting that is ignored.
+#[test]
+fn unknown_keys_and_wrong_types_are_refused_with_their_path() {
+    let unknown = ENTRY.replace("\"role\"", "\"drain_limit\": 5, \"role\"");
+    let error = parse("entry.json", &unknown).unwrap_err().to_string();
+    assert!(error.contains("drain_limit"), "{error}");
+    let wrong = ENTRY.replace("\"role\"", "\"drain_limit_s\": \"5\", \"role\"");
+    let error = parse("entry.json", &wrong).unwrap_err().to_string();
+    assert!(error.starts_with("entry.json: at `drain_limit_s`"), "{error}");
+}
+
+// Guards against links in the clear on a network because TLS was forgotten.
+#[test]
+fn plain_links_stay_on_loopback_unless_a_setting_allows_them() {
+    let open = ENTRY.replace("127.0.0.1:7000", "10.0.0.1:7000");
+    let error = parse("entry.json", &open).unwrap_err().to_string();
+    assert!(error.contains("control_address"), "{error}");
+    let allowed = open.replace("\"role\"", "\"allow_plain_links\": true, \"role\"");
+    assert!(parse("entry.json", &allowed).is_ok());
+}
+
+#[test]
+fn upstream_needs_its_engine_and_a_seed() {
+    let upstream = ENTRY.replace("\"entry\"", "\"upstream\"");
+    insta::assert_snapshot!(parse("up.json", &upstream).unwrap_err(), @r"
+    up.json: at `engine`: the role `upstream` needs an engine
+    at `seeds`: an upstream process needs the control address of an entry host
+    ");
+}
--- /dev/null
+++ b/crates/net/src/admin/mod.rs
@@ -0,0 +1,10 @@
+//! The operators' address of a daemon: health, metrics, status, time line and drain.
+
+mod routes;
+mod status;
+
+#[cfg(test)]
+mod tests;
+
+pub use routes::{Admin, TimelineQuery};
+pub use status::{MemberStatus, Status};
--- a/crates/net/src/entry/attempt.rs
+++ b/crates/net/src/entry/attempt.rs
@@ -52,7 +52,7 @@
 }
 
 pub(super) async fn send(driver: &EntryDriver, incoming: &Incoming, dispatch: &Dispatch) -> Head {
-    let Some(request) = dispatch_request(driver, incoming, dispatch) else {
+    let Some(request) = dispatch_request(incoming, dispatch) else {
         return Head::Failed(AttemptEvent::Failed(Run::NotRun));
     };
     match driver.client().request(request).await {
@@ -63,7 +63,6 @@
 }
 
 fn dispatch_request(
-    driver: &EntryDriver,
     incoming: &Incoming,
     dispatch: &Dispatch,
 ) -> Option<Request<Body>> {
@@ -88,7 +87,7 @@
         headers::RESUME_FROM,
         headers::value(&dispatch.resume_from.to_string()),
     );
-    fields.insert(headers::CLOCK, headers::value(&driver.stamp().to_string()));
+    fields.insert(headers::CLOCK, headers::value(&dispatch.clock.to_string()));
     fields.insert(
         headers::INCARNATION,
         headers::value(&upstream.incarnation.to_string()),
--- a/crates/net/src/entry/driver.rs
+++ b/crates/net/src/entry/driver.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{mpsc, watch};
 
 use super::serve;
-use crate::http::{Body, Client, prior_knowledge_client};
+use crate::http::{Body, Client};
 use crate::runtime::{Clock, Timeline, Timers};
 
 /// What the machine decided about one request.
@@ -32,6 +32,8 @@
     pub(super) attempt: AttemptId,
     pub(super) upstream: UpstreamInfo,
     pub(super) resume_from: u32,
+    /// Time of the decision: a process that pauses before the send must not look recent.
+    pub(super) clock: Stamp,
     pub(super) alone: bool,
 }
 
@@ -73,6 +75,7 @@
         clock: Clock,
         timeline: Arc<Timeline>,
         callbacks: Callbacks,
+        client: Client,
     ) -> Arc<Self> {
         Arc::new(Self {
             machine: Mutex::new(machine),
@@ -81,7 +84,7 @@
             timeline,
             cfg: RwLock::new(None),
             callbacks,
-            client: prior_knowledge_client(),
+            client,
             requests: Mutex::new(BTreeMap::new()),
             attempts: Mutex::new(BTreeMap::new()),
             next_handle: AtomicU64::new(1),
@@ -141,8 +144,9 @@
         {
             self.lock_attempts().remove(attempt);
         }
-        let outputs = self.lock_machine().handle(self.clock.now(), input);
-        for output in outputs {
+        // Outputs are carried out under the lock, so that commands keep the machine's order.
+        let mut machine = self.lock_machine();
+        for output in machine.handle(self.clock.now(), input) {
             self.act(output);
         }
     }
@@ -150,9 +154,9 @@
     /// Reports a chunk; returns how many of its first tokens to skip, or `None` to drop it.
     pub(super) fn feed_chunk(&self, attempt: AttemptId, first: u32, count: u32) -> Option<u32> {
         let input = Input::Attempt(attempt, AttemptEvent::Chunk { first, count });
-        let outputs = self.lock_machine().handle(self.clock.now(), input);
+        let mut machine = self.lock_machine();
         let mut forward = None;
-        for output in outputs {
+        for output in machine.handle(self.clock.now(), input) {
             if let Output::Forward { skip, .. } = output {
                 forward = Some(skip);
             } else {
@@ -185,10 +189,6 @@
         self.timeline.record(event);
     }
 
-    pub(super) fn stamp(&self) -> Stamp {
-        self.timeline.stamp()
-    }
-
     pub(super) fn observe(&self, stamp: Stamp) {
         self.timeline.observe(stamp);
     }
@@ -207,6 +207,7 @@
                     attempt,
                     upstream,
                     resume_from,
+                    clock: self.timeline.stamp(),
                     alone,
                 };
                 self.command(handle, Command::Dispatch(dispatch));
--- /dev/null
+++ b/crates/net/src/host/entry.rs
@@ -0,0 +1,397 @@
+//! An entry host.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock, PoisonError, RwLock};
+use std::time::Duration;
+
+use eelgrasshold_core::entry::{Entry, Input as EntryInput, Output as EntryOutput};
+use eelgrasshold_core::event::{Event, EventKind};
+use eelgrasshold_core::fleet::{
+    EntryHosts, FleetEntry, FleetSettings, Input as FleetInput, MemberView, Output as FleetOutput,
+    Role, State,
+};
+use eelgrasshold_core::types::HostId;
+use serde::Serialize;
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+
+use super::fleet::FleetDriver;
+use super::links::Base;
+use super::{Drained, HostOptions, StartError, new_incarnation};
+use crate::admin::{MemberStatus, Status};
+use crate::control::{Links, Message};
+use crate::entry::{Callbacks, EntryDriver};
+use crate::http::{Limits, Server, prior_knowledge_client};
+use crate::runtime::Timeline;
+
+/// Interval at which the host announces its own load.
+const LOAD_INTERVAL: Duration = Duration::from_secs(1);
+/// Requests that count as a full host in the weights of answers.
+const FULL_LOAD_REQUESTS: usize = 1_000;
+/// Longest wait for the answers that name this host to expire.
+const ANSWERS_LIMIT: Duration = Duration::from_secs(30);
+
+/// Answer of `GET /v1/entry-hosts`.
+#[derive(Serialize)]
+struct EntryHostsBody {
+    entry_hosts: Vec<EntryHostBody>,
+    valid_for_ms: u64,
+}
+
+#[derive(Serialize)]
+struct EntryHostBody {
+    host: HostId,
+    address: String,
+    weight: u32,
+}
+
+/// What drivers of one entry host share.
+#[derive(Default)]
+struct Shared {
+    /// Present answer of `GET /v1/entry-hosts`.
+    answer: RwLock<Vec<u8>>,
+    /// Control addresses of entry hosts by name.
+    addresses: RwLock<BTreeMap<HostId, String>>,
+    answers_expired: Notify,
+    draining: AtomicBool,
+    /// An operator asked for a graceful shutdown.
+    drain_wanted: Notify,
+    driver: OnceLock<Arc<EntryDriver>>,
+}
+
+/// A running entry host.
+pub struct EntryHost {
+    options: HostOptions,
+    base: Base,
+    shared: Arc<Shared>,
+    driver: Arc<EntryDriver>,
+    fleet: Arc<FleetDriver<FleetEntry>>,
+    tasks: Vec<JoinHandle<()>>,
+    data_task: JoinHandle<()>,
+}
+
+impl std::fmt::Debug for EntryHost {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("EntryHost").field("options", &self.options).finish_non_exhaustive()
+    }
+}
+
+impl EntryHost {
+    /// Binds the listeners and starts the host.
+    ///
+    /// # Errors
+    ///
+    /// If a listener can't be bound.
+    pub async fn start(options: HostOptions) -> Result<Self, StartError> {
+        let mut base = Base::new(&options).await?;
+        let shared = Arc::new(Shared::default());
+        let driver = start_driver(&options, &base, &shared);
+        let fleet = start_fleet(&options, &base, &shared, &driver);
+        base.timeline.record(Event::new(EventKind::DaemonStarted, "entry host"));
+        let mut tasks = vec![
+            tokio::spawn(Arc::clone(&driver).run_timers()),
+            tokio::spawn(Arc::clone(&fleet).run(base.shutdown.clone())),
+            tokio::spawn(announce_load(Arc::clone(&driver), Arc::clone(&fleet))),
+        ];
+        tasks.extend(serve_control(&mut base, &options, &driver, &fleet));
+        let status = status(&base, &options, &shared, &driver, &fleet);
+        let (config, wanted) = (Arc::clone(&driver), Arc::clone(&shared));
+        tasks.extend(base.serve_admin(
+            &options,
+            status,
+            move || config.config(),
+            move || wanted.drain_wanted.notify_one(),
+        ));
+        let data_task = serve_callers(&mut base, &driver);
+        Ok(Self { options, base, shared, driver, fleet, tasks, data_task })
+    }
+
+    /// Address for callers.
+    #[must_use]
+    pub fn data_address(&self) -> SocketAddr {
+        self.base.data.address
+    }
+
+    /// Address for links of other daemons.
+    #[must_use]
+    pub fn control_address(&self) -> SocketAddr {
+        self.base.control.address
+    }
+
+    /// Address for operators.
+    #[must_use]
+    pub fn admin_address(&self) -> SocketAddr {
+        self.base.admin.address
+    }
+
+    /// Revision in force; 0 if none.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.driver.config().map_or(0, |cfg| cfg.revision)
+    }
+
+    /// Waits until an operator asks for a graceful shutdown on the admin address.
+    pub async fn drain_wanted(&self) {
+        self.shared.drain_wanted.notified().await;
+    }
+
+    /// Announces the shutdown, serves until no answer names the host any more, lets open
+    /// requests end, and stops. `hurry` ends the wait before the drain limit does.
+    pub async fn close(self, hurry: impl Future<Output = ()>) -> Drained {
+        let limit = self.options.drain_limit;
+        tokio::select! {
+            _ = tokio::time::timeout(limit, self.drain()) => {}
+            () = hurry => {}
+        }
+        let open = self.driver.held() as u64;
+        self.stop();
+        if open == 0 { Drained::Whole } else { Drained::Cut(open) }
+    }
+
+    /// Stops at once and cuts what is open.
+    pub fn abort(self) {
+        self.stop();
+    }
+
+    async fn drain(&self) {
+        self.base.timeline.record(Event::new(EventKind::DrainStarted, "leaving the fleet"));
+        self.shared.draining.store(true, Ordering::Relaxed);
+        self.fleet.feed(FleetInput::Leave);
+        let expired = self.shared.answers_expired.notified();
+        if tokio::time::timeout(ANSWERS_LIMIT, expired).await.is_err() {
+            log::warn!("answers that name this host did not expire in {ANSWERS_LIMIT:?}");
+        }
+        self.driver.drain();
+        self.base.no_more_requests.cancel();
+        self.driver.drained().await;
+    }
+
+    fn stop(self) {
+        let open = self.driver.held();
+        let event = if open == 0 {
+            Event::new(EventKind::DrainFinished, "")
+        } else {
+            Event::new(EventKind::DrainCut, format!("{open} requests"))
+        };
+        self.base.timeline.record(event);
+        self.base.no_more_requests.cancel();
+        self.base.shutdown.cancel();
+        for task in self.tasks {
+            task.abort();
+        }
+        if open > 0 {
+            self.data_task.abort();
+        }
+        self.base.metrics.close();
+    }
+}
+
+fn start_driver(options: &HostOptions, base: &Base, shared: &Arc<Shared>) -> Arc<EntryDriver> {
+    let machine = Entry::new(options.host.clone(), options.seed);
+    let answer = Arc::clone(shared);
+    let peer = PeerSender {
+        host: options.host.clone(),
+        shared: Arc::clone(shared),
+        links: Arc::clone(&base.links),
+        timeline: Arc::clone(&base.timeline),
+    };
+    let (platform, owner) = (base.platform.clone(), Arc::clone(shared));
+    let callbacks = Callbacks {
+        entry_hosts: Box::new(move || {
+            answer.answer.read().unwrap_or_else(PoisonError::into_inner).clone()
+        }),
+        other: Box::new(move |output| match output {
+            EntryOutput::Send { to, message } => peer.send(&to, message),
+            EntryOutput::Platform { id, call } => {
+                let (platform, owner) = (platform.clone(), Arc::clone(&owner));
+                tokio::spawn(async move {
+                    let reply = platform.call(&call).await;
+                    if let Some(driver) = owner.driver.get() {
+                        driver.feed(EntryInput::Platform { id, reply });
+                    }
+                });
+            }
+            other => log::debug!("an output has no driver: {other:?}"),
+        }),
+    };
+    let client = prior_knowledge_client(options.identity.clone());
+    let driver =
+        EntryDriver::new(machine, base.clock, Arc::clone(&base.timeline), callbacks, client);
+    // Set once, right after the driver was made.
+    let _ = shared.driver.set(Arc::clone(&driver));
+    driver
+}
+
+/// Sends messages to other entry hosts by name.
+struct PeerSender {
+    host: HostId,
+    shared: Arc<Shared>,
+    links: Arc<Links>,
+    timeline: Arc<Timeline>,
+}
+
+impl PeerSender {
+    fn send(&self, to: &HostId, message: eelgrasshold_core::entry::PeerMessage) {
+        let addresses = self.shared.addresses.read().unwrap_or_else(PoisonError::into_inner);
+        let Some(address) = addresses.get(to) else {
+            log::debug!("entry host {to} has no known address; a message was dropped");
+            return;
+        };
+        let (from, clock) = (self.host.clone(), self.timeline.stamp());
+        self.links.send(address, Message::Peer { from, clock, message });
+    }
+}
+
+fn start_fleet(
+    options: &HostOptions,
+    base: &Base,
+    shared: &Arc<Shared>,
+    driver: &Arc<EntryDriver>,
+) -> Arc<FleetDriver<FleetEntry>> {
+    let settings = FleetSettings::new(
+        &options.host,
+        &options.region,
+        &options.data_centre,
+        &base.control.address.to_string(),
+    )
+    .data_address(&base.data.address.to_string())
+    .admin_address(&base.admin.address.to_string())
+    .incarnation(new_incarnation())
+    .seeds(options.seeds.clone());
+    let machine = FleetEntry::new(settings, options.seed);
+    let (shared, driver) = (Arc::clone(shared), Arc::clone(driver));
+    let on = move |machine: &FleetEntry, output| match output {
+        FleetOutput::ConfigInForce(cfg) => driver.set_config(cfg),
+        FleetOutput::Upstreams(list) => {
+            driver.feed(EntryInput::Upstreams(list));
+            set_entry_hosts(&shared, &driver, &machine.members());
+        }
+        FleetOutput::EntryHosts(answer) => {
+            set_answer(&shared, &answer);
+            set_entry_hosts(&shared, &driver, &machine.members());
+        }
+        FleetOutput::AnswersExpired => shared.answers_expired.notify_one(),
+        other => log::debug!("an output has no driver: {other:?}"),
+    };
+    FleetDriver::new(machine, FleetEntry::handle, base, Box::new(on))
+}
+
+fn set_answer(shared: &Shared, answer: &EntryHosts) {
+    let entry_hosts = answer
+        .hosts
+        .iter()
+        .map(|h| EntryHostBody {
+            host: h.host.clone(),
+            address: format!("http://{}", h.address),
+            weight: h.weight,
+        })
+        .collect();
+    let body = EntryHostsBody { entry_hosts, valid_for_ms: answer.validity_ms };
+    match serde_json::to_vec(&body) {
+        Ok(bytes) => {
+            *shared.answer.write().unwrap_or_else(PoisonError::into_inner) = bytes;
+        }
+        Err(error) => log::error!("can't encode the answer that names entry hosts: {error}"),
+    }
+}
+
+fn set_entry_hosts(shared: &Shared, driver: &EntryDriver, members: &[MemberView]) {
+    let live: BTreeMap<HostId, String> = members
+        .iter()
+        .filter(|m| m.record.role == Role::Entry && m.record.state == State::Live)
+        .map(|m| (m.record.host.clone(), m.record.control_address.clone()))
+        .collect();
+    let mut addresses = shared.addresses.write().unwrap_or_else(PoisonError::into_inner);
+    if *addresses == live {
+        return;
+    }
+    let hosts = live.keys().cloned().collect();
+    *addresses = live;
+    drop(addresses);
+    driver.feed(EntryInput::EntryHosts(hosts));
+}
+
+fn serve_control(
+    base: &mut Base,
+    options: &HostOptions,
+    driver: &Arc<EntryDriver>,
+    fleet: &Arc<FleetDriver<FleetEntry>>,
+) -> Option<JoinHandle<()>> {
+    let (driver, fleet) = (Arc::clone(driver), Arc::clone(fleet));
+    let timeline = Arc::clone(&base.timeline);
+    base.serve_control(options, move |message| match message {
+        Message::Fleet(message) => fleet.receive(message),
+        Message::Peer { from, clock, message } => {
+            timeline.observe(clock);
+            driver.feed(EntryInput::Peer { from, message });
+        }
+    })
+}
+
+fn serve_callers(base: &mut Base, driver: &Arc<EntryDriver>) -> JoinHandle<()> {
+    let Some(listener) = base.data.listener.take() else {
+        return tokio::spawn(std::future::ready(()));
+    };
+    let server = Server::new(listener, Limits::builder().build(), None);
+    let driver = Arc::clone(driver);
+    let serve = move |request| Arc::clone(&driver).serve(request);
+    tokio::spawn(server.run(base.no_more_requests.clone(), serve))
+}
+
+async fn announce_load(driver: Arc<EntryDriver>, fleet: Arc<FleetDriver<FleetEntry>>) {
+    loop {
+        tokio::time::sleep(LOAD_INTERVAL).await;
+        let percent = (driver.held() * 100 / FULL_LOAD_REQUESTS).min(100);
+        fleet.feed(FleetInput::Load(u8::try_from(percent).unwrap_or(100)));
+    }
+}
+
+fn status(
+    base: &Base,
+    options: &HostOptions,
+    shared: &Arc<Shared>,
+    driver: &Arc<EntryDriver>,
+    fleet: &Arc<FleetDriver<FleetEntry>>,
+) -> impl Fn() -> Status + use<> {
+    let common = base.status(options, "entry");
+    let (shared, driver, fleet) = (Arc::clone(shared), Arc::clone(driver), Arc::clone(fleet));
+    move || {
+        let cfg = driver.config();
+        let draining = shared.draining.load(Ordering::Relaxed);
+        let reason = match (&cfg, draining) {
+            (_, true) => "draining",
+            (None, false) => "no configuration is known yet",
+            (Some(_), false) => "",
+        };
+        let members = fleet.read(FleetEntry::members);
+        Status {
+            ready: reason.is_empty(),
+            reason: reason.to_owned(),
+            revision: cfg.map_or(0, |cfg| cfg.revision),
+            draining,
+            held: driver.held() as u64,
+            incarnation: fleet.read(FleetEntry::incarnation),
+            members: members.iter().map(member_status).collect(),
+            ..common()
+        }
+    }
+}
+
+fn member_status(member: &MemberView) -> MemberStatus {
+    let record = &member.record;
+    let name = |value: serde_json::Result<serde_json::Value>| match value {
+        Ok(serde_json::Value::String(name)) => name.to_lowercase(),
+        _ => String::new(),
+    };
+    MemberStatus {
+        host: record.host.clone(),
+        role: name(serde_json::to_value(record.role)),
+        data_centre: record.data_centre.clone(),
+        service: record.service.clone(),
+        state: name(serde_json::to_value(record.state)),
+        revision: record.revision,
+        admin_address: record.admin_address.clone(),
+    }
+}
--- /dev/null
+++ b/crates/net/src/host/fleet.rs
@@ -0,0 +1,92 @@
+//! Driver of the fleet machines.
+
+use std::fmt;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use eelgrasshold_core::fleet::{FleetMessage, Input, Output, Timer};
+use eelgrasshold_core::types::Now;
+use tokio_util::sync::CancellationToken;
+
+use crate::control::{Links, Message};
+use crate::platform::Platform;
+use crate::runtime::{Clock, Timeline, Timers};
+
+type Step<M> = fn(&mut M, Now, Input) -> Vec<Output>;
+type OnOutput<M> = Box<dyn Fn(&M, Output) + Send + Sync>;
+
+/// A fleet machine with its timers, its links and its platform.
+pub(super) struct FleetDriver<M> {
+    machine: Mutex<M>,
+    step: Step<M>,
+    on: OnOutput<M>,
+    clock: Clock,
+    timers: Timers<Timer>,
+    timeline: Arc<Timeline>,
+    links: Arc<Links>,
+    platform: Platform,
+}
+
+impl<M> fmt::Debug for FleetDriver<M> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("FleetDriver").finish_non_exhaustive()
+    }
+}
+
+impl<M: Send + 'static> FleetDriver<M> {
+    /// A driver of `machine`; `on` carries out outputs that concern the rest of the process.
+    pub(super) fn new(machine: M, step: Step<M>, base: &super::links::Base, on: OnOutput<M>) -> Arc<Self> {
+        Arc::new(Self {
+            machine: Mutex::new(machine),
+            step,
+            on,
+            clock: base.clock,
+            timers: Timers::new(),
+            timeline: Arc::clone(&base.timeline),
+            links: Arc::clone(&base.links),
+            platform: base.platform.clone(),
+        })
+    }
+
+    /// Starts the machine and fires its timers until `shutdown`.
+    pub(super) async fn run(self: Arc<Self>, shutdown: CancellationToken) {
+        self.feed(Input::Start);
+        tokio::select! {
+            () = self.timers.run(self.clock, |timer| self.feed(Input::Timer(timer))) => {}
+            () = shutdown.cancelled() => {}
+        }
+    }
+
+    pub(super) fn receive(self: &Arc<Self>, message: FleetMessage) {
+        self.timeline.observe(message.clock);
+        self.feed(Input::Message(message));
+    }
+
+    /// Reads the machine's state.
+    pub(super) fn read<T>(&self, read: impl FnOnce(&M) -> T) -> T {
+        read(&self.machine.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Gives the machine an input. Outputs are carried out under its lock, so that an older
+    /// configuration or list can't overtake a newer one.
+    pub(super) fn feed(self: &Arc<Self>, input: Input) {
+        let mut machine = self.machine.lock().unwrap_or_else(PoisonError::into_inner);
+        for output in (self.step)(&mut machine, self.clock.now(), input) {
+            match output {
+                Output::Send { to_address, mut message } => {
+                    message.clock = self.timeline.stamp();
+                    self.links.send(&to_address, Message::Fleet(message));
+                }
+                Output::Platform { id, call } => {
+                    let driver = Arc::clone(self);
+                    tokio::spawn(async move {
+                        let reply = driver.platform.call(&call).await;
+                        driver.feed(Input::Reply { id, reply });
+                    });
+                }
+                Output::SetTimer { at, timer } => self.timers.set(at, timer),
+                Output::Event(event) => self.timeline.record(event),
+                other => (self.on)(&machine, other),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/net/src/host/links.rs
@@ -0,0 +1,147 @@
+//! What both roles share: listeners, links, platform, time line and metrics.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use eelgrasshold_core::config::Config;
+use http::Request;
+use hyper::body::Incoming;
+use snafu::ResultExt;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use super::options::HostOptions;
+use super::{ListenSnafu, StartError, UnspecifiedSnafu};
+use crate::admin::{Admin, Status};
+use crate::control::{ControlServer, Links, Message, Traffic};
+use crate::http::{Limits, Server};
+use crate::metrics::Metrics;
+use crate::platform::Platform;
+use crate::runtime::{Clock, Timeline};
+
+/// The part of a process that does not depend on its role.
+pub(super) struct Base {
+    pub(super) clock: Clock,
+    pub(super) timeline: Arc<Timeline>,
+    pub(super) metrics: Metrics,
+    pub(super) links: Arc<Links>,
+    pub(super) platform: Platform,
+    pub(super) traffic: Arc<Traffic>,
+    pub(super) data: Bound,
+    pub(super) control: Bound,
+    pub(super) admin: Bound,
+    /// Ends the data listener; open requests go on.
+    pub(super) no_more_requests: CancellationToken,
+    /// Ends everything else.
+    pub(super) shutdown: CancellationToken,
+}
+
+/// A bound listener and its address.
+pub(super) struct Bound {
+    pub(super) listener: Option<TcpListener>,
+    pub(super) address: SocketAddr,
+}
+
+impl Bound {
+    async fn new(address: SocketAddr) -> Result<Self, StartError> {
+        let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
+        let address = listener.local_addr().context(ListenSnafu { address })?;
+        if address.ip().is_unspecified() {
+            return UnspecifiedSnafu { address }.fail();
+        }
+        Ok(Self { listener: Some(listener), address })
+    }
+}
+
+impl Base {
+    pub(super) async fn new(options: &HostOptions) -> Result<Self, StartError> {
+        let traffic = Arc::new(Traffic::default());
+        let metrics = Metrics::new()?;
+        let clock = Clock::start();
+        let platform = Platform::new(&options.platform, clock, options.seed);
+        observe(&metrics, &traffic, &platform);
+        Ok(Self {
+            clock,
+            timeline: Arc::new(Timeline::new(options.host.clone(), Some(metrics.clone()))),
+            metrics,
+            links: Links::new(Arc::clone(&traffic), options.identity.clone()),
+            platform,
+            traffic,
+            data: Bound::new(options.data).await?,
+            control: Bound::new(options.control).await?,
+            admin: Bound::new(options.admin).await?,
+            no_more_requests: CancellationToken::new(),
+            shutdown: CancellationToken::new(),
+        })
+    }
+
+    /// Runs the listener for links; `deliver` gets each message.
+    pub(super) fn serve_control(
+        &mut self,
+        options: &HostOptions,
+        deliver: impl Fn(Message) + Send + Sync + 'static,
+    ) -> Option<JoinHandle<()>> {
+        let listener = self.control.listener.take()?;
+        let identity = options.identity.clone();
+        let server = ControlServer::new(listener, Arc::clone(&self.traffic), identity, deliver);
+        Some(tokio::spawn(server.run(self.shutdown.clone())))
+    }
+
+    /// Runs the operators' listener.
+    pub(super) fn serve_admin(
+        &mut self,
+        options: &HostOptions,
+        status: impl Fn() -> Status + Send + Sync + 'static,
+        config: impl Fn() -> Option<Arc<Config>> + Send + Sync + 'static,
+        drain: impl Fn() + Send + Sync + 'static,
+    ) -> Option<JoinHandle<()>> {
+        let admin = Arc::new(Admin {
+            timeline: Arc::clone(&self.timeline),
+            metrics: self.metrics.clone(),
+            status: Box::new(status),
+            config: Box::new(config),
+            drain: Box::new(drain),
+        });
+        let listener = self.admin.listener.take()?;
+        let limits = Limits::builder().connections(256).build();
+        let server = Server::new(listener, limits, options.identity.clone());
+        let serve = move |request: Request<Incoming>| {
+            let answer = admin.serve(&request);
+            std::future::ready(answer)
+        };
+        Some(tokio::spawn(server.run(self.shutdown.clone(), serve)))
+    }
+
+    /// Fields of the status that don't depend on the role.
+    pub(super) fn status(&self, options: &HostOptions, role: &str) -> impl Fn() -> Status + use<> {
+        let blank = Status {
+            host: options.host.clone(),
+            role: role.to_owned(),
+            region: options.region.clone(),
+            data_centre: options.data_centre.clone(),
+            ..Status::default()
+        };
+        let (clock, traffic) = (self.clock, Arc::clone(&self.traffic));
+        let platform = self.platform.clone();
+        move || Status {
+            uptime_ms: u64::try_from(clock.now().as_millis()).unwrap_or(u64::MAX),
+            control_sent_bytes: traffic.sent(),
+            control_received_bytes: traffic.received(),
+            platform_calls: platform.calls(),
+            ..blank.clone()
+        }
+    }
+}
+
+fn observe(metrics: &Metrics, traffic: &Arc<Traffic>, platform: &Platform) {
+    let sent = Arc::clone(traffic);
+    let text = "Bytes sent to other daemons for control";
+    metrics.observe("eelgrasshold_control_sent_bytes", text, move || sent.sent());
+    let received = Arc::clone(traffic);
+    let text = "Bytes received from other daemons for control";
+    metrics.observe("eelgrasshold_control_received_bytes", text, move || received.received());
+    let platform = platform.clone();
+    let text = "Calls to the platform";
+    metrics.observe("eelgrasshold_platform_calls", text, move || platform.calls());
+}
--- a/crates/net/src/http/client.rs
+++ b/crates/net/src/http/client.rs
@@ -1,15 +1,24 @@
-//! Pooled HTTP clients.
+//! Pooled HTTP clients, over plain TCP or mutual TLS.
 
+use std::error::Error;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use http::Uri;
+use hyper::rt;
 use hyper_util::client::legacy;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper_util::client::legacy::connect::{Connected, HttpConnector};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use tower_service::Service;
 
 use super::Body;
+use crate::tls::{Identity, Stream, client_stream};
 
 /// Client with a pool of connections for each address.
-pub type Client = legacy::Client<HttpConnector, Body>;
+pub type Client = legacy::Client<Connector, Body>;
 
 /// Longest time to connect; hosts are in one or two regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -20,26 +29,99 @@
 /// Interval of HTTP/2 pings on connections with open streams.
 const PING_INTERVAL: Duration = Duration::from_secs(2);
 
-fn connector() -> HttpConnector {
-    let mut connector = HttpConnector::new();
-    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-    connector.set_nodelay(true);
-    connector
+/// Opens connections, encrypted if there is an identity.
+#[derive(Clone, Debug)]
+pub struct Connector {
+    tcp: HttpConnector,
+    identity: Option<Identity>,
+}
+
+impl Connector {
+    fn new(identity: Option<Identity>) -> Self {
+        let mut tcp = HttpConnector::new();
+        tcp.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        tcp.set_nodelay(true);
+        Self { tcp, identity }
+    }
+}
+
+/// An open connection.
+pub struct Connection(TokioIo<Stream>);
+
+impl Service<Uri> for Connector {
+    type Response = Connection;
+    type Error = Box<dyn Error + Send + Sync>;
+    type Future = BoxFuture<'static, Result<Self::Response, Self::Error>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        self.tcp.poll_ready(cx).map_err(Into::into)
+    }
+
+    fn call(&mut self, uri: Uri) -> Self::Future {
+        let address = uri.authority().map_or(String::new(), ToString::to_string);
+        let (connecting, identity) = (self.tcp.call(uri), self.identity.clone());
+        async move {
+            let stream = connecting.await?.into_inner();
+            let stream = client_stream(identity.as_ref(), &address, stream).await?;
+            Ok(Connection(TokioIo::new(stream)))
+        }
+        .boxed()
+    }
+}
+
+impl legacy::connect::Connection for Connection {
+    fn connected(&self) -> Connected {
+        Connected::new()
+    }
+}
+
+impl rt::Read for Connection {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: rt::ReadBufCursor<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.0).poll_read(cx, buf)
+    }
+}
+
+impl rt::Write for Connection {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.0).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.0).poll_shutdown(cx)
+    }
 }
 
 /// Client for engines, plain services and the platform: HTTP/1.1.
 #[must_use]
 pub fn plain_client() -> Client {
+    http1_client(None)
+}
+
+/// Client for admin addresses: HTTP/1.1, with mutual TLS if there is an identity.
+#[must_use]
+pub fn http1_client(identity: Option<Identity>) -> Client {
     legacy::Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
         .retry_canceled_requests(false)
-        .build(connector())
+        .build(Connector::new(identity))
 }
 
 /// Client for upstream processes: HTTP/2 from the first byte, one connection each.
 #[must_use]
-pub fn prior_knowledge_client() -> Client {
+pub fn prior_knowledge_client(identity: Option<Identity>) -> Client {
     legacy::Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .timer(TokioTimer::new())
@@ -48,5 +130,5 @@
         .http2_keep_alive_interval(PING_INTERVAL)
         .http2_keep_alive_timeout(PING_TIMEOUT)
         .retry_canceled_requests(false)
-        .build(connector())
+        .build(Connector::new(identity))
 }
--- a/crates/net/src/http/server.rs
+++ b/crates/net/src/http/server.rs
@@ -15,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::Body;
+use crate::tls::{Identity, server_stream};
 
 /// Pause after a failed accept, so that a lack of file descriptors causes no busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -90,13 +91,18 @@
 pub struct Server {
     listener: TcpListener,
     limits: Limits,
+    identity: Option<Identity>,
 }
 
 impl Server {
-    /// A server on a bound listener.
+    /// A server on a bound listener. With an identity, it uses mutual TLS.
     #[must_use]
-    pub fn new(listener: TcpListener, limits: Limits) -> Self {
-        Self { listener, limits }
+    pub fn new(listener: TcpListener, limits: Limits, identity: Option<Identity>) -> Self {
+        Self {
+            listener,
+            limits,
+            identity,
+        }
     }
 
     /// Serves until `shutdown`, then lets open requests end.
@@ -122,13 +128,19 @@
                 let answer = handler(req);
                 async move { Ok::<_, Infallible>(answer.await) }
             });
-            let connection = builder
-                .serve_connection(TokioIo::new(stream), service)
-                .into_owned();
-            let connection = graceful.watch(connection);
+            let (builder, watcher) = (builder.clone(), graceful.watcher());
+            let (identity, timeout) = (self.identity.clone(), self.limits.header_timeout);
             tokio::spawn(async move {
-                if let Err(error) = connection.await {
-                    log::debug!("a connection ended with an error: {error}");
+                let handshake = server_stream(identity.as_ref(), stream);
+                match tokio::time::timeout(timeout, handshake).await {
+                    Ok(Ok(stream)) => {
+                        let connection = builder.serve_connection(TokioIo::new(stream), service);
+                        if let Err(error) = watcher.watch(connection.into_owned()).await {
+                            log::debug!("a connection ended with an error: {error}");
+                        }
+                    }
+                    Ok(Err(error)) => log::warn!("a TLS handshake failed: {error}"),
+                    Err(_) => log::warn!("a TLS handshake took longer than {timeout:?}"),
                 }
                 drop(slot);
             });
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,5 +1,6 @@
 //! Sockets and timers around the core.
 
+pub mod admin;
 pub mod entry;
 pub mod http;
 pub mod metrics;
--- a/crates/net/src/metrics/mod.rs
+++ b/crates/net/src/metrics/mod.rs
@@ -1,7 +1,5 @@
 //! Metrics through opentelemetry, as Prometheus text.
 
-use std::sync::Arc;
-
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
--- a/crates/net/src/platform/mod.rs
+++ b/crates/net/src/platform/mod.rs
@@ -1,13 +1,17 @@
 //! Client of the platform's object API.
 
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
+use eelgrasshold_core::fleet::platform_policy::{PlatformLimits, PlatformPolicy};
 use eelgrasshold_core::platform::{Call, Condition, MAX_VALUE_BYTES, Reply, Version};
 use http::{HeaderName, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 
 use crate::http::{Client, collect, empty, full, plain_client};
+use crate::runtime::Clock;
 use crate::wire::headers;
 
 /// Version of an object, in answers.
@@ -17,25 +21,49 @@
 /// Time that a watch waits on the platform's side.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// The platform's object API at one address.
+/// The platform's object API at one address, behind a budget and a circuit breaker.
 #[derive(Clone, Debug)]
 pub struct Platform {
     base: String,
     client: Client,
+    clock: Clock,
+    policy: Arc<Mutex<PlatformPolicy>>,
+    calls: Arc<AtomicU64>,
 }
 
 impl Platform {
     /// A client of the API at a base address such as `http://127.0.0.1:7000`.
     #[must_use]
-    pub fn new(base: &str) -> Self {
+    pub fn new(base: &str, clock: Clock, seed: u64) -> Self {
         Self {
             base: base.trim_end_matches('/').to_owned(),
             client: plain_client(),
+            clock,
+            policy: Arc::new(Mutex::new(PlatformPolicy::new(PlatformLimits::default(), seed))),
+            calls: Arc::default(),
         }
     }
 
-    /// Makes a call. A write without an answer comes back as [`Reply::Lost`].
+    /// Calls that were made.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+
+    /// Makes a call. A write without an answer comes back as [`Reply::Lost`]; a call that the
+    /// budget or the breaker refuses comes back as [`Reply::Unavailable`] at once.
     pub async fn call(&self, call: &Call) -> Reply {
+        if self.lock_policy().ask(self.clock.now()).is_err() {
+            return Reply::Unavailable;
+        }
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        let reply = self.send(call).await;
+        let answered = !matches!(reply, Reply::Unavailable | Reply::Lost);
+        self.lock_policy().report(self.clock.now(), answered);
+        reply
+    }
+
+    async fn send(&self, call: &Call) -> Reply {
         let limit = match call {
             Call::Watch { .. } => WATCH_TIMEOUT + CALL_TIMEOUT,
             _ => CALL_TIMEOUT,
@@ -50,6 +78,10 @@
         }
     }
 
+    fn lock_policy(&self) -> MutexGuard<'_, PlatformPolicy> {
+        self.policy.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn request(&self, call: &Call) -> Option<Request<crate::http::Body>> {
         let object = |key: &str| format!("{}/v1/objects/{key}", self.base);
         let builder = Request::builder();
--- a/crates/net/src/runtime/timeline.rs
+++ b/crates/net/src/runtime/timeline.rs
@@ -6,6 +6,8 @@
 use eelgrasshold_core::event::{Event, HybridClock, Record, Ring, Stamp};
 use eelgrasshold_core::types::HostId;
 
+use crate::metrics::Metrics;
+
 /// Events that a process keeps.
 const RING_CAPACITY: usize = 4_096;
 /// Events of requests and work, which are frequent, are logged at a lower level.
@@ -21,23 +23,28 @@
 #[derive(Debug)]
 pub struct Timeline {
     state: Mutex<State>,
+    metrics: Option<Metrics>,
 }
 
 impl Timeline {
-    /// An empty time line of a process.
+    /// An empty time line of a process; with metrics, events are counted there.
     #[must_use]
-    pub fn new(host: HostId) -> Self {
+    pub fn new(host: HostId, metrics: Option<Metrics>) -> Self {
         let ring = Ring::new(host, RING_CAPACITY);
         Self {
             state: Mutex::new(State {
                 clock: HybridClock::default(),
                 ring,
             }),
+            metrics,
         }
     }
 
     /// Stamps, keeps and logs an event.
     pub fn record(&self, event: Event) {
+        if let Some(metrics) = &self.metrics {
+            metrics.count_event(event.kind.number(), event.kind.name());
+        }
         let mut state = self.lock();
         let stamp = state.clock.tick(SystemTime::now());
         let record = state.ring.push(stamp, event);
--- a/crates/net/src/upstream/driver.rs
+++ b/crates/net/src/upstream/driver.rs
@@ -1,7 +1,7 @@
 //! The state machine with its clock, its timers and the work in flight.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -36,7 +36,7 @@
     clock: Clock,
     timers: Timers<Timer>,
     timeline: Arc<Timeline>,
-    incarnation: Incarnation,
+    incarnation: AtomicU64,
     engine: Engine,
     attempts: Mutex<BTreeMap<AttemptId, mpsc::UnboundedSender<Command>>>,
     probing: AtomicBool,
@@ -57,7 +57,7 @@
             clock: Clock::start(),
             timers: Timers::new(),
             timeline,
-            incarnation,
+            incarnation: AtomicU64::new(incarnation),
             engine,
             attempts: Mutex::new(BTreeMap::new()),
             probing: AtomicBool::new(false),
@@ -99,8 +99,15 @@
         &self.engine
     }
 
-    pub(super) fn incarnation(&self) -> Incarnation {
-        self.incarnation
+    /// Goes on under a higher incarnation; dispatches for the earlier one are returned.
+    pub fn set_incarnation(&self, incarnation: Incarnation) {
+        self.incarnation.store(incarnation, Ordering::Relaxed);
+    }
+
+    /// Life that dispatches must be meant for.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation.load(Ordering::Relaxed)
     }
 
     pub(super) fn stamp(&self) -> Stamp {
@@ -145,8 +152,9 @@
     }
 
     pub(super) fn feed(&self, input: Input) {
-        let outputs = self.lock_machine().handle(self.clock.now(), input);
-        for output in outputs {
+        // Outputs are carried out under the lock, so that commands keep the machine's order.
+        let mut machine = self.lock_machine();
+        for output in machine.handle(self.clock.now(), input) {
             self.act(output);
         }
     }
