Let the entry machine claim keys, budget retries and quarantine suspects

The entry machine left claims to its driver, retried without a budget and knew neither slow failures nor requests that crash upstreams. It now writes claims itself: 16 shards, claims collected for 50 ms into one conditional update, a lost answer settled by reading back the nonce. A claim is judged by the time at which it was asked for, and is released when its request certainly did not run. Retries and hedges are a tenth of real traffic. An upstream that stands out from its peers is ejected, a third at most. A suspect runs alone, once every entry host has acknowledged its trial. The machine file is split by topic.

--- a/crates/core/src/entry/machine.rs
+++ b/crates/core/src/entry/machine.rs
@@ -1,4 +1,4 @@
-//! Requests and their attempts at one entry host.
+//! State of one entry host: requests, upstreams and peers.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -7,56 +7,57 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::{AttemptEvent, ClaimResult, Input, Output, Timer, UpstreamInfo};
+use super::claiming::Claiming;
+use super::held::{Attempt, Held, Outstanding};
+use super::{Input, Output, PeerMessage, Timer, UpstreamInfo};
 use crate::config::Config;
 use crate::event::{Event, EventKind};
+use crate::serving::health::Health;
+use crate::serving::retry::{Budgets, HedgeDelay};
+use crate::serving::suspects::{Sharing, Suspects};
 use crate::types::{
-    AttemptId, HostId, Load, Now, Refusal, RefusalKind, Request, RequestHandle, Run, WorkClass,
+    AttemptId, HostId, Incarnation, Now, Refusal, RefusalKind, Request, RequestHandle, RequestId,
+    ServiceId, TeamId, WorkClass,
 };
 
-/// Attempts that one request gets at most.
-const MAX_ATTEMPTS: u32 = 4;
-/// A non-idempotent request is dispatched only this soon after its claim, so
-/// that a paused process can't dispatch once the claim may have expired.
-const CLAIM_VALIDITY: Duration = Duration::from_secs(5);
-/// Shortest and longest Retry-After, in milliseconds.
-const RETRY_AFTER_MS: std::ops::Range<u64> = 1_000..4_000;
-
-#[derive(Clone, Debug)]
-struct Held {
-    request: Request,
-    deadline: Now,
-    attempt: Option<AttemptId>,
-    attempts: u32,
-    tried: BTreeSet<HostId>,
-    next_token: u32,
-    claimed_at: Option<Now>,
-    /// Some attempt may have begun to run.
-    may_have_run: bool,
-}
-
-#[derive(Clone, Copy, Debug, Default)]
-struct Outstanding {
-    own: u32,
-    reported: Load,
-}
+/// Time between two ticks.
+const TICK: Duration = Duration::from_millis(500);
+/// Gap between two inputs that shows a pause, since several ticks are missing in it.
+const PAUSE: Duration = Duration::from_secs(2);
+/// Time after a pause in which messages that have waited in sockets are read first.
+const RESUME_GRACE: Duration = Duration::from_millis(100);
 
 /// State machine of the entry host.
 #[derive(Clone, Debug)]
 pub struct Entry {
-    host: HostId,
-    rng: SmallRng,
-    cfg: Option<Arc<Config>>,
-    upstreams: BTreeMap<HostId, UpstreamInfo>,
-    loads: BTreeMap<HostId, Outstanding>,
-    requests: BTreeMap<RequestHandle, Held>,
-    attempts: BTreeMap<AttemptId, (RequestHandle, HostId)>,
+    pub(super) host: HostId,
+    pub(super) rng: SmallRng,
+    pub(super) cfg: Option<Arc<Config>>,
+    pub(super) upstreams: BTreeMap<HostId, UpstreamInfo>,
+    /// Upstreams of each service that are not leaving.
+    pub(super) peers: BTreeMap<ServiceId, Vec<HostId>>,
+    /// Lives of upstream processes that said themselves that they are leaving.
+    pub(super) left: BTreeSet<(HostId, Incarnation)>,
+    pub(super) loads: BTreeMap<HostId, Outstanding>,
+    pub(super) requests: BTreeMap<RequestHandle, Held>,
+    pub(super) by_id: BTreeMap<(TeamId, RequestId), RequestHandle>,
+    pub(super) attempts: BTreeMap<AttemptId, Attempt>,
+    pub(super) live_hosts: Vec<HostId>,
+    pub(super) claiming: Claiming,
+    pub(super) budgets: Budgets,
+    pub(super) hedge_delays: BTreeMap<ServiceId, HedgeDelay>,
+    pub(super) health: Health,
+    pub(super) suspects: Suspects,
+    pub(super) sharing: Sharing,
     draining: bool,
-    dropped_chunks: u64,
+    pub(super) dropped_chunks: u64,
+    last_input: Option<Now>,
+    pub(super) hold_until: Now,
 }
 
 impl Entry {
     /// A machine without configuration; it refuses all requests until it has one.
+    /// `seed` differs between two lives of a process, since ids of attempts come from it.
     #[must_use]
     pub fn new(host: HostId, seed: u64) -> Self {
         Self {
@@ -64,11 +65,23 @@
             rng: SmallRng::seed_from_u64(seed),
             cfg: None,
             upstreams: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            left: BTreeSet::new(),
             loads: BTreeMap::new(),
             requests: BTreeMap::new(),
+            by_id: BTreeMap::new(),
             attempts: BTreeMap::new(),
+            live_hosts: Vec::new(),
+            claiming: Claiming::default(),
+            budgets: Budgets::default(),
+            hedge_delays: BTreeMap::new(),
+            health: Health::default(),
+            suspects: Suspects::default(),
+            sharing: Sharing::default(),
             draining: false,
             dropped_chunks: 0,
+            last_input: None,
+            hold_until: Now::ZERO,
         }
     }
 
@@ -84,7 +97,7 @@
         self.requests.len()
     }
 
-    /// Chunks that came from an attempt that was not the current one.
+    /// Chunks that came from an attempt that was not the current one, or that the caller had.
     #[must_use]
     pub fn dropped_chunks(&self) -> u64 {
         self.dropped_chunks
@@ -93,19 +106,21 @@
     /// Takes an input at the time `now` and returns what the driver shall do.
     pub fn handle(&mut self, now: Now, input: Input) -> Vec<Output> {
         let mut out = Vec::new();
+        self.notice_pause(now, &mut out);
         match input {
-            Input::Config(cfg) => self.cfg = Some(cfg),
+            Input::Config(cfg) => {
+                self.budgets.retain_configured(&cfg);
+                self.cfg = Some(cfg);
+            }
             Input::Upstreams(list) => self.set_upstreams(list),
             Input::Request { handle, request } => self.admit(now, handle, request, &mut out),
-            Input::CallerGone(handle) => self.caller_gone(handle, &mut out),
+            Input::CallerGone(handle) => self.caller_gone(now, handle, &mut out),
             Input::Attempt(attempt, event) => self.attempt(now, attempt, event, &mut out),
-            Input::Claim(handle, result) => self.claim(now, handle, result, &mut out),
+            Input::EntryHosts(list) => self.set_entry_hosts(now, list, &mut out),
+            Input::Peer { from, message } => self.peer(now, from, message, &mut out),
+            Input::Platform { id, reply } => self.platform(now, id, reply, &mut out),
             Input::Drain => self.draining = true,
-            Input::Timer(Timer::Deadline(handle)) => self.deadline(now, handle, &mut out),
-            Input::EntryHosts(_)
-            | Input::Peer { .. }
-            | Input::Platform { .. }
-            | Input::Timer(_) => {}
+            Input::Timer(timer) => self.timer(now, timer, &mut out),
         }
         if self.draining && self.requests.is_empty() {
             out.push(Output::Drained);
@@ -113,10 +128,110 @@
         out
     }
 
+    fn timer(&mut self, now: Now, timer: Timer, out: &mut Vec<Output>) {
+        match timer {
+            Timer::Deadline(handle) => self.deadline(now, handle, out),
+            Timer::Claim(handle) => self.claim_late(now, handle, out),
+            Timer::Dispatch(handle) => self.dispatch(now, handle, out),
+            Timer::Shard(shard) => self.flush_shard(now, shard, out),
+            Timer::Hedge(handle) => self.hedge(now, handle, out),
+            Timer::Suspects => self.tell_suspects(now, out),
+            Timer::Tick => self.tick(now, out),
+        }
+    }
+
+    /// Notices a pause before anything is decided on knowledge from before it: claims are
+    /// judged by their age, expired requests end, and dispatches wait for unread messages.
+    fn notice_pause(&mut self, now: Now, out: &mut Vec<Output>) {
+        let Some(last) = self.last_input.replace(now) else {
+            self.tick(now, out);
+            return;
+        };
+        let gap = now.saturating_sub(last);
+        if gap <= PAUSE {
+            return;
+        }
+        self.hold_until = now + RESUME_GRACE;
+        let detail = format!("no input for {} ms", gap.as_millis());
+        out.push(Output::Event(Event::new(EventKind::PauseNoticed, detail)));
+        let handles: Vec<_> = self.requests.keys().copied().collect();
+        for handle in handles {
+            self.deadline(now, handle, out);
+        }
+    }
+
+    fn tick(&mut self, now: Now, out: &mut Vec<Output>) {
+        self.health.tick(now);
+        self.suspects.forget(now);
+        self.claiming.forget(now);
+        out.push(Output::SetTimer {
+            at: now + TICK,
+            timer: Timer::Tick,
+        });
+    }
+
     fn set_upstreams(&mut self, list: Vec<UpstreamInfo>) {
         self.upstreams = list.into_iter().map(|u| (u.host.clone(), u)).collect();
-        let known = &self.upstreams;
+        let known = &mut self.upstreams;
+        self.left
+            .retain(|(host, life)| known.get(host).is_some_and(|u| u.incarnation == *life));
+        for (host, _) in &self.left {
+            if let Some(upstream) = known.get_mut(host) {
+                upstream.leaving = true;
+            }
+        }
         self.loads.retain(|host, _| known.contains_key(host));
+        self.health.retain(|host| known.contains_key(host));
+        self.list_peers();
+    }
+
+    /// Takes an upstream process's own word that it is leaving, ahead of the next list.
+    pub(super) fn upstream_leaves(&mut self, host: &HostId) {
+        if let Some(upstream) = self.upstreams.get_mut(host) {
+            upstream.leaving = true;
+            self.left.insert((host.clone(), upstream.incarnation));
+            self.list_peers();
+        }
+    }
+
+    fn list_peers(&mut self) {
+        self.peers.clear();
+        for upstream in self.upstreams.values().filter(|u| !u.leaving) {
+            let peers = self.peers.entry(upstream.service.clone()).or_default();
+            peers.push(upstream.host.clone());
+        }
+    }
+
+    fn set_entry_hosts(&mut self, now: Now, list: Vec<HostId>, out: &mut Vec<Output>) {
+        self.claiming.set_owners(&list, &self.host);
+        self.sharing.retain_hosts(&list);
+        self.live_hosts = list;
+        self.end_shares(now, out);
+    }
+
+    fn peer(&mut self, now: Now, from: HostId, message: PeerMessage, out: &mut Vec<Output>) {
+        match message {
+            PeerMessage::Claims(claims) => {
+                for claim in claims {
+                    self.claim_for(now, Some(from.clone()), claim, out);
+                }
+            }
+            PeerMessage::ClaimResults(results) => {
+                for (nonce, result) in results {
+                    self.claim_settled(now, nonce, result, out);
+                }
+            }
+            PeerMessage::Release(claims) => {
+                for (key, nonce) in claims {
+                    self.release_here(now, key, nonce, out);
+                }
+            }
+            PeerMessage::Suspects(suspects) => self.learn_suspects(now, from, suspects, out),
+            PeerMessage::SuspectsSeen(suspects) => {
+                self.sharing.acknowledge(&from, &suspects);
+                self.end_shares(now, out);
+            }
+        }
     }
 
     fn admit(&mut self, now: Now, handle: RequestHandle, request: Request, out: &mut Vec<Output>) {
@@ -134,21 +249,18 @@
             at: deadline,
             timer: Timer::Deadline(handle),
         });
-        let claim = claim_key(&request);
-        let held = Held {
-            deadline,
-            attempt: None,
-            attempts: 0,
-            tried: BTreeSet::new(),
-            next_token: request.resume_from,
-            claimed_at: None,
-            may_have_run: false,
-            request,
-        };
-        self.requests.insert(handle, held);
-        match claim {
-            Some(key) => out.push(Output::Claim { handle, key }),
-            None => self.dispatch(now, handle, out),
+        self.budgets.earn(&request);
+        let non_idempotent = request.class == WorkClass::NonIdempotent;
+        if !non_idempotent {
+            self.supersede(now, &request, out);
+        }
+        let id = (request.team.clone(), request.id.clone());
+        self.by_id.insert(id, handle);
+        self.requests.insert(handle, Held::new(request, deadline));
+        if non_idempotent {
+            self.begin_claim(now, handle, out);
+        } else {
+            self.dispatch(now, handle, out);
         }
     }
 
@@ -175,90 +287,8 @@
         None
     }
 
-    fn claim(
-        &mut self,
-        now: Now,
-        handle: RequestHandle,
-        result: ClaimResult,
-        out: &mut Vec<Output>,
-    ) {
-        let Some(held) = self.requests.get_mut(&handle) else {
-            return;
-        };
-        match result {
-            ClaimResult::Granted => {
-                held.claimed_at = Some(now);
-                self.dispatch(now, handle, out);
-            }
-            ClaimResult::Taken => {
-                let detail = "the idempotency key was used before; its request may have run";
-                self.refuse(
-                    handle,
-                    Refusal::unknown(RefusalKind::DuplicateKey, detail),
-                    out,
-                );
-            }
-            ClaimResult::Unavailable => {
-                let detail = "the claim of the idempotency key can't be written now";
-                let refusal = Refusal::not_run(RefusalKind::ClaimUnavailable, detail);
-                self.refuse_later(handle, refusal, out);
-            }
-        }
-    }
-
-    fn dispatch(&mut self, now: Now, handle: RequestHandle, out: &mut Vec<Output>) {
-        let Some(held) = self.requests.get(&handle) else {
-            return;
-        };
-        if held.deadline <= now {
-            self.deadline(now, handle, out);
-            return;
-        }
-        let needs_claim = held.request.class == WorkClass::NonIdempotent;
-        let claim_valid = held.claimed_at.is_some_and(|at| now < at + CLAIM_VALIDITY);
-        if needs_claim && !claim_valid {
-            let detail = "the claim of the idempotency key is too old to dispatch on";
-            let refusal = Refusal::not_run(RefusalKind::ClaimUnavailable, detail);
-            self.refuse_later(handle, refusal, out);
-            return;
-        }
-        let run = if held.may_have_run {
-            Run::Unknown
-        } else {
-            Run::NotRun
-        };
-        let Some(upstream) = self.choose(handle) else {
-            let detail = "no upstream of the service can take the request";
-            let refusal = Refusal {
-                run,
-                ..Refusal::not_run(RefusalKind::NoUpstream, detail)
-            };
-            self.refuse_later(handle, refusal, out);
-            return;
-        };
-        let attempt = self.rng.random();
-        let Some(held) = self.requests.get_mut(&handle) else {
-            return;
-        };
-        held.attempt = Some(attempt);
-        held.attempts += 1;
-        held.tried.insert(upstream.host.clone());
-        self.loads.entry(upstream.host.clone()).or_default().own += 1;
-        self.attempts
-            .insert(attempt, (handle, upstream.host.clone()));
-        let detail = format!("attempt {attempt} to {}", upstream.host);
-        out.push(event(EventKind::RequestDispatched, &held.request, &detail));
-        out.push(Output::Dispatch {
-            handle,
-            attempt,
-            upstream,
-            resume_from: held.next_token,
-            alone: false,
-        });
-    }
-
     /// The better of two sampled upstreams, by own requests in flight and reported queue.
-    fn choose(&mut self, handle: RequestHandle) -> Option<UpstreamInfo> {
+    pub(super) fn choose(&mut self, handle: RequestHandle) -> Option<UpstreamInfo> {
         let held = self.requests.get(&handle)?;
         let serves = |u: &&UpstreamInfo| u.service == held.request.service && !u.leaving;
         let mut candidates: Vec<_> = self
@@ -285,187 +315,18 @@
             first.clone()
         })
     }
-
-    fn attempt(
-        &mut self,
-        now: Now,
-        attempt: AttemptId,
-        event: AttemptEvent,
-        out: &mut Vec<Output>,
-    ) {
-        let Some((handle, host)) = self.attempts.get(&attempt).cloned() else {
-            self.dropped_chunks += 1;
-            return;
-        };
-        match event {
-            AttemptEvent::Accepted(load) => self.report_load(&host, load),
-            AttemptEvent::Chunk { first, count } => self.chunk(now, handle, first, count, out),
-            AttemptEvent::Finished(load) => {
-                self.report_load(&host, load);
-                self.end_attempt(attempt);
-                self.finish(handle, out);
-            }
-            AttemptEvent::Bounced(_, load) => {
-                self.report_load(&host, load);
-                self.end_attempt(attempt);
-                self.retry(now, handle, Run::NotRun, out);
-            }
-            AttemptEvent::Failed(run) => {
-                self.end_attempt(attempt);
-                self.retry(now, handle, run, out);
-            }
-            AttemptEvent::Crashed => {
-                self.end_attempt(attempt);
-                self.retry(now, handle, Run::Unknown, out);
-            }
-        }
-    }
-
-    fn report_load(&mut self, host: &HostId, load: Load) {
-        self.loads.entry(host.clone()).or_default().reported = load;
-    }
-
-    fn end_attempt(&mut self, attempt: AttemptId) {
-        let Some((handle, host)) = self.attempts.remove(&attempt) else {
-            return;
-        };
-        if let Some(load) = self.loads.get_mut(&host) {
-            load.own = load.own.saturating_sub(1);
-        }
-        if let Some(held) = self.requests.get_mut(&handle)
-            && held.attempt == Some(attempt)
-        {
-            held.attempt = None;
-        }
-    }
-
-    fn chunk(
-        &mut self,
-        now: Now,
-        handle: RequestHandle,
-        first: u32,
-        count: u32,
-        out: &mut Vec<Output>,
-    ) {
-        let Some(held) = self.requests.get_mut(&handle) else {
-            return;
-        };
-        if first > held.next_token {
-            // A gap can't be filled on this stream, so the answer goes on from another attempt.
-            if let Some(attempt) = held.attempt.take() {
-                out.push(Output::Cancel(attempt));
-                self.end_attempt(attempt);
-            }
-            self.retry(now, handle, Run::Unknown, out);
-            return;
-        }
-        let skip = held.next_token - first;
-        if skip >= count {
-            self.dropped_chunks += 1;
-            return;
-        }
-        held.next_token = first + count;
-        out.push(Output::Forward { handle, skip });
-    }
-
-    fn finish(&mut self, handle: RequestHandle, out: &mut Vec<Output>) {
-        let Some(held) = self.requests.remove(&handle) else {
-            return;
-        };
-        let detail = format!("{} tokens", held.next_token);
-        out.push(event(EventKind::RequestFinished, &held.request, &detail));
-        out.push(Output::Finish { handle });
-    }
-
-    fn retry(&mut self, now: Now, handle: RequestHandle, run: Run, out: &mut Vec<Output>) {
-        let Some(held) = self.requests.get_mut(&handle) else {
-            return;
-        };
-        held.may_have_run |= run == Run::Unknown;
-        let repeatable = held.request.class == WorkClass::Idempotent || !held.may_have_run;
-        if !repeatable || held.attempts >= MAX_ATTEMPTS {
-            let run = if held.may_have_run {
-                Run::Unknown
-            } else {
-                Run::NotRun
-            };
-            let kind = match run {
-                Run::NotRun => RefusalKind::Overloaded,
-                Run::Unknown => RefusalKind::UpstreamFailed,
-            };
-            let detail = "the upstreams that were tried did not finish the request";
-            self.refuse_later(
-                handle,
-                Refusal {
-                    run,
-                    ..Refusal::not_run(kind, detail)
-                },
-                out,
-            );
-            return;
-        }
-        out.push(event(EventKind::RequestRetried, &held.request, ""));
-        self.dispatch(now, handle, out);
-    }
-
-    fn deadline(&mut self, now: Now, handle: RequestHandle, out: &mut Vec<Output>) {
-        let Some(held) = self.requests.get(&handle) else {
-            return;
-        };
-        if held.deadline > now {
-            return;
-        }
-        let ran = held.may_have_run || held.attempt.is_some();
-        let run = if ran { Run::Unknown } else { Run::NotRun };
-        let detail = "the deadline passed";
-        let refusal = Refusal {
-            run,
-            ..Refusal::not_run(RefusalKind::DeadlineExceeded, detail)
-        };
-        self.refuse(handle, refusal, out);
-    }
-
-    fn caller_gone(&mut self, handle: RequestHandle, out: &mut Vec<Output>) {
-        let Some(held) = self.requests.remove(&handle) else {
-            return;
-        };
-        out.push(event(EventKind::CallerGone, &held.request, ""));
-        if let Some(attempt) = held.attempt {
-            out.push(Output::Cancel(attempt));
-            self.end_attempt(attempt);
-        }
-    }
-
-    fn refuse_later(&mut self, handle: RequestHandle, refusal: Refusal, out: &mut Vec<Output>) {
-        let retry_after = Duration::from_millis(self.rng.random_range(RETRY_AFTER_MS));
-        self.refuse(handle, refusal.with_retry_after(retry_after), out);
-    }
-
-    fn refuse(&mut self, handle: RequestHandle, refusal: Refusal, out: &mut Vec<Output>) {
-        let Some(held) = self.requests.remove(&handle) else {
-            return;
-        };
-        if let Some(attempt) = held.attempt {
-            out.push(Output::Cancel(attempt));
-            self.end_attempt(attempt);
-        }
-        push_refusal(handle, &held.request, refusal, out);
-    }
-}
-
-fn claim_key(request: &Request) -> Option<String> {
-    if request.class == WorkClass::Idempotent {
-        return None;
-    }
-    let key = request.idempotency_key.as_ref().unwrap_or(&request.id);
-    Some(format!("{}/{}/{key}", request.service, request.team))
 }
 
-fn event(kind: EventKind, request: &Request, detail: &str) -> Output {
+pub(super) fn event(kind: EventKind, request: &Request, detail: &str) -> Output {
     Output::Event(Event::new(kind, detail).about_request(request.id.clone()))
 }
 
-fn push_refusal(handle: RequestHandle, request: &Request, refusal: Refusal, out: &mut Vec<Output>) {
+pub(super) fn push_refusal(
+    handle: RequestHandle,
+    request: &Request,
+    refusal: Refusal,
+    out: &mut Vec<Output>,
+) {
     let detail = format!("{}: {}", refusal.kind.slug(), refusal.detail);
     out.push(event(EventKind::RequestRefused, request, &detail));
     out.push(Output::Refuse { handle, refusal });
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -45,8 +45,14 @@
 //! assert!(out.iter().any(|o| matches!(o, Output::Finish { handle: 1 })));
 //! ```
 
+mod attempts;
+mod claiming;
+mod ending;
+mod held;
 mod machine;
 mod message;
+mod quarantine;
+mod retrying;
 
 #[cfg(test)]
 mod tests;
@@ -56,7 +62,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use machine::Entry;
-pub use message::{Claim, ClaimResult, Nonce, PeerMessage, Suspect};
+pub use message::PeerMessage;
 
 use crate::config::Config;
 use crate::event::Event;
@@ -118,9 +124,6 @@
     CallerGone(RequestHandle),
     /// An attempt made progress or ended.
     Attempt(AttemptId, AttemptEvent),
-    /// The claim of a non-idempotent request was settled. It goes away once the machine
-    /// handles claims by itself.
-    Claim(RequestHandle, ClaimResult),
     /// The live entry hosts, this one included, changed.
     EntryHosts(Vec<HostId>),
     /// A message of another daemon arrived.
@@ -227,14 +230,6 @@
         /// Call.
         call: Call,
     },
-    /// Write the claim of a non-idempotent request. It goes away once the machine handles
-    /// claims by itself.
-    Claim {
-        /// Request.
-        handle: RequestHandle,
-        /// Service and key, the identity of the work.
-        key: String,
-    },
     /// Call back at a time.
     SetTimer {
         /// When.
@@ -255,6 +250,8 @@
     Deadline(RequestHandle),
     /// The claim of a request is late: claim without the shard's owner, or give up.
     Claim(RequestHandle),
+    /// Dispatch a request that waited after a pause.
+    Dispatch(RequestHandle),
     /// Write the claims that were collected for a shard.
     Shard(u8),
     /// The first answer of a request is late: start a hedge.
--- a/crates/core/src/entry/tests.rs
+++ b/crates/core/src/entry/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::config::{Service, Team};
+use crate::platform::{Call, CallId, Reply};
 use crate::types::{RefusalKind, WorkClass};
 
 fn entry(upstreams: u32) -> Entry {
@@ -65,6 +66,36 @@
     )
 }
 
+fn platform_call(out: &[Output]) -> Option<(CallId, Call)> {
+    out.iter().find_map(|o| match o {
+        Output::Platform { id, call } => Some((*id, call.clone())),
+        _ => None,
+    })
+}
+
+fn shard_timer(out: &[Output]) -> Option<(Now, Timer)> {
+    out.iter().find_map(|o| match o {
+        Output::SetTimer {
+            at,
+            timer: timer @ Timer::Shard(_),
+        } => Some((*at, *timer)),
+        _ => None,
+    })
+}
+
+/// Answers at `now` the calls that write the claim of a request.
+fn grant(entry: &mut Entry, now: Now, asked: &[Output]) -> Vec<Output> {
+    let (at, timer) = shard_timer(asked).unwrap();
+    let mut out = entry.handle(at, Input::Timer(timer));
+    if let Some((id, Call::Get { .. })) = platform_call(&out) {
+        let reply = Reply::Missing;
+        out = entry.handle(at.max(now), Input::Platform { id, reply });
+    }
+    let (id, _) = platform_call(&out).unwrap();
+    let reply = Reply::Written { version: 1 };
+    entry.handle(at.max(now), Input::Platform { id, reply })
+}
+
 // Guards against an answer that repeats or skips tokens after an upstream died.
 #[test]
 fn broken_stream_resumes_at_the_exact_token() {
@@ -87,7 +118,7 @@
     let mut entry = entry(2);
     let out = admit(&mut entry, WorkClass::NonIdempotent);
     assert_eq!(dispatched(&out), None);
-    let out = entry.handle(Now::ZERO, Input::Claim(1, ClaimResult::Granted));
+    let out = grant(&mut entry, Now::ZERO, &out);
     let (attempt, _) = dispatched(&out).unwrap();
     let failed = Input::Attempt(attempt, AttemptEvent::Failed(Run::Unknown));
     let out = entry.handle(Now::ZERO, failed);
@@ -102,8 +133,8 @@
 #[test]
 fn bounce_after_the_claim_is_too_old_is_not_dispatched_again() {
     let mut entry = entry(2);
-    admit(&mut entry, WorkClass::NonIdempotent);
-    let out = entry.handle(Now::ZERO, Input::Claim(1, ClaimResult::Granted));
+    let out = admit(&mut entry, WorkClass::NonIdempotent);
+    let out = grant(&mut entry, Now::ZERO, &out);
     let (attempt, _) = dispatched(&out).unwrap();
     let bounced = AttemptEvent::Bounced(Bounce::QueueFull, Load::default());
     let out = entry.handle(Now::from_secs(6), Input::Attempt(attempt, bounced));
@@ -123,3 +154,165 @@
     let finished = Input::Attempt(attempt, AttemptEvent::Finished(Load::default()));
     assert!(entry.handle(Now::ZERO, finished).contains(&Output::Drained));
 }
+
+// Guards against a claim whose grant comes late and has expired meanwhile.
+#[test]
+fn claim_granted_too_late_is_not_dispatched_on() {
+    let mut entry = entry(2);
+    let out = admit(&mut entry, WorkClass::NonIdempotent);
+    let out = grant(&mut entry, Now::from_secs(5), &out);
+    assert_eq!(dispatched(&out), None);
+    assert_eq!(
+        refused(&out),
+        Some((RefusalKind::ClaimUnavailable, Run::NotRun))
+    );
+}
+
+// Guards against a key that stays burned after its request was refused as not run.
+#[test]
+fn refusal_as_not_run_releases_the_key() {
+    let mut entry = entry(0);
+    let out = admit(&mut entry, WorkClass::NonIdempotent);
+    let out = grant(&mut entry, Now::ZERO, &out);
+    assert_eq!(refused(&out), Some((RefusalKind::NoUpstream, Run::NotRun)));
+    assert!(shard_timer(&out).is_some());
+    let again = Input::Request {
+        handle: 2,
+        request: request(WorkClass::NonIdempotent),
+    };
+    let (at, timer) = shard_timer(&out).unwrap();
+    entry.handle(at, again);
+    entry.handle(
+        at,
+        Input::Upstreams(vec![UpstreamInfo::new("up-0", "drafts")]),
+    );
+    let out = entry.handle(at, Input::Timer(timer));
+    let (id, _) = platform_call(&out).unwrap();
+    let reply = Reply::Written { version: 2 };
+    let out = entry.handle(at, Input::Platform { id, reply });
+    assert!(dispatched(&out).is_some());
+}
+
+// Guards against a repeat of a key that this host answered and that runs or is refused again.
+#[test]
+fn repeat_of_a_finished_key_is_answered_from_the_kept_answer() {
+    let mut entry = entry(2);
+    let out = admit(&mut entry, WorkClass::NonIdempotent);
+    let out = grant(&mut entry, Now::ZERO, &out);
+    let (attempt, _) = dispatched(&out).unwrap();
+    let finished = Input::Attempt(attempt, AttemptEvent::Finished(Load::default()));
+    entry.handle(Now::ZERO, finished);
+    let again = Input::Request {
+        handle: 2,
+        request: request(WorkClass::NonIdempotent),
+    };
+    let out = entry.handle(Now::ZERO, again);
+    let replayed = |o: &Output| {
+        matches!(
+            o,
+            Output::Replay {
+                handle: 2,
+                of: 1,
+                ..
+            }
+        )
+    };
+    assert!(out.iter().any(replayed), "{out:?}");
+}
+
+// Guards against an engine that runs a request twice because its caller came back.
+#[test]
+fn repeat_of_a_request_id_takes_the_place_of_the_older_connection() {
+    let mut entry = entry(2);
+    let (first, _) = dispatched(&admit(&mut entry, WorkClass::Idempotent)).unwrap();
+    let mut request = request(WorkClass::Idempotent);
+    request.resume_from = 3;
+    let out = entry.handle(Now::ZERO, Input::Request { handle: 2, request });
+    assert!(out.contains(&Output::Cancel(first)));
+    assert_eq!(dispatched(&out).unwrap().1, 3);
+    assert_eq!(entry.held(), 1);
+}
+
+// Guards against a resumed process that acts on what it knew before the pause.
+#[test]
+fn paused_process_ends_expired_requests_and_waits_before_it_dispatches() {
+    let mut entry = entry(2);
+    admit(&mut entry, WorkClass::Idempotent);
+    let late = Now::from_secs(31);
+    let mut request = request(WorkClass::Idempotent);
+    request.id = "r-2".into();
+    let out = entry.handle(late, Input::Request { handle: 2, request });
+    assert_eq!(
+        refused(&out),
+        Some((RefusalKind::DeadlineExceeded, Run::Unknown))
+    );
+    assert_eq!(dispatched(&out), None);
+    let at = late + Duration::from_millis(100);
+    let out = entry.handle(at, Input::Timer(Timer::Dispatch(2)));
+    assert!(dispatched(&out).is_some());
+}
+
+// Guards against a request that crashes a third upstream.
+#[test]
+fn request_that_crashed_two_upstreams_is_refused() {
+    let mut entry = entry(4);
+    let (first, _) = dispatched(&admit(&mut entry, WorkClass::Idempotent)).unwrap();
+    let out = entry.handle(Now::ZERO, Input::Attempt(first, AttemptEvent::Crashed));
+    let alone = |o: &Output| matches!(o, Output::Dispatch { alone: true, .. });
+    assert!(out.iter().any(alone), "{out:?}");
+    let (second, _) = dispatched(&out).unwrap();
+    let out = entry.handle(Now::ZERO, Input::Attempt(second, AttemptEvent::Crashed));
+    assert_eq!(dispatched(&out), None);
+    let out = admit(&mut entry, WorkClass::Idempotent);
+    assert_eq!(
+        refused(&out),
+        Some((RefusalKind::CrashSuspect, Run::NotRun))
+    );
+}
+
+// Guards against a suspect that runs before the other entry hosts know of its crash.
+#[test]
+fn suspect_waits_until_other_entry_hosts_know() {
+    let mut entry = entry(4);
+    let hosts = vec!["entry-1".into(), "entry-2".into()];
+    entry.handle(Now::ZERO, Input::EntryHosts(hosts));
+    let (first, _) = dispatched(&admit(&mut entry, WorkClass::Idempotent)).unwrap();
+    let mut out = entry.handle(Now::ZERO, Input::Attempt(first, AttemptEvent::Crashed));
+    for _ in 0..2 {
+        assert_eq!(dispatched(&out), None);
+        let sent = out.iter().find_map(|o| match o {
+            Output::Send {
+                message: PeerMessage::Suspects(suspects),
+                ..
+            } => Some(suspects.clone()),
+            _ => None,
+        });
+        let message = PeerMessage::SuspectsSeen(sent.unwrap());
+        let from = "entry-2".into();
+        out = entry.handle(Now::ZERO, Input::Peer { from, message });
+    }
+    assert!(dispatched(&out).is_some());
+}
+
+// Guards against a non-idempotent request that is given up because the shard's owner died.
+#[test]
+fn claim_is_made_without_an_owner_that_does_not_answer() {
+    let mut entry = entry(2);
+    entry.handle(Now::ZERO, Input::EntryHosts(vec!["entry-2".into()]));
+    let out = admit(&mut entry, WorkClass::NonIdempotent);
+    let forwarded = |o: &Output| {
+        matches!(
+            o,
+            Output::Send {
+                message: PeerMessage::Claims(_),
+                ..
+            }
+        )
+    };
+    assert!(out.iter().any(forwarded));
+    assert_eq!(shard_timer(&out), None);
+    let at = Now::from_secs(2);
+    let out = entry.handle(at, Input::Timer(Timer::Claim(1)));
+    let out = grant(&mut entry, at, &out);
+    assert!(dispatched(&out).is_some());
+}
--- a/crates/core/src/event/catalogue.rs
+++ b/crates/core/src/event/catalogue.rs
@@ -54,6 +54,12 @@
     CallerGone = 2007, "the caller went away";
     ChunkDropped = 2008, "a late, duplicate or crossed chunk was dropped";
     BadInput = 2009, "a caller sent malformed or oversized input";
+    PauseNoticed = 2010, "the process was paused and checks what it holds";
+    RequestHedged = 2011, "a second attempt was sent while the first had not answered";
+    ClaimsUnreadable = 2012, "a shard of claims has a value that no writer of claims wrote";
+    SuspectNoted = 2013, "an upstream crashed while it ran a request";
+    UpstreamEjected = 2014, "an upstream that is slower or fails more than its peers was ejected";
+    UpstreamReturned = 2015, "an ejected upstream ended its probation";
 
     WorkQueued = 3001, "work was queued";
     WorkStarted = 3002, "work was passed to the engine";
--- /dev/null
+++ b/crates/core/src/serving/claims/tests.rs
@@ -0,0 +1,214 @@
+use super::*;
+use crate::platform::{Call, Condition, MAX_VALUE_BYTES, Reply};
+use crate::types::Now;
+
+fn claim(key: u64, nonce: Nonce) -> Claim {
+    Claim {
+        key,
+        nonce,
+        lifetime_s: 600,
+    }
+}
+
+fn call(effects: &[Effect]) -> Option<&Call> {
+    effects.iter().find_map(|e| match e {
+        Effect::Call(call) => Some(call),
+        _ => None,
+    })
+}
+
+fn results(effects: &[Effect]) -> Vec<(Nonce, ClaimResult)> {
+    let settled = |e: &Effect| match e {
+        Effect::Settled { nonce, result, .. } => Some((*nonce, *result)),
+        _ => None,
+    };
+    effects.iter().filter_map(settled).collect()
+}
+
+/// A shard that has read an empty object and now writes the claim of key 1 by nonce 7.
+fn writing() -> (Shard, Vec<u8>) {
+    let mut shard = Shard::new(1);
+    shard.claim(Now::ZERO, None, claim(1, 7));
+    shard.flush(BATCH);
+    let out = shard.reply(BATCH, Reply::Missing);
+    let Some(Call::Put {
+        value, condition, ..
+    }) = call(&out)
+    else {
+        panic!("no write: {out:?}");
+    };
+    assert_eq!(*condition, Condition::Absent);
+    (shard, value.clone())
+}
+
+// Guards against a write per request: claims within 50 ms share one conditional update.
+#[test]
+fn claims_are_collected_into_one_write() {
+    let mut shard = Shard::new(1);
+    assert_eq!(
+        shard.claim(Now::ZERO, None, claim(1, 7)),
+        [Effect::FlushAt(BATCH)]
+    );
+    assert_eq!(shard.claim(Now::ZERO, None, claim(17, 8)), []);
+    assert!(matches!(
+        call(&shard.flush(BATCH)),
+        Some(Call::Get { key }) if key == "claims/01"
+    ));
+    assert!(call(&shard.reply(BATCH, Reply::Missing)).is_some());
+    let out = shard.reply(BATCH, Reply::Written { version: 3 });
+    let granted = [(7, ClaimResult::Granted), (8, ClaimResult::Granted)];
+    assert_eq!(results(&out), granted);
+}
+
+// Guards against a second run: of two claims of one key in one batch the first holds it.
+#[test]
+fn second_claim_of_a_key_in_a_batch_is_taken() {
+    let mut shard = Shard::new(1);
+    shard.claim(Now::ZERO, None, claim(1, 7));
+    shard.claim(Now::ZERO, None, claim(1, 8));
+    shard.flush(BATCH);
+    let out = shard.reply(BATCH, Reply::Missing);
+    assert_eq!(results(&out), [(8, ClaimResult::Taken)]);
+}
+
+// Guards against taking a lost answer for a failed or for a successful write.
+#[test]
+fn lost_answer_is_settled_by_reading_back_the_nonce() {
+    let (mut shard, written) = writing();
+    let out = shard.reply(BATCH, Reply::Lost);
+    assert!(matches!(call(&out), Some(Call::Get { .. })));
+    assert_eq!(results(&out), []);
+    let mut not_written = shard.clone();
+    let read = Reply::Object {
+        version: 4,
+        value: written,
+    };
+    let out = shard.reply(BATCH, read);
+    assert_eq!(results(&out), [(7, ClaimResult::Granted)]);
+    let out = not_written.reply(BATCH, Reply::Missing);
+    assert_eq!(results(&out), []);
+    assert!(matches!(call(&out), Some(Call::Put { .. })));
+}
+
+// Guards against two owners that both grant a key: the conflict makes one read again.
+#[test]
+fn conflict_reads_again_and_finds_the_key_taken() {
+    let (mut first, written) = writing();
+    let out = first.reply(BATCH, Reply::Conflict { version: 4 });
+    assert_eq!(results(&out), []);
+    let mut other = Table::decode(&written).unwrap();
+    assert!(other.remove(1, 7) && other.insert(&claim(1, 9)));
+    assert!(matches!(
+        call(&first.flush(2 * BATCH)),
+        Some(Call::Get { .. })
+    ));
+    let read = Reply::Object {
+        version: 4,
+        value: other.encode(),
+    };
+    let out = first.reply(2 * BATCH, read);
+    assert_eq!(results(&out), [(7, ClaimResult::Taken)]);
+}
+
+// Guards against requests that hang while the platform is down, and against a busy loop.
+#[test]
+fn outage_settles_claims_as_unavailable_and_backs_off() {
+    let mut shard = Shard::new(1);
+    let mut now = Now::ZERO;
+    for expected_ms in [50, 100, 200, 400, 800, 1_600, 1_600] {
+        let out = shard.claim(now, None, claim(1, 7));
+        let wait = Duration::from_millis(expected_ms);
+        assert_eq!(out, [Effect::FlushAt(now + wait)]);
+        now += wait;
+        shard.flush(now);
+        let out = shard.reply(now, Reply::Unavailable);
+        assert_eq!(results(&out), [(7, ClaimResult::Unavailable)]);
+    }
+}
+
+// Guards against a key that stays burned although its request certainly did not run.
+#[test]
+fn released_key_can_be_claimed_again_and_only_by_its_holder_released() {
+    let (mut shard, _) = writing();
+    shard.reply(BATCH, Reply::Written { version: 3 });
+    shard.release(BATCH, 1, 99);
+    assert_eq!(shard.flush(2 * BATCH), []);
+    shard.release(2 * BATCH, 1, 7);
+    shard.claim(2 * BATCH, None, claim(1, 8));
+    let out = shard.flush(3 * BATCH);
+    assert!(matches!(
+        call(&out),
+        Some(Call::Put {
+            condition: Condition::Version(3),
+            ..
+        })
+    ));
+    let out = shard.reply(3 * BATCH, Reply::Written { version: 4 });
+    assert_eq!(results(&out), [(8, ClaimResult::Granted)]);
+}
+
+// Guards against a claim that expires early because a new owner starts its clock afresh.
+#[test]
+fn claims_expire_by_the_time_that_writers_know_to_have_passed() {
+    let mut table = Table::default();
+    table.advance(Duration::from_millis(1));
+    assert!(table.insert(&claim(1, 7)));
+    let mut table = Table::decode(&table.encode()).unwrap();
+    table.advance(Duration::from_millis(599_999));
+    assert_eq!(table.holder(1), Some(7));
+    table.advance(Duration::from_secs(1));
+    assert_eq!(table.holder(1), None);
+}
+
+// Guards against an object above the platform's limit, which no writer could write again.
+#[test]
+fn full_object_refuses_claims_below_the_size_limit() {
+    let mut table = Table::default();
+    for key in 0..MAX_RECORDS as u64 {
+        assert!(table.insert(&claim(key, 1)));
+    }
+    assert!(!table.insert(&claim(u64::MAX, 1)));
+    let value = table.encode();
+    assert!(value.len() <= MAX_VALUE_BYTES, "{}", value.len());
+    assert_eq!(Table::decode(&value), Some(table));
+}
+
+// Guards against overwriting an object that another program or version wrote.
+#[test]
+fn unreadable_object_is_not_overwritten() {
+    let mut shard = Shard::new(1);
+    shard.claim(Now::ZERO, None, claim(1, 7));
+    shard.flush(BATCH);
+    let read = Reply::Object {
+        version: 1,
+        value: b"{}".to_vec(),
+    };
+    let out = shard.reply(BATCH, read);
+    assert_eq!(call(&out), None);
+    assert!(out.contains(&Effect::Unreadable));
+    assert_eq!(results(&out), [(7, ClaimResult::Unavailable)]);
+}
+
+// Guards against a lifetime that ends while an upstream process may still start the work.
+#[test]
+fn claim_outlives_the_last_start_that_it_covers() {
+    assert_eq!(lifetime_s(600, Duration::from_secs(30)), 600);
+    assert_eq!(lifetime_s(1, Duration::from_secs(30)), 96);
+}
+
+// Guards against one owner for most shards, and against all shards moving when a host dies.
+#[test]
+fn owners_are_spread_and_stay_when_another_host_dies() {
+    let hosts: Vec<HostId> = (0..6).map(|n| format!("entry-{n}")).collect();
+    let owners: Vec<_> = (0..SHARDS).map(|s| owner(s, &hosts).unwrap()).collect();
+    for host in &hosts {
+        assert!(owners.iter().filter(|o| **o == host).count() <= 6);
+    }
+    for shard in 0..SHARDS {
+        let before = owners[usize::from(shard)];
+        if before != &hosts[5] {
+            assert_eq!(owner(shard, &hosts[..5]), Some(before));
+        }
+    }
+    assert_eq!(owner(0, &[]), None);
+}
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -1,1 +1,6 @@
 //! Policies of serving: pure functions and small structs that the roles combine.
+
+pub mod claims;
+pub mod health;
+pub mod retry;
+pub mod suspects;
