Add the fleet machines, configuration shards and publishing

Cause: the network driver needs a stable interface to membership, the spread of configuration and the use of the platform.

Change: FleetEntry and FleetUpstream are driven as handle(now, input) -> outputs and exchange one message type.

--- a/crates/core/src/event/catalogue.rs
+++ b/crates/core/src/event/catalogue.rs
@@ -66,9 +66,17 @@
     MemberSuspected = 5002, "a process did not answer probes";
     MemberGone = 5003, "a process is gone";
     MemberLeaving = 5004, "a process is leaving";
+    MemberConfirmed = 5005, "a suspected process showed that it lives";
+    ProcessPaused = 5006, "the process itself was paused";
+    HostIsolated = 5007, "the host hears no other entry host";
+    DataCentreSilent = 5008, "a data centre does not answer";
+    DataCentreBack = 5009, "a data centre answers again";
 
     ConfigApplied = 6001, "a configuration came into force";
     ConfigRefused = 6002, "a configuration was refused";
+    ConfigHeadWentBack = 6003, "a configuration with a revision that was in force before, but other content, was refused";
+    ConfigWatchStarted = 6004, "the host watches the platform's configuration";
+    ConfigWatchEnded = 6005, "the host no longer watches the platform's configuration";
 
     PlatformUnavailable = 7001, "the platform does not answer";
     PlatformRecovered = 7002, "the platform answers again";
--- /dev/null
+++ b/crates/core/src/fleet/answers.rs
@@ -0,0 +1,113 @@
+//! Answers to `GET /v1/entry-hosts`: which addresses a caller shall use.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::membership::rendezvous;
+use super::membership::{MemberView, Record, State};
+use crate::types::HostId;
+
+/// How long a caller may use an answer.
+pub const VALIDITY: Duration = Duration::from_secs(10);
+/// Time by which each entry host has heard that another leaves or, if it is cut off, names it no
+/// more: 2 s of gossip, or two failed probes of each of 4 data centres.
+pub const LEAVE_SPREAD: Duration = Duration::from_secs(10);
+/// Hosts named to a caller. Two or three suffice; the others replace hosts that fail meanwhile.
+const NAMED: usize = 6;
+/// Most hosts of the own data centre, so that its loss leaves others.
+const NAMED_NEAR: usize = 4;
+/// Loads are rounded to this step so that noise makes no new answers.
+const LOAD_STEP: u8 = 10;
+
+/// One entry host in an answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntryHost {
+    /// Name.
+    pub host: HostId,
+    /// Address for requests, `IP:PORT`.
+    pub address: String,
+    /// Share of the requests that it should get, relative to the others; 1 to 100.
+    pub weight: u32,
+}
+
+/// An answer, nearest first.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntryHosts {
+    /// Hosts.
+    pub hosts: Vec<EntryHost>,
+    /// How long the answer may be used, in milliseconds.
+    pub validity_ms: u64,
+}
+
+/// Makes the answer that the host `me` gives from what it knows.
+#[must_use]
+pub fn answer(me: &Record, members: &[MemberView]) -> EntryHosts {
+    let usable = members
+        .iter()
+        .filter(|m| m.reachable && !m.record.leaving && m.record.state == State::Live);
+    let mut ranked: Vec<&MemberView> = usable.collect();
+    ranked.sort_by_key(|m| (distance(me, &m.record), rank(me, &m.record)));
+    let chosen = choose(me, &ranked);
+    let hosts = chosen.into_iter().map(|m| EntryHost {
+        host: m.record.host.clone(),
+        address: m.record.data_address.clone(),
+        weight: weight(m.record.load),
+    });
+    EntryHosts {
+        hosts: hosts.collect(),
+        validity_ms: u64::try_from(VALIDITY.as_millis()).unwrap_or(u64::MAX),
+    }
+}
+
+fn choose<'a>(me: &Record, ranked: &[&'a MemberView]) -> Vec<&'a MemberView> {
+    let near = |m: &&&MemberView| m.record.data_centre == me.data_centre;
+    let mut chosen: Vec<&MemberView> = ranked
+        .iter()
+        .filter(near)
+        .take(NAMED_NEAR)
+        .copied()
+        .collect();
+    let mut per_centre: BTreeMap<&str, usize> = BTreeMap::new();
+    // Others one of each data centre first, so that one loss takes few.
+    let mut others: Vec<(usize, &MemberView)> = Vec::new();
+    for m in ranked
+        .iter()
+        .filter(|m| m.record.data_centre != me.data_centre)
+    {
+        let count = per_centre.entry(&m.record.data_centre).or_default();
+        others.push((*count, m));
+        *count += 1;
+    }
+    others.sort_by_key(|(n, m)| (*n, distance(me, &m.record)));
+    chosen.extend(
+        others
+            .into_iter()
+            .map(|(_, m)| m)
+            .take(NAMED - chosen.len()),
+    );
+    chosen
+}
+
+fn distance(me: &Record, other: &Record) -> u8 {
+    if me.data_centre == other.data_centre {
+        return 0;
+    }
+    if me.region == other.region { 1 } else { 2 }
+}
+
+/// The host itself first, since the caller reached it; others spread over the answering hosts.
+fn rank(me: &Record, other: &Record) -> u64 {
+    if me.host == other.host {
+        return 0;
+    }
+    u64::MAX - rendezvous::weight(me.key(), other.key())
+}
+
+fn weight(load: u8) -> u32 {
+    let rounded = load.min(100) / LOAD_STEP * LOAD_STEP;
+    u32::from(100 - rounded).max(1)
+}
--- /dev/null
+++ b/crates/core/src/fleet/entry/members.rs
@@ -0,0 +1,338 @@
+//! Judging members: suspicion, end, heartbeats, comparison of tables.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::FleetEntry;
+use super::probe::peer_of;
+use crate::event::EventKind;
+use crate::fleet::membership::table::{Change, Member};
+use crate::fleet::membership::{Role, State, rendezvous, sync};
+use crate::fleet::message::{Body, Peer, RUMOUR_BYTES, Summary, Update};
+use crate::types::{HostId, Now};
+
+/// Silence of an upstream process after which it is suspected: three heartbeats.
+const HEARTBEAT_LIMIT: Duration = Duration::from_millis(3_500);
+/// Part of that silence within which somebody else must have been heard.
+const HEARTBEAT_WITNESS: Duration = Duration::from_millis(1_500);
+/// Entry hosts that an upstream process sends heartbeats to.
+pub const HEARTBEAT_TARGETS: usize = 3;
+/// Further entry hosts that it is told of, for when those fail.
+const SPARE_TARGETS: usize = 3;
+/// Hosts to which a change is sent at once in each round.
+const FAN_OUT: usize = 3;
+/// Bytes a second for messages sent for changes alone, in the long run and at once: with probes
+/// and heartbeats the total stays below 3 KB a second.
+const RUMOUR_BYTES_PER_S: f64 = 600.0;
+const RUMOUR_BURST_BYTES: f64 = 6_000.0;
+/// Bytes that a message costs besides its updates.
+const MESSAGE_BYTES: usize = 120;
+/// Time between comparisons of tables when they agree, and when they differed.
+const SYNC_PERIOD: Duration = Duration::from_secs(5);
+const SYNC_AGAIN: Duration = Duration::from_secs(1);
+
+impl FleetEntry {
+    /// Takes updates in and passes on what is news.
+    pub(super) fn merge(&mut self, now: Now, updates: &[Update], from: &str) {
+        let mut wanted = Vec::new();
+        for update in updates {
+            let about_me = match update {
+                Update::Full(r) => r.host == self.me.host,
+                Update::Brief(s) => s.key == self.me.key(),
+            };
+            if about_me {
+                self.object(now, update);
+                continue;
+            }
+            match self.table.merge(now, update) {
+                Change::Old => {}
+                Change::Wanted(key) => wanted.push(key),
+                change @ Change::Changed { .. } => self.changed(change),
+            }
+        }
+        if !wanted.is_empty() && !from.is_empty() {
+            let updates = Vec::new();
+            self.send(from, Body::Repair { updates, wanted });
+        }
+    }
+
+    /// Objects to a statement that this process is suspect or gone, or that it had a later life.
+    fn object(&mut self, now: Now, update: &Update) {
+        let (incarnation, version, state) = match update {
+            Update::Full(r) => r.age(),
+            Update::Brief(s) => s.age(),
+        };
+        if incarnation > self.me.incarnation {
+            self.me.incarnation = incarnation + 1;
+            self.me.version = 0;
+            self.out
+                .push(super::Output::Incarnation(self.me.incarnation));
+            self.announce(now, true);
+        } else if incarnation == self.me.incarnation
+            && version >= self.me.version
+            && state >= State::Suspect
+        {
+            self.me.version = version + 1;
+            self.announce(now, false);
+        }
+    }
+
+    fn changed(&mut self, change: Change) {
+        let Change::Changed {
+            host,
+            before,
+            after,
+            new_life,
+        } = change
+        else {
+            return;
+        };
+        self.shown.due = true;
+        let kind = match after {
+            State::Live if new_life => Some(EventKind::MemberJoined),
+            State::Live => Some(EventKind::MemberConfirmed),
+            State::Leaving => Some(EventKind::MemberLeaving),
+            State::Suspect => Some(EventKind::MemberSuspected),
+            State::Gone => Some(EventKind::MemberGone),
+        };
+        if let Some(kind) = kind.filter(|_| before != Some(after) || new_life) {
+            self.event(kind, host.clone());
+        }
+        self.gossip.push(host, new_life);
+        if after == State::Leaving {
+            // Shown at once: new work must stop within 3 s of the first sign.
+            self.show();
+        }
+    }
+
+    pub(super) fn suspect(&mut self, now: Now, host: &str) {
+        self.state(now, host, State::Suspect);
+    }
+
+    fn state(&mut self, now: Now, host: &str, state: State) {
+        let Some(member) = self.table.get(host) else {
+            return;
+        };
+        let summary = Summary {
+            state,
+            ..member.record.summary()
+        };
+        let change = self.table.merge_summary(now, &summary);
+        self.changed(change);
+    }
+
+    /// Time for a suspect to object: it grows with the rounds that gossip needs.
+    fn objection_time(&self) -> Duration {
+        let hosts = self.table.entry_hosts().count().max(1) as f64;
+        Duration::from_secs_f64(2.0 + 0.4 * hosts.log2())
+    }
+
+    /// Gives up suspects that didn't object in time.
+    pub(super) fn judge(&mut self, now: Now) {
+        self.report_silence();
+        if self.isolated || !self.probing.is_trusted() {
+            return;
+        }
+        let limit = self.objection_time();
+        let due = |m: &&Member| {
+            m.record.state == State::Suspect
+                && now.saturating_sub(m.since) >= limit
+                && !self.is_silent_elsewhere(m)
+        };
+        let hosts: Vec<HostId> = self
+            .table
+            .iter()
+            .filter(due)
+            .map(|m| m.record.host.clone())
+            .collect();
+        for host in hosts {
+            self.state(now, &host, State::Gone);
+        }
+    }
+
+    fn is_silent_elsewhere(&self, member: &Member) -> bool {
+        let centre = &member.record.data_centre;
+        *centre != self.settings.data_centre && self.reach.is_silent(centre)
+    }
+
+    /// Suspects upstream processes that this host should hear and doesn't.
+    pub(super) fn judge_upstreams(&mut self, now: Now) {
+        if now < self.next_duty_at {
+            return;
+        }
+        self.next_duty_at = now + Duration::from_secs(1);
+        self.update_duty(now);
+        if !self.probing.is_trusted() {
+            return;
+        }
+        let mut silent = Vec::new();
+        for host in &self.duty {
+            let Some(member) = self.table.get(host) else {
+                continue;
+            };
+            let late = now.saturating_sub(member.heard) >= HEARTBEAT_LIMIT;
+            if late && member.record.state <= State::Leaving && self.has_witness(member) {
+                silent.push(host.clone());
+            }
+        }
+        for host in silent {
+            self.suspect(now, &host);
+        }
+    }
+
+    /// Whether somebody was heard who shows that the silence isn't the network's.
+    fn has_witness(&self, member: &Member) -> bool {
+        let since = member.heard + HEARTBEAT_WITNESS;
+        let centre = &member.record.data_centre;
+        let entry_there = |m: &Member| m.record.data_centre == *centre;
+        if *centre == self.settings.data_centre || !self.table.entry_hosts().any(entry_there) {
+            return self.reach.heard_any_since(since);
+        }
+        self.reach.heard_since(centre, since)
+    }
+
+    fn update_duty(&mut self, now: Now) {
+        if self.duty_generation == self.table.generation {
+            return;
+        }
+        self.duty_generation = self.table.generation;
+        let mut duty = BTreeSet::new();
+        for member in self
+            .table
+            .iter()
+            .filter(|m| m.record.role == Role::Upstream)
+        {
+            if member.record.state != State::Gone && self.is_on_duty(member) {
+                duty.insert(member.record.host.clone());
+            }
+        }
+        for host in duty.difference(&self.duty) {
+            if let Some(member) = self.table.get_mut(host) {
+                member.heard = now;
+            }
+        }
+        self.duty = duty;
+    }
+
+    fn is_on_duty(&self, upstream: &Member) -> bool {
+        let targets = self.targets(upstream);
+        let first = targets.iter().take(HEARTBEAT_TARGETS);
+        first.into_iter().any(|p| p.host == self.settings.host)
+    }
+
+    /// Entry hosts for an upstream process: two of its data centre and one of another, so that
+    /// neither one host nor the loss of the way between data centres hides it; then spare ones.
+    pub(super) fn targets(&self, upstream: &Member) -> Vec<Peer> {
+        let centre = &upstream.record.data_centre;
+        let region = &upstream.record.region;
+        let usable = self
+            .table
+            .entry_hosts()
+            .filter(|m| m.record.state == State::Live);
+        let mut near: Vec<(u64, &Member)> = Vec::new();
+        let mut far: Vec<(bool, u64, &Member)> = Vec::new();
+        for member in usable {
+            let weight = u64::MAX - rendezvous::weight(upstream.key, member.key);
+            if member.record.data_centre == *centre {
+                near.push((weight, member));
+            } else {
+                far.push((member.record.region != *region, weight, member));
+            }
+        }
+        near.sort_by_key(|n| n.0);
+        far.sort_by_key(|f| (f.0, f.1));
+        let mut near = near.into_iter().map(|n| n.1);
+        let mut far = far.into_iter().map(|f| f.2);
+        let mut chosen: Vec<&Member> = near.by_ref().take(HEARTBEAT_TARGETS - 1).collect();
+        chosen.extend(far.by_ref().take(HEARTBEAT_TARGETS - chosen.len()));
+        let wanted = HEARTBEAT_TARGETS + SPARE_TARGETS;
+        chosen.extend(far.by_ref().take(1));
+        chosen.extend(near.take(wanted.saturating_sub(chosen.len())));
+        chosen.extend(far.take(wanted.saturating_sub(chosen.len())));
+        chosen.into_iter().map(peer_of).collect()
+    }
+
+    /// Sends urgent changes and a new revision to a few hosts.
+    pub(super) fn send_rumours(&mut self, passed: Duration) {
+        let earned = passed.as_secs_f64() * RUMOUR_BYTES_PER_S;
+        self.rumour_bytes = (self.rumour_bytes + earned).min(RUMOUR_BURST_BYTES);
+        let urgent = self.gossip.is_urgent();
+        if (!urgent && self.config_rounds == 0) || self.rumour_bytes <= 0.0 {
+            return;
+        }
+        let updates = self.gossip.pack(&self.table, RUMOUR_BYTES, true);
+        let bytes = MESSAGE_BYTES + updates.iter().map(update_bytes).sum::<usize>();
+        for peer in self.random_peers(FAN_OUT) {
+            self.rumour_bytes -= bytes as f64;
+            let updates = updates.clone();
+            self.send(&peer.address, Body::Rumour { updates });
+        }
+        self.gossip.end_round();
+        self.config_rounds = self.config_rounds.saturating_sub(1);
+    }
+
+    /// Compares tables with another host, and looks for lost parts of the fleet.
+    pub(super) fn sync(&mut self, now: Now) {
+        if now >= self.next_seed_at {
+            self.next_seed_at = now + Duration::from_secs(10);
+            self.call_lost_seed();
+        }
+        if now < self.next_sync_at {
+            return;
+        }
+        let jitter = Duration::from_millis(self.rng.random_range(0..500));
+        self.next_sync_at = now + SYNC_PERIOD + jitter;
+        let gone = if self.chance(4) {
+            self.random_gone()
+        } else {
+            None
+        };
+        let peer = gone.or_else(|| self.random_peers(1).pop());
+        if let Some(peer) = peer {
+            let buckets = sync::digest(&self.table);
+            self.send(&peer.address, Body::Digest { buckets });
+        }
+    }
+
+    /// A seed that isn't a known live host may belong to a part that forgot this one.
+    fn call_lost_seed(&mut self) {
+        let seeds = &self.settings.seeds;
+        let known = |address: &str| {
+            let mut hosts = self.table.entry_hosts();
+            hosts.any(|m| m.record.control_address == address)
+        };
+        let lost: Vec<&String> = seeds.iter().filter(|s| !known(s)).collect();
+        if lost.is_empty() {
+            return;
+        }
+        let seed = lost[self.rng.random_range(0..lost.len())].clone();
+        let buckets = sync::digest(&self.table);
+        self.send(&seed, Body::Digest { buckets });
+    }
+
+    fn random_gone(&mut self) -> Option<Peer> {
+        let gone = self
+            .table
+            .iter()
+            .filter(|m| m.record.role == Role::Entry && m.record.state == State::Gone);
+        let gone: Vec<Peer> = gone.map(peer_of).collect();
+        if gone.is_empty() {
+            return None;
+        }
+        let chosen = self.rng.random_range(0..gone.len());
+        gone.into_iter().nth(chosen)
+    }
+
+    pub(super) fn sync_soon(&mut self, now: Now) {
+        self.next_sync_at = self.next_sync_at.min(now + SYNC_AGAIN);
+    }
+}
+
+fn update_bytes(update: &Update) -> usize {
+    match update {
+        Update::Full(record) => record.size_bytes(),
+        Update::Brief(_) => crate::fleet::membership::gossip::SUMMARY_BYTES,
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/entry/mod.rs
@@ -0,0 +1,306 @@
+//! The fleet machine of an entry host.
+
+mod config;
+mod members;
+mod probe;
+mod receive;
+mod views;
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::answers::{self, EntryHosts};
+use super::membership::gossip::Gossip;
+use super::membership::reach::Reach;
+use super::membership::table::Table;
+use super::membership::{Record, Role, State};
+use super::message::{Body, FleetMessage, Sender, Update};
+use super::settings::FleetSettings;
+use super::spread::{Spread, Watch};
+use super::{Input, Output, Timer};
+use crate::config::Config;
+use crate::entry::UpstreamInfo;
+use crate::event::{Event, EventKind, Stamp};
+use crate::types::{HostId, Now, Revision};
+use probe::Probing;
+
+/// Regular step.
+pub const TICK: Duration = Duration::from_millis(200);
+/// Gap between own timers that counts as a pause: others may have given the process up.
+pub const PAUSE: Duration = Duration::from_secs(2);
+/// Time within which a starting host listens to its seeds before it applies a configuration.
+const LISTEN: Duration = Duration::from_secs(2);
+/// Time for which a gone member is remembered, so that late messages don't bring it back.
+const REMEMBER_GONE: Duration = Duration::from_secs(600);
+
+/// A graceful shutdown.
+#[derive(Clone, Copy, Debug)]
+struct Leave {
+    at: Now,
+    answers_expired: bool,
+}
+
+/// Views as they were given last.
+#[derive(Clone, Debug, Default)]
+struct Shown {
+    hosts: EntryHosts,
+    upstreams: Option<Vec<UpstreamInfo>>,
+    generation: (u64, usize, bool),
+    due: bool,
+}
+
+/// The fleet machine of an entry host.
+#[derive(Clone, Debug)]
+pub struct FleetEntry {
+    settings: FleetSettings,
+    me: Record,
+    rng: SmallRng,
+    table: Table,
+    gossip: Gossip,
+    reach: Reach,
+    probing: Probing,
+    spread: Spread,
+    watch: Watch,
+    out: Vec<Output>,
+    started_at: Now,
+    last_tick: Option<Now>,
+    unanswered_seeds: BTreeSet<String>,
+    joined: bool,
+    next_join_at: Now,
+    next_sync_at: Now,
+    next_seed_at: Now,
+    next_duty_at: Now,
+    duty_generation: u64,
+    duty: BTreeSet<HostId>,
+    config_rounds: u32,
+    rumour_bytes: f64,
+    isolated: bool,
+    silent: BTreeSet<String>,
+    leave: Option<Leave>,
+    shown: Shown,
+}
+
+impl FleetEntry {
+    /// A machine that knows only itself. `seed` determines its random choices.
+    #[must_use]
+    pub fn new(settings: FleetSettings, seed: u64) -> Self {
+        let me = Record {
+            host: settings.host.clone(),
+            role: Role::Entry,
+            region: settings.region.clone(),
+            data_centre: settings.data_centre.clone(),
+            service: settings.service.clone(),
+            data_address: settings.data_address.clone(),
+            control_address: settings.control_address.clone(),
+            admin_address: settings.admin_address.clone(),
+            incarnation: settings.incarnation,
+            version: 0,
+            state: State::Live,
+            leaving: false,
+            revision: 0,
+            load: 0,
+        };
+        let own = &settings.control_address;
+        let seeds = settings.seeds.iter().filter(|s| *s != own).cloned();
+        Self {
+            unanswered_seeds: seeds.collect(),
+            settings,
+            me,
+            rng: SmallRng::seed_from_u64(seed),
+            table: Table::default(),
+            gossip: Gossip::default(),
+            reach: Reach::default(),
+            probing: Probing::default(),
+            spread: Spread::default(),
+            watch: Watch::new(seed ^ 0x5eed),
+            out: Vec::new(),
+            started_at: Now::ZERO,
+            last_tick: None,
+            joined: false,
+            next_join_at: Now::ZERO,
+            next_sync_at: Now::ZERO,
+            next_seed_at: Now::ZERO,
+            next_duty_at: Now::ZERO,
+            duty_generation: 0,
+            duty: BTreeSet::new(),
+            config_rounds: 0,
+            rumour_bytes: 0.0,
+            isolated: false,
+            silent: BTreeSet::new(),
+            leave: None,
+            shown: Shown::default(),
+        }
+    }
+
+    /// Takes an input and returns what to do.
+    pub fn handle(&mut self, now: Now, input: Input) -> Vec<Output> {
+        match input {
+            Input::Start => self.start(now),
+            Input::Message(message) => self.receive(now, message),
+            Input::Reply { id, reply } => {
+                let steps = self.watch.reply(now, id, reply);
+                self.watched(now, steps);
+            }
+            Input::Load(load) => self.note_load(load),
+            Input::Leave => self.leave(now),
+            Input::Timer(Timer::Tick) => self.tick(now),
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn config(&self) -> Option<&Arc<Config>> {
+        self.spread.config()
+    }
+
+    /// Highest revision that this host has seen in force anywhere.
+    #[must_use]
+    pub fn highest_revision(&self) -> Revision {
+        self.spread.seen()
+    }
+
+    /// Whether the host hears nobody and so can't judge others.
+    #[must_use]
+    pub fn is_isolated(&self) -> bool {
+        self.isolated
+    }
+
+    fn start(&mut self, now: Now) {
+        self.started_at = now;
+        self.last_tick = Some(now);
+        let me = self.me.clone();
+        self.table.merge_record(now, &me);
+        self.gossip.push(me.host, true);
+        let jitter = Duration::from_millis(self.rng.random_range(0..1_000));
+        self.probing.next_at = now + jitter;
+        self.next_sync_at = now + Duration::from_secs(5) + jitter;
+        self.next_seed_at = now + Duration::from_secs(10) + jitter;
+        self.join(now);
+        self.show();
+        let phase = Duration::from_millis(self.rng.random_range(1..200));
+        self.set_timer(now + phase);
+    }
+
+    fn tick(&mut self, now: Now) {
+        let last = self.last_tick.replace(now).unwrap_or(now);
+        let gap = now.saturating_sub(last);
+        if gap >= PAUSE {
+            self.resume(now, gap);
+        }
+        self.join(now);
+        self.probe(now);
+        self.judge(now);
+        self.judge_upstreams(now);
+        self.send_rumours(gap);
+        self.sync(now);
+        self.tick_config(now);
+        self.table.forget_gone(now.saturating_sub(REMEMBER_GONE));
+        self.check_leave(now);
+        self.show();
+        self.set_timer(now + TICK);
+    }
+
+    /// After a pause: what was heard and suspected before says nothing any more.
+    fn resume(&mut self, now: Now, gap: Duration) {
+        let detail = format!("no timer fired for {} ms", gap.as_millis());
+        self.event(EventKind::ProcessPaused, detail);
+        self.probing.resume(now);
+        self.reach.restart();
+        self.table.restart_clocks(now);
+        self.me.incarnation += 1;
+        self.me.version = 0;
+        self.out.push(Output::Incarnation(self.me.incarnation));
+        self.announce(now, true);
+    }
+
+    /// Puts the own record into the table and the gossip.
+    fn announce(&mut self, now: Now, whole: bool) {
+        let me = self.me.clone();
+        self.table.merge_record(now, &me);
+        self.gossip.push(me.host, whole);
+    }
+
+    fn leave(&mut self, now: Now) {
+        if self.leave.is_some() {
+            return;
+        }
+        self.leave = Some(Leave {
+            at: now,
+            answers_expired: false,
+        });
+        self.me.state = State::Leaving;
+        self.me.leaving = true;
+        self.announce(now, false);
+        let detail = format!("{} is leaving", self.me.host);
+        self.event(EventKind::MemberLeaving, detail);
+        self.rumour_bytes = self.rumour_bytes.max(1.0);
+        self.send_rumours(Duration::ZERO);
+        self.show();
+    }
+
+    fn check_leave(&mut self, now: Now) {
+        let Some(leave) = &mut self.leave else {
+            return;
+        };
+        let expired = now >= leave.at + answers::LEAVE_SPREAD + answers::VALIDITY;
+        if expired && !leave.answers_expired {
+            leave.answers_expired = true;
+            self.out.push(Output::AnswersExpired);
+        }
+    }
+
+    fn note_load(&mut self, load: u8) {
+        self.me.load = load.min(100);
+        let load = self.me.load;
+        if let Some(member) = self.table.get_mut(&self.settings.host) {
+            member.record.load = load;
+        }
+        self.shown.due = true;
+    }
+
+    fn send(&mut self, to_address: &str, body: Body) {
+        if to_address.is_empty() || to_address == self.settings.control_address {
+            return;
+        }
+        let (revision, digest) = self.spread.identity();
+        let from = Sender {
+            host: self.me.host.clone(),
+            address: self.me.control_address.clone(),
+            role: Role::Entry,
+            data_centre: self.me.data_centre.clone(),
+            incarnation: self.me.incarnation,
+            version: self.me.version,
+            revision,
+            digest,
+            load: self.me.load,
+        };
+        self.out.push(Output::Send {
+            to_address: to_address.to_owned(),
+            message: FleetMessage {
+                from,
+                clock: Stamp::default(),
+                body,
+            },
+        });
+    }
+
+    fn event(&mut self, kind: EventKind, detail: impl Into<String>) {
+        self.out.push(Output::Event(Event::new(kind, detail)));
+    }
+
+    fn set_timer(&mut self, at: Now) {
+        let timer = Timer::Tick;
+        self.out.push(Output::SetTimer { at, timer });
+    }
+
+    fn brief(&self, host: &str) -> Option<Update> {
+        self.table
+            .get(host)
+            .map(|m| Update::Brief(m.record.summary()))
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/membership/mod.rs
@@ -0,0 +1,14 @@
+//! Who is in the fleet.
+//!
+//! Entry hosts gossip among themselves; upstream processes send heartbeats to
+//! three of them, which put changes into the gossip.
+
+pub(super) mod gossip;
+pub(super) mod reach;
+mod record;
+pub(super) mod rendezvous;
+pub(super) mod sync;
+pub(super) mod table;
+
+pub use record::{Record, Role, State};
+pub use table::MemberView;
--- /dev/null
+++ b/crates/core/src/fleet/membership/rendezvous.rs
@@ -0,0 +1,24 @@
+//! Rendezvous hashing: each process computes the same choice without talking.
+
+/// Hash of a text, the same in each process and release (FNV-1a with a final mix).
+#[must_use]
+pub fn hash(text: &str) -> u64 {
+    let fnv = text.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |h, b| {
+        (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)
+    });
+    mix(fnv)
+}
+
+/// Mixes the bits of a number (the finalizer of `SplitMix64`).
+#[must_use]
+pub fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
+
+/// Weight of a candidate for a key; the highest ones are chosen.
+#[must_use]
+pub fn weight(key: u64, candidate: u64) -> u64 {
+    mix(key ^ candidate.rotate_left(32))
+}
--- /dev/null
+++ b/crates/core/src/fleet/membership/sync.rs
@@ -0,0 +1,90 @@
+//! Comparison of two tables by hashes of buckets, for what gossip missed.
+
+use super::record::{Record, State};
+use super::rendezvous;
+use super::table::{Member, Table};
+use crate::fleet::message::{MAX_PAGE_BYTES, Summary, Update};
+
+/// Buckets of names.
+pub const BUCKETS: u64 = 32;
+/// Most members listed in one answer.
+const MAX_LISTED: usize = 64;
+
+/// Hash of each bucket over the members that are not gone.
+#[must_use]
+pub fn digest(table: &Table) -> Vec<u64> {
+    let mut buckets = vec![0_u64; BUCKETS as usize];
+    for member in table.iter() {
+        let record = &member.record;
+        if record.state == State::Gone {
+            continue;
+        }
+        let state = record.incarnation ^ (u64::from(record.version) << 8) ^ record.state as u64;
+        let hash = rendezvous::weight(member.key, rendezvous::mix(state));
+        buckets[bucket(member.key)] ^= hash;
+    }
+    buckets
+}
+
+fn bucket(key: u64) -> usize {
+    (key % BUCKETS) as usize
+}
+
+/// Lists some of the buckets that differ, beginning at a random one.
+#[must_use]
+pub fn differing(table: &Table, theirs: &[u64], first: u64) -> Option<(u64, Vec<Summary>)> {
+    let ours = digest(table);
+    let mut mask = 0_u64;
+    let mut members: Vec<Summary> = Vec::new();
+    for n in 0..BUCKETS {
+        let b = ((first + n) % BUCKETS) as usize;
+        if theirs.get(b) == ours.get(b) {
+            continue;
+        }
+        let here = table.iter().filter(|m| bucket(m.key) == b);
+        let summaries: Vec<Summary> = here.map(|m| m.record.summary()).collect();
+        if mask != 0 && members.len() + summaries.len() > MAX_LISTED {
+            break;
+        }
+        mask |= 1 << b;
+        members.extend(summaries);
+    }
+    (mask != 0).then_some((mask, members))
+}
+
+/// Compares listed buckets with the own table: what the other lacks, and what this one lacks.
+#[must_use]
+pub fn compare(table: &Table, mask: u64, theirs: &[Summary]) -> (Vec<Update>, Vec<u64>) {
+    let mut wanted = Vec::new();
+    for summary in theirs {
+        let known = table.by_key(summary.key);
+        let newer = known.is_none_or(|m| summary.age() > m.record.age());
+        if newer && (known.is_some() || summary.state != State::Gone) {
+            wanted.push(summary.key);
+        }
+    }
+    let lacking = |m: &&Member| {
+        let listed = theirs.iter().find(|s| s.key == m.key);
+        mask & (1 << bucket(m.key)) != 0
+            && match listed {
+                Some(s) => m.record.age() > s.age(),
+                None => m.record.state != State::Gone,
+            }
+    };
+    let updates = whole(table.iter().filter(lacking).map(|m| &m.record));
+    (updates, wanted)
+}
+
+/// Whole records up to the size of a page.
+pub fn whole<'a>(records: impl Iterator<Item = &'a Record>) -> Vec<Update> {
+    let mut left = MAX_PAGE_BYTES;
+    let mut updates = Vec::new();
+    for record in records {
+        let Some(rest) = left.checked_sub(record.size_bytes()) else {
+            break;
+        };
+        left = rest;
+        updates.push(Update::Full(Box::new(record.clone())));
+    }
+    updates
+}
--- /dev/null
+++ b/crates/core/src/fleet/platform_policy.rs
@@ -0,0 +1,146 @@
+//! When a process may call the platform: budget, jittered backoff, circuit breaker.
+//!
+//! The client asks before each call and reports how it went. During an outage
+//! one call at a time tries whether the platform answers again, so the fleet's
+//! return is spread over the backoff.
+
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::types::Now;
+
+/// Limits of one process.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlatformLimits {
+    /// Calls a second in the long run.
+    pub calls_per_s: f64,
+    /// Calls that may follow each other at once: a first start reads all shards.
+    pub burst: f64,
+    /// Failures in a row after which the breaker opens.
+    pub failures_to_open: u32,
+    /// First wait of the breaker.
+    pub first_wait: Duration,
+    /// Longest wait. It bounds the time to normal after an outage.
+    pub longest_wait: Duration,
+}
+
+impl Default for PlatformLimits {
+    fn default() -> Self {
+        Self {
+            calls_per_s: 5.0,
+            burst: 100.0,
+            failures_to_open: 3,
+            first_wait: Duration::from_millis(500),
+            longest_wait: Duration::from_secs(30),
+        }
+    }
+}
+
+/// State of the breaker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Breaker {
+    /// Calls go through.
+    Closed,
+    /// No calls until then.
+    Open(Now),
+    /// One call is trying.
+    Trying,
+}
+
+/// Decides on each call. All reports are of calls that it permitted.
+#[derive(Clone, Debug)]
+pub struct PlatformPolicy {
+    limits: PlatformLimits,
+    rng: SmallRng,
+    tokens: f64,
+    filled_at: Now,
+    failures: u32,
+    breaker: Breaker,
+    tried_at: Now,
+}
+
+impl PlatformPolicy {
+    /// A policy with a full budget and a closed breaker.
+    #[must_use]
+    pub fn new(limits: PlatformLimits, seed: u64) -> Self {
+        Self {
+            limits,
+            rng: SmallRng::seed_from_u64(seed),
+            tokens: limits.burst,
+            filled_at: Now::ZERO,
+            failures: 0,
+            breaker: Breaker::Closed,
+            tried_at: Now::ZERO,
+        }
+    }
+
+    /// Permits a call and counts it.
+    ///
+    /// # Errors
+    ///
+    /// How long to wait before asking again.
+    pub fn ask(&mut self, now: Now) -> Result<(), Duration> {
+        self.fill(now);
+        match self.breaker {
+            Breaker::Open(until) => wait_until(now, until)?,
+            // The trying call may never be reported, for instance after a pause.
+            Breaker::Trying => wait_until(now, self.tried_at + self.limits.longest_wait)?,
+            Breaker::Closed => {}
+        }
+        if self.tokens < 1.0 {
+            let missing = (1.0 - self.tokens) / self.limits.calls_per_s;
+            return Err(Duration::from_secs_f64(missing));
+        }
+        self.tokens -= 1.0;
+        if self.breaker != Breaker::Closed {
+            self.breaker = Breaker::Trying;
+            self.tried_at = now;
+        }
+        Ok(())
+    }
+
+    /// Reports how a call went; returns whether the breaker opened or closed by it.
+    pub fn report(&mut self, now: Now, answered: bool) -> bool {
+        let was_closed = self.breaker == Breaker::Closed;
+        if answered {
+            self.failures = 0;
+            self.breaker = Breaker::Closed;
+            return !was_closed;
+        }
+        self.failures = self.failures.saturating_add(1);
+        if self.failures < self.limits.failures_to_open {
+            return false;
+        }
+        self.breaker = Breaker::Open(now + self.wait());
+        was_closed
+    }
+
+    /// Present state of the breaker.
+    #[must_use]
+    pub fn breaker(&self) -> Breaker {
+        self.breaker
+    }
+
+    fn wait(&mut self) -> Duration {
+        let doublings = (self.failures - self.limits.failures_to_open).min(16);
+        let longest = self.limits.longest_wait;
+        let full = (self.limits.first_wait * (1 << doublings)).min(longest);
+        full.mul_f64(self.rng.random_range(0.5..=1.0))
+    }
+
+    fn fill(&mut self, now: Now) {
+        let passed = now.saturating_sub(self.filled_at).as_secs_f64();
+        let tokens = self.tokens + passed * self.limits.calls_per_s;
+        self.tokens = tokens.min(self.limits.burst);
+        self.filled_at = now;
+    }
+}
+
+fn wait_until(now: Now, at: Now) -> Result<(), Duration> {
+    match at.checked_sub(now) {
+        Some(wait) if !wait.is_zero() => Err(wait),
+        _ => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet/spread/store.rs
@@ -0,0 +1,360 @@
+//! The configuration in force and the one on its way.
+//!
+//! A process never applies a configuration below the highest that it has seen
+//! in force anywhere, nor another one with the same revision.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::config::{Config, Head, ShardHash, join, shard_hash};
+use crate::event::{Event, EventKind};
+use crate::fleet::message::{Body, MAX_CONFIG_MESSAGE_BYTES, Peer, Sender};
+use crate::types::{Now, Revision};
+
+/// Time after which a question to a peer is asked of another.
+const ASK_AGAIN_AFTER: Duration = Duration::from_millis(800);
+/// Time that the platform has for the shards of a head before it is read again.
+const PLATFORM_AGAIN_AFTER: Duration = Duration::from_secs(5);
+/// Peers remembered as sources.
+const MAX_SOURCES: usize = 4;
+/// Refused digests remembered, so that each is reported once.
+const MAX_REFUSED: usize = 64;
+
+/// Where a configuration comes from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// A peer that has it in force.
+    Peer(Peer),
+    /// The platform.
+    Platform,
+}
+
+/// What is to be done for it.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Ask a peer.
+    Ask(Peer, Body),
+    /// Read shards from the platform.
+    Read(Vec<ShardHash>),
+    /// It is in force.
+    Apply(Arc<Config>),
+    /// Read the platform's head again.
+    ReadHead,
+    /// Tell.
+    Event(Event),
+}
+
+#[derive(Clone, Debug)]
+struct Pending {
+    identity: (Revision, u64),
+    head: Option<(Head, Vec<u8>)>,
+    source: Source,
+    asked_at: Now,
+}
+
+#[derive(Clone, Debug)]
+struct InForce {
+    identity: (Revision, u64),
+    head: Vec<u8>,
+    config: Arc<Config>,
+}
+
+/// Configuration of one process.
+#[derive(Clone, Debug, Default)]
+pub struct Spread {
+    in_force: Option<InForce>,
+    /// Highest revision seen in force anywhere, with its digest.
+    seen: (Revision, u64),
+    shards: BTreeMap<ShardHash, Vec<u8>>,
+    pending: Option<Pending>,
+    sources: Vec<Peer>,
+    refused: BTreeSet<(Revision, u64)>,
+    open: bool,
+}
+
+impl Spread {
+    /// Revision and digest in force; zeros if none.
+    pub fn identity(&self) -> (Revision, u64) {
+        self.in_force.as_ref().map_or((0, 0), |c| c.identity)
+    }
+
+    /// Highest revision seen in force anywhere.
+    pub fn seen(&self) -> Revision {
+        self.seen.0
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Option<&Arc<Config>> {
+        self.in_force.as_ref().map(|c| &c.config)
+    }
+
+    /// Lets configurations come into force. Until then a starting process only listens, since
+    /// a peer may know of a higher revision than the first source that answers.
+    pub fn open(&mut self, now: Now) -> Vec<Step> {
+        if self.open {
+            return Vec::new();
+        }
+        self.open = true;
+        self.proceed(now)
+    }
+
+    /// Notes what a peer has in force.
+    pub fn hear(&mut self, now: Now, sender: &Sender) -> Vec<Step> {
+        let theirs = (sender.revision, sender.digest);
+        if theirs.0 == 0 || theirs.0 < self.seen.0 || theirs == self.identity() {
+            return Vec::new();
+        }
+        if theirs.0 == self.seen.0 && theirs.1 != self.seen.1 {
+            let from = format!("host {}", sender.host);
+            return self.refuse_other(theirs, &from);
+        }
+        let peer = Peer {
+            host: sender.host.clone(),
+            address: sender.address.clone(),
+        };
+        if theirs.0 > self.seen.0 {
+            self.seen = theirs;
+            self.sources.clear();
+        }
+        self.add_source(peer.clone());
+        if self.pending.as_ref().is_some_and(|p| p.identity == theirs) {
+            return Vec::new();
+        }
+        self.pending = Some(Pending {
+            identity: theirs,
+            head: None,
+            source: Source::Peer(peer.clone()),
+            asked_at: now,
+        });
+        vec![Step::Ask(peer, Body::AskHead)]
+    }
+
+    fn add_source(&mut self, peer: Peer) {
+        self.sources.retain(|p| *p != peer);
+        self.sources.insert(0, peer);
+        self.sources.truncate(MAX_SOURCES);
+    }
+
+    /// Takes a head from the platform or a peer.
+    pub fn take_head(&mut self, now: Now, bytes: &[u8], source: Source) -> Vec<Step> {
+        let head = match Head::from_bytes(bytes) {
+            Ok(head) => head,
+            Err(error) => {
+                let event = Event::new(EventKind::ConfigRefused, error.to_string());
+                return vec![Step::Event(event)];
+            }
+        };
+        let theirs = (head.revision, head.digest());
+        if theirs == self.identity() || self.refused.contains(&theirs) {
+            return Vec::new();
+        }
+        let older = theirs.0 < self.seen.0;
+        let other = theirs.0 == self.seen.0 && theirs.1 != self.seen.1;
+        if older || other {
+            // A peer that is behind is no fault; the platform's head should never be.
+            return match source {
+                Source::Platform => self.refuse_other(theirs, "the platform"),
+                Source::Peer(_) => Vec::new(),
+            };
+        }
+        let pending = self.pending.as_ref();
+        if pending.is_some_and(|p| p.head.is_some() && p.identity.0 >= theirs.0) {
+            return Vec::new();
+        }
+        self.pending = Some(Pending {
+            identity: theirs,
+            head: Some((head, bytes.to_vec())),
+            source,
+            asked_at: now,
+        });
+        self.proceed(now)
+    }
+
+    fn refuse_other(&mut self, theirs: (Revision, u64), from: &str) -> Vec<Step> {
+        if self.refused.len() >= MAX_REFUSED {
+            self.refused.pop_first();
+        }
+        if !self.refused.insert(theirs) {
+            return Vec::new();
+        }
+        let detail = format!(
+            "{from} has revision {} with digest {:016x}, but revision {} with digest {:016x} was in force; publish again above it",
+            theirs.0, theirs.1, self.seen.0, self.seen.1
+        );
+        vec![Step::Event(Event::new(
+            EventKind::ConfigHeadWentBack,
+            detail,
+        ))]
+    }
+
+    /// Takes a shard, whoever sent it: its hash tells what it is.
+    pub fn take_shards(&mut self, now: Now, shards: Vec<Vec<u8>>) -> Vec<Step> {
+        let Some(pending) = &mut self.pending else {
+            return Vec::new();
+        };
+        let Some((head, _)) = &pending.head else {
+            return Vec::new();
+        };
+        let mut taken = false;
+        for content in shards {
+            let hash = shard_hash(&content);
+            if head.shards.contains(&hash) {
+                taken |= self.shards.insert(hash, content).is_none();
+            }
+        }
+        if !taken {
+            return Vec::new();
+        }
+        pending.asked_at = now;
+        self.proceed(now)
+    }
+
+    fn missing(&self) -> Vec<ShardHash> {
+        let head = self.pending.as_ref().and_then(|p| p.head.as_ref());
+        let hashes = head.map(|(h, _)| h.shards.as_slice()).unwrap_or_default();
+        let lacks = |h: &&ShardHash| !self.shards.contains_key(*h);
+        hashes.iter().filter(lacks).cloned().collect()
+    }
+
+    fn proceed(&mut self, now: Now) -> Vec<Step> {
+        let Some(pending) = &mut self.pending else {
+            return Vec::new();
+        };
+        if pending.head.is_none() {
+            return Vec::new();
+        }
+        pending.asked_at = now;
+        let source = pending.source.clone();
+        let missing = self.missing();
+        if missing.is_empty() {
+            return if self.open {
+                self.complete()
+            } else {
+                Vec::new()
+            };
+        }
+        match source {
+            Source::Peer(peer) => vec![Step::Ask(peer, Body::AskShards { hashes: missing })],
+            Source::Platform => vec![Step::Read(missing)],
+        }
+    }
+
+    fn complete(&mut self) -> Vec<Step> {
+        let Some(pending) = self.pending.take() else {
+            return Vec::new();
+        };
+        let Some((head, bytes)) = pending.head else {
+            return Vec::new();
+        };
+        // A higher revision may have been seen while this one was on its way.
+        if pending.identity.0 < self.seen.0 {
+            return Vec::new();
+        }
+        if pending.identity.0 == self.seen.0 && pending.identity.1 != self.seen.1 {
+            return self.refuse_other(pending.identity, "a source");
+        }
+        match join(&head, &self.shards) {
+            Ok(config) => vec![self.apply(pending.identity, &head, bytes, config)],
+            Err(error) => {
+                self.refused.insert(pending.identity);
+                let detail = format!("revision {} was refused: {error}", head.revision);
+                vec![Step::Event(Event::new(EventKind::ConfigRefused, detail))]
+            }
+        }
+    }
+
+    fn apply(
+        &mut self,
+        identity: (Revision, u64),
+        head: &Head,
+        bytes: Vec<u8>,
+        config: Config,
+    ) -> Step {
+        let config = Arc::new(config);
+        self.seen = identity;
+        self.shards.retain(|hash, _| head.shards.contains(hash));
+        self.in_force = Some(InForce {
+            identity,
+            head: bytes,
+            config: Arc::clone(&config),
+        });
+        Step::Apply(config)
+    }
+
+    /// Asks again or elsewhere what was not answered.
+    pub fn tick(&mut self, now: Now) -> Vec<Step> {
+        let Some(pending) = self.pending.clone() else {
+            return self.pull_seen(now);
+        };
+        let waited = now.saturating_sub(pending.asked_at);
+        match &pending.source {
+            Source::Platform if waited >= PLATFORM_AGAIN_AFTER => {
+                self.pending = None;
+                return vec![Step::ReadHead];
+            }
+            Source::Peer(_) if waited >= ASK_AGAIN_AFTER => {}
+            _ => return Vec::new(),
+        }
+        let shift = usize::from(self.sources.len() > 1);
+        self.sources.rotate_left(shift);
+        let Some(peer) = self.sources.first().cloned() else {
+            self.pending = None;
+            return Vec::new();
+        };
+        let has_head = pending.head.is_some();
+        self.pending = Some(Pending {
+            source: Source::Peer(peer.clone()),
+            asked_at: now,
+            ..pending
+        });
+        if has_head {
+            return self.proceed(now);
+        }
+        vec![Step::Ask(peer, Body::AskHead)]
+    }
+
+    /// Begins again with a revision that was seen and is not in force yet.
+    fn pull_seen(&mut self, now: Now) -> Vec<Step> {
+        if self.seen == self.identity() || self.refused.contains(&self.seen) {
+            return Vec::new();
+        }
+        let Some(peer) = self.sources.first().cloned() else {
+            return Vec::new();
+        };
+        self.pending = Some(Pending {
+            identity: self.seen,
+            head: None,
+            source: Source::Peer(peer.clone()),
+            asked_at: now,
+        });
+        vec![Step::Ask(peer, Body::AskHead)]
+    }
+
+    /// Answers a peer's question from the configuration in force.
+    pub fn serve(&self, question: &Body) -> Option<Body> {
+        let in_force = self.in_force.as_ref()?;
+        match question {
+            Body::AskHead => Some(Body::Head {
+                head: in_force.head.clone(),
+            }),
+            Body::AskShards { hashes } => Some(Body::Shards {
+                shards: self.some_shards(hashes),
+            }),
+            _ => None,
+        }
+    }
+
+    fn some_shards(&self, hashes: &[ShardHash]) -> Vec<Vec<u8>> {
+        let mut shards: Vec<Vec<u8>> = Vec::new();
+        let mut bytes = 0;
+        for content in hashes.iter().filter_map(|h| self.shards.get(h)) {
+            if !shards.is_empty() && bytes + content.len() > MAX_CONFIG_MESSAGE_BYTES {
+                break;
+            }
+            bytes += content.len();
+            shards.push(content.clone());
+        }
+        shards
+    }
+}
