Add a model of a continuously batching engine

The experiments and the engine's HTTP stand-in need an engine whose queues, batches, prefix cache and priorities behave alike in virtual time.

The model works in steps: a step's time grows with its batch and with the prompt tokens prefilled in it, jobs beyond the slots are paused by priority and pay for bringing their KV cache back, and the load report lags.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,3 @@
-//! Stand-ins for outside systems.
+//! Small stand-ins for the outside systems that eelgrasshold meets.
+
+pub mod model;
--- /dev/null
+++ b/crates/standins/src/model/cache.rs
@@ -0,0 +1,62 @@
+//! Prefix cache with a limit on its tokens; the least recently used prefix goes first.
+
+use std::collections::BTreeMap;
+
+#[derive(Clone, Debug, Default)]
+pub struct PrefixCache {
+    capacity_tokens: u32,
+    used_tokens: u32,
+    clock: u64,
+    /// Tokens and last use of each prefix.
+    entries: BTreeMap<u64, (u32, u64)>,
+    /// Prefixes by last use.
+    by_use: BTreeMap<u64, u64>,
+}
+
+impl PrefixCache {
+    pub fn new(capacity_tokens: u32) -> Self {
+        Self {
+            capacity_tokens,
+            ..Self::default()
+        }
+    }
+
+    /// Cached tokens of a prefix; counts as a use.
+    pub fn lookup(&mut self, prefix: u64) -> u32 {
+        let Some((tokens, used)) = self.entries.get_mut(&prefix) else {
+            return 0;
+        };
+        self.clock += 1;
+        self.by_use.remove(used);
+        *used = self.clock;
+        self.by_use.insert(self.clock, prefix);
+        *tokens
+    }
+
+    /// Keeps a prefix, if it fits at all.
+    pub fn insert(&mut self, prefix: u64, tokens: u32) {
+        if tokens > self.capacity_tokens || self.lookup(prefix) >= tokens {
+            return;
+        }
+        self.remove(prefix);
+        while self.used_tokens + tokens > self.capacity_tokens {
+            let Some((_, oldest)) = self.by_use.pop_first() else {
+                break;
+            };
+            if let Some((freed, _)) = self.entries.remove(&oldest) {
+                self.used_tokens -= freed;
+            }
+        }
+        self.clock += 1;
+        self.entries.insert(prefix, (tokens, self.clock));
+        self.by_use.insert(self.clock, prefix);
+        self.used_tokens += tokens;
+    }
+
+    fn remove(&mut self, prefix: u64) {
+        if let Some((tokens, used)) = self.entries.remove(&prefix) {
+            self.used_tokens -= tokens;
+            self.by_use.remove(&used);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/model/engine.rs
@@ -0,0 +1,254 @@
+//! Batches, steps and faults of the engine.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use super::cache::PrefixCache;
+use super::{EngineLoad, Job, JobId, Report, Spec};
+
+#[derive(Clone, Debug)]
+struct Active {
+    job: Job,
+    /// Order of submission.
+    order: u64,
+    /// Prompt tokens that still have to be prefilled; none before the job first runs.
+    prefill_left: Option<u32>,
+    produced: u32,
+    /// It was in the batch of the last step.
+    in_batch: bool,
+}
+
+/// A model engine.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    spec: Spec,
+    jobs: BTreeMap<JobId, Active>,
+    cache: PrefixCache,
+    submitted: u64,
+    /// Jobs of the step that is running: those that get a token at its end.
+    step: Option<(Duration, Vec<JobId>)>,
+    slowdown: f64,
+    stalled_until: Duration,
+    up: bool,
+    loads: VecDeque<(Duration, EngineLoad)>,
+    prefix_lookups: u64,
+    prefix_hits: u64,
+}
+
+impl Engine {
+    /// An idle engine with an empty cache.
+    #[must_use]
+    pub fn new(spec: Spec) -> Self {
+        Self {
+            cache: PrefixCache::new(spec.cache_tokens),
+            spec,
+            jobs: BTreeMap::new(),
+            submitted: 0,
+            step: None,
+            slowdown: 1.0,
+            stalled_until: Duration::ZERO,
+            up: true,
+            loads: VecDeque::new(),
+            prefix_lookups: 0,
+            prefix_hits: 0,
+        }
+    }
+
+    /// Takes a job; a job of the same id is replaced. An engine that is down drops it.
+    pub fn submit(&mut self, now: Duration, job: Job) {
+        if !self.up {
+            return;
+        }
+        self.submitted += 1;
+        let active = Active {
+            job,
+            order: self.submitted,
+            prefill_left: None,
+            produced: 0,
+            in_batch: false,
+        };
+        self.jobs.insert(job.id, active);
+        self.begin_step(now);
+    }
+
+    /// Drops a job. The step that is running still takes its time.
+    pub fn cancel(&mut self, now: Duration, id: JobId) {
+        self.jobs.remove(&id);
+        self.note_load(now);
+    }
+
+    /// Changes a job's priority, from the next step on.
+    pub fn set_priority(&mut self, id: JobId, priority: u8) {
+        if let Some(active) = self.jobs.get_mut(&id) {
+            active.job.priority = priority;
+        }
+    }
+
+    /// When the running step ends.
+    #[must_use]
+    pub fn next_at(&self) -> Option<Duration> {
+        self.step.as_ref().map(|(at, _)| *at)
+    }
+
+    /// Ends the step if `now` has reached its end, and begins the next.
+    pub fn advance(&mut self, now: Duration) -> Vec<Report> {
+        let Some((at, ids)) = self.step.take() else {
+            return Vec::new();
+        };
+        if at > now {
+            self.step = Some((at, ids));
+            return Vec::new();
+        }
+        let mut reports = Vec::new();
+        for id in ids {
+            let Some(active) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            active.produced += 1;
+            reports.push(Report::Token(id));
+            if active.produced >= active.job.output_tokens {
+                self.jobs.remove(&id);
+                reports.push(Report::Finished(id));
+            }
+        }
+        self.begin_step(now);
+        reports
+    }
+
+    /// Load as reported at `now`, which lags behind.
+    #[must_use]
+    pub fn load(&self, now: Duration) -> EngineLoad {
+        let seen = |at: Duration| at + self.spec.load_lag <= now;
+        let latest = self.loads.iter().rev().find(|(at, _)| seen(*at));
+        latest.map(|(_, load)| *load).unwrap_or_default()
+    }
+
+    /// Makes each step take `factor` times its time; 1 is normal.
+    pub fn slow_down(&mut self, factor: f64) {
+        self.slowdown = factor;
+    }
+
+    /// Begins no step before `until`.
+    pub fn stall(&mut self, until: Duration) {
+        self.stalled_until = until;
+    }
+
+    /// Loses all jobs and the cache, and takes nothing until [`Engine::restart`].
+    pub fn crash(&mut self) -> Vec<Report> {
+        self.up = false;
+        self.step = None;
+        self.cache = PrefixCache::new(self.spec.cache_tokens);
+        let jobs = std::mem::take(&mut self.jobs);
+        jobs.into_keys().map(Report::Failed).collect()
+    }
+
+    /// Takes jobs again after a crash.
+    pub fn restart(&mut self) {
+        self.up = true;
+    }
+
+    /// Jobs with a prefix that began, and those among them that found it in the cache.
+    #[must_use]
+    pub fn prefix_counts(&self) -> (u64, u64) {
+        (self.prefix_lookups, self.prefix_hits)
+    }
+
+    /// Begins a step unless one is running or there is nothing to do.
+    fn begin_step(&mut self, now: Duration) {
+        if self.step.is_none() && !self.jobs.is_empty() {
+            let batch = self.select_batch();
+            let mut work = Duration::ZERO;
+            let mut prefill_room = self.spec.prefill_chunk_tokens;
+            let mut producing = Vec::new();
+            for id in &batch {
+                work += self.swap_in(*id);
+                let (tokens, done) = self.prefill(*id, prefill_room);
+                prefill_room -= tokens;
+                work += tokens_time(tokens, self.spec.prefill_tokens_per_s);
+                if done {
+                    producing.push(*id);
+                }
+            }
+            let size = u32::try_from(batch.len()).unwrap_or(u32::MAX);
+            work += self.spec.step_base + self.spec.step_per_job * size;
+            let begin = now.max(self.stalled_until);
+            self.step = Some((begin + work.mul_f64(self.slowdown), producing));
+        }
+        self.note_load(now);
+    }
+
+    /// The jobs of the next batch: best priority first, then oldest.
+    fn select_batch(&mut self) -> Vec<JobId> {
+        let mut order: Vec<_> = self
+            .jobs
+            .iter()
+            .map(|(id, a)| (a.job.priority, a.order, *id))
+            .collect();
+        order.sort_unstable();
+        order.truncate(self.spec.slots);
+        let batch: Vec<_> = order.into_iter().map(|(_, _, id)| id).collect();
+        for (id, active) in &mut self.jobs {
+            if !batch.contains(id) {
+                active.in_batch = false;
+            }
+        }
+        batch
+    }
+
+    /// Puts a job into the batch; returns the time to bring its KV cache back if it was paused.
+    fn swap_in(&mut self, id: JobId) -> Duration {
+        let Some(active) = self.jobs.get_mut(&id) else {
+            return Duration::ZERO;
+        };
+        let paused = !active.in_batch && active.prefill_left.is_some();
+        active.in_batch = true;
+        if !paused {
+            return Duration::ZERO;
+        }
+        let tokens = active.job.prompt_tokens + active.produced;
+        tokens_time(tokens, self.spec.swap_tokens_per_s)
+    }
+
+    /// Prefills up to `room` tokens; returns how many, and whether the job now produces.
+    fn prefill(&mut self, id: JobId, room: u32) -> (u32, bool) {
+        let Some(active) = self.jobs.get_mut(&id) else {
+            return (0, false);
+        };
+        let job = active.job;
+        let left = if let Some(left) = active.prefill_left {
+            left
+        } else {
+            let cached = job.prefix.map_or(0, |p| self.cache.lookup(p));
+            self.prefix_lookups += u64::from(job.prefix.is_some());
+            self.prefix_hits += u64::from(cached > 0);
+            job.prompt_tokens - cached.min(job.prefix_tokens).min(job.prompt_tokens)
+        };
+        let tokens = left.min(room);
+        active.prefill_left = Some(left - tokens);
+        let done = tokens == left;
+        if done
+            && left > 0
+            && let Some(prefix) = job.prefix
+        {
+            self.cache.insert(prefix, job.prefix_tokens);
+        }
+        (tokens, done)
+    }
+
+    fn note_load(&mut self, now: Duration) {
+        let running = self.jobs.len().min(self.spec.slots);
+        let load = EngineLoad {
+            running,
+            waiting: self.jobs.len() - running,
+        };
+        self.loads.push_back((now, load));
+        // The newest entry that is old enough to report must stay.
+        while self.loads.len() > 1 && self.loads[1].0 + self.spec.load_lag <= now {
+            self.loads.pop_front();
+        }
+    }
+}
+
+fn tokens_time(tokens: u32, tokens_per_s: u32) -> Duration {
+    Duration::from_secs_f64(f64::from(tokens) / f64::from(tokens_per_s.max(1)))
+}
