--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,6 +1,9 @@
-//! Stand-ins for outside systems: small servers on loopback with faults that tests control.
+//! Small stand-ins for the outside systems that eelgrasshold meets.
+//!
+//! They are servers on loopback with ephemeral ports and faults that tests control.
 
 pub mod client;
 mod http_util;
+pub mod model;
 pub mod platform;
 pub mod server;
