Add the engine's stand-in

The data path could not be run end to end, since nothing answered completions.

The engine streams tokens that are a function of prompt and index, timed by the engine model. It resumes, cancels, changes priorities, caches prefixes by blocks, reports its load with a lag, stalls, slows down, cuts or crosses answers, and crashes on a marked prompt. The host list of the platform moved into a pure type, so that its lag is tested without sockets.

--- /dev/null
+++ b/crates/standins/src/engine/mod.rs
@@ -0,0 +1,25 @@
+//! Stand-in for a model engine: completions over HTTP, timed by [`crate::model`].
+//!
+//! The token at an index is a function of the prompt and the index
+//! ([`token`]), so that a test can tell whether an answer is whole, its own
+//! and resumed at the exact token. Markers in the prompt set the length of the
+//! answer ([`length_marker`]) or crash the engine ([`CRASH_MARKER`]).
+//!
+//! A crashed or killed engine loses all that it had in memory.
+
+mod cache;
+mod completions;
+mod handler;
+mod server;
+mod state;
+mod steps;
+mod token;
+
+#[cfg(test)]
+mod tests;
+
+pub use cache::{BLOCK_CHARS, block_hashes};
+pub use completions::Completion;
+pub use server::{EngineBuilder, ModelEngine};
+pub use state::{Counters, Run};
+pub use token::{CHARS_PER_TOKEN, CRASH_MARKER, answer_tokens, length_marker, token};
--- /dev/null
+++ b/crates/standins/src/engine/state.rs
@@ -0,0 +1,317 @@
+//! State that the engine's handlers, its steps and its handle share.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::Frame;
+use serde::Serialize;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::Instant;
+
+use super::cache::{BLOCK_TOKENS, BlockCache, block_hashes};
+use super::completions::Completion;
+use super::server::Settings;
+use super::token::{CRASH_MARKER, answer_tokens, prompt_tokens, token};
+use crate::http_util::Hangup;
+use crate::model::{Engine as Model, Job, JobId, Report};
+use crate::server::Control;
+
+/// Runs that the handle can read back.
+const KEPT_RUNS: usize = 16_384;
+
+/// Counts since the start; a crash doesn't reset them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Counters {
+    /// Completions that were taken.
+    pub started: u64,
+    /// Completions whose last token was produced.
+    pub finished: u64,
+    /// Completions that ended because of a cancel or a closed connection.
+    pub cancelled: u64,
+    /// Completions that a crash or a kill ended.
+    pub failed: u64,
+    /// Tokens produced.
+    pub tokens: u64,
+    /// Prompt tokens that had to be prefilled.
+    pub prefilled_tokens: u64,
+    /// Prompt tokens found in the prefix cache.
+    pub cached_tokens: u64,
+    /// Crashes caused by prompts.
+    pub crashes: u64,
+}
+
+/// A completion that the engine took.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Run {
+    /// Request id.
+    pub request_id: String,
+    /// First token that was asked for.
+    pub resume_from: u32,
+    /// Priority.
+    pub priority: u8,
+}
+
+/// Part of a streamed answer.
+pub(super) type Piece = Result<Frame<Bytes>, Hangup>;
+
+/// A completion in the engine.
+pub(super) struct Running {
+    pub(super) request_id: String,
+    pub(super) prompt: String,
+    /// Index of the token that comes next.
+    pub(super) next: u32,
+    /// Tokens after which the connection is cut by a fault.
+    cut_at: Option<u32>,
+    tx: mpsc::UnboundedSender<Piece>,
+}
+
+impl Running {
+    /// Sends the next token. A failed send means that the caller went away, which its stream reports.
+    fn send_token(&mut self) {
+        let data = serde_json::json!({ "token": token(&self.prompt, self.next) });
+        let event = format!("id: {}\ndata: {data}\n\n", self.next);
+        let _ = self.tx.send(Ok(Frame::data(event.into())));
+        self.next += 1;
+    }
+
+    fn send_done(&self) {
+        let _ = self.tx.send(Ok(Frame::data("data: [DONE]\n\n".into())));
+    }
+
+    fn hang_up(&self) {
+        let _ = self.tx.send(Err(Hangup));
+    }
+}
+
+/// Faults that hit the next completions.
+#[derive(Debug, Default)]
+pub(super) struct Faults {
+    pub(super) stalled: bool,
+    /// Completions still to be cut, and the tokens that each gets before.
+    pub(super) cuts: u32,
+    pub(super) cut_after: u32,
+    /// Completions still to be answered with another request's answer.
+    pub(super) crossed: u32,
+}
+
+/// What the lock guards.
+pub(super) struct State {
+    pub(super) model: Model,
+    pub(super) jobs: BTreeMap<JobId, Running>,
+    last_job: JobId,
+    pub(super) cache: BlockCache,
+    pub(super) faults: Faults,
+    pub(super) counters: Counters,
+    pub(super) runs: VecDeque<Run>,
+    /// Request ids in the order in which their last tokens were produced.
+    pub(super) finished: VecDeque<String>,
+}
+
+impl State {
+    fn new(settings: &Settings) -> Self {
+        Self {
+            model: Model::new(settings.spec),
+            jobs: BTreeMap::new(),
+            last_job: 0,
+            cache: BlockCache::new(settings.cache_blocks),
+            faults: Faults::default(),
+            counters: Counters::default(),
+            runs: VecDeque::new(),
+            finished: VecDeque::new(),
+        }
+    }
+
+    /// Takes a completion. Its pieces arrive on the receiver until the job ends.
+    pub(super) fn submit(
+        &mut self,
+        now: Duration,
+        request_id: &str,
+        completion: &Completion,
+    ) -> (JobId, mpsc::UnboundedReceiver<Piece>) {
+        self.record(request_id, completion);
+        self.last_job += 1;
+        let id = self.last_job;
+        let (tx, rx) = mpsc::unbounded_channel();
+        let running = Running {
+            request_id: request_id.to_owned(),
+            prompt: completion.prompt.clone(),
+            next: completion.resume_from,
+            cut_at: self.next_cut(completion.resume_from),
+            tx,
+        };
+        let end = answer_tokens(&completion.prompt, completion.max_tokens);
+        if end <= completion.resume_from {
+            self.finish(&running);
+            return (id, rx);
+        }
+        let job = Job {
+            id,
+            priority: completion.priority,
+            prefix: None,
+            prefix_tokens: 0,
+            prompt_tokens: self.uncached_tokens(completion),
+            output_tokens: end - completion.resume_from,
+        };
+        self.jobs.insert(id, running);
+        self.model.submit(now, job);
+        (id, rx)
+    }
+
+    /// Drops a job; it ends its stream without the end mark.
+    pub(super) fn cancel(&mut self, now: Duration, id: JobId) {
+        if let Some(running) = self.jobs.remove(&id) {
+            running.hang_up();
+            self.counters.cancelled += 1;
+            self.model.cancel(now, id);
+        }
+    }
+
+    /// Drops all jobs of a request; returns how many there were.
+    pub(super) fn cancel_request(&mut self, now: Duration, request_id: &str) -> usize {
+        let ids = self.jobs_of(request_id);
+        for id in &ids {
+            self.cancel(now, *id);
+        }
+        ids.len()
+    }
+
+    /// Jobs of a request. An attempt that is not yet cancelled may overlap with the next.
+    pub(super) fn jobs_of(&self, request_id: &str) -> Vec<JobId> {
+        let same = |running: &Running| running.request_id == request_id;
+        self.jobs
+            .iter()
+            .filter(|(_, running)| same(running))
+            .map(|(id, _)| *id)
+            .collect()
+    }
+
+    /// Ends a step that is due; returns whether a prompt crashed the engine.
+    pub(super) fn step(&mut self, now: Duration) -> bool {
+        for report in self.model.advance(now) {
+            match report {
+                Report::Token(id) => {
+                    if self.produce(id) {
+                        return true;
+                    }
+                }
+                Report::Finished(id) => {
+                    if let Some(running) = self.jobs.remove(&id) {
+                        self.finish(&running);
+                    }
+                }
+                Report::Failed(_) => {}
+            }
+        }
+        false
+    }
+
+    /// Loses all jobs and memory, as a dying process does.
+    pub(super) fn lose_memory(&mut self, settings: &Settings) {
+        for running in std::mem::take(&mut self.jobs).into_values() {
+            running.hang_up();
+            self.counters.failed += 1;
+        }
+        self.model = Model::new(settings.spec);
+        self.cache = BlockCache::new(settings.cache_blocks);
+    }
+
+    /// Produces a job's next token; returns whether its prompt crashes the engine instead.
+    fn produce(&mut self, id: JobId) -> bool {
+        let Some(running) = self.jobs.get_mut(&id) else {
+            return false;
+        };
+        if running.prompt.contains(CRASH_MARKER) {
+            self.counters.crashes += 1;
+            return true;
+        }
+        // A cut takes the place of a token, since a token sent at the same time could be lost with it.
+        if running.cut_at == Some(running.next) {
+            running.hang_up();
+            return false;
+        }
+        running.send_token();
+        self.counters.tokens += 1;
+        false
+    }
+
+    fn finish(&mut self, running: &Running) {
+        running.send_done();
+        self.counters.finished += 1;
+        push_bounded(&mut self.finished, running.request_id.clone());
+    }
+
+    fn record(&mut self, request_id: &str, completion: &Completion) {
+        self.counters.started += 1;
+        let run = Run {
+            request_id: request_id.to_owned(),
+            resume_from: completion.resume_from,
+            priority: completion.priority,
+        };
+        push_bounded(&mut self.runs, run);
+    }
+
+    fn next_cut(&mut self, resume_from: u32) -> Option<u32> {
+        if self.faults.cuts == 0 {
+            return None;
+        }
+        self.faults.cuts -= 1;
+        Some(resume_from + self.faults.cut_after)
+    }
+
+    /// Tokens to prefill: the prompt and what was produced elsewhere, less what is cached.
+    fn uncached_tokens(&mut self, completion: &Completion) -> u32 {
+        let used = self.cache.use_prompt(&block_hashes(&completion.prompt));
+        let hits = u32::try_from(used.hits).unwrap_or(u32::MAX);
+        let prompt = prompt_tokens(&completion.prompt);
+        let cached = hits.saturating_mul(BLOCK_TOKENS).min(prompt);
+        let uncached = prompt - cached + completion.resume_from;
+        self.counters.cached_tokens += u64::from(cached);
+        self.counters.prefilled_tokens += u64::from(uncached);
+        uncached
+    }
+}
+
+fn push_bounded<T>(queue: &mut VecDeque<T>, item: T) {
+    if queue.len() == KEPT_RUNS {
+        queue.pop_front();
+    }
+    queue.push_back(item);
+}
+
+/// State with its lock and its clock.
+pub(super) struct Shared {
+    state: Mutex<State>,
+    pub(super) settings: Settings,
+    pub(super) control: Control,
+    started: Instant,
+    /// Wakes the task that runs steps after the jobs or the faults changed.
+    pub(super) changed: Notify,
+}
+
+impl Shared {
+    pub(super) fn new(settings: Settings, control: Control) -> Arc<Self> {
+        Arc::new(Self {
+            state: Mutex::new(State::new(&settings)),
+            settings,
+            control,
+            started: Instant::now(),
+            changed: Notify::new(),
+        })
+    }
+
+    pub(super) fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// The clock's instant at a time that the model names.
+    pub(super) fn instant(&self, at: Duration) -> Instant {
+        self.started + at
+    }
+
+    /// Locks the state. A panic of another holder leaves it usable.
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/steps.rs
@@ -0,0 +1,40 @@
+//! Task that runs the model's steps at their times.
+
+use std::sync::Arc;
+
+use super::state::Shared;
+
+/// Runs steps until the task is aborted.
+pub(super) async fn run(shared: Arc<Shared>) {
+    loop {
+        let changed = shared.changed.notified();
+        tokio::pin!(changed);
+        // Registers before looking, so that no change falls between both.
+        changed.as_mut().enable();
+        let next_at = next_at(&shared);
+        let Some(at) = next_at else {
+            changed.await;
+            continue;
+        };
+        tokio::select! {
+            () = tokio::time::sleep_until(shared.instant(at)) => step(&shared),
+            () = changed => {}
+        }
+    }
+}
+
+fn next_at(shared: &Shared) -> Option<std::time::Duration> {
+    let state = shared.lock();
+    if state.faults.stalled {
+        return None;
+    }
+    state.model.next_at()
+}
+
+fn step(shared: &Shared) {
+    let mut state = shared.lock();
+    if state.step(shared.now()) {
+        state.lose_memory(&shared.settings);
+        shared.control.crash(shared.settings.crash_downtime);
+    }
+}
--- a/crates/standins/src/http_util.rs
+++ b/crates/standins/src/http_util.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use percent_encoding::percent_decode_str;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use snafu::Snafu;
 
 /// Body of an answer.
@@ -67,6 +68,16 @@
     }
 }
 
+/// Reads a JSON body, or gives the answer that refuses it.
+pub async fn read_json<T: DeserializeOwned>(
+    body: Incoming,
+    limit_bytes: usize,
+) -> Result<T, Response<Body>> {
+    let bytes = read_body(body, limit_bytes).await?;
+    serde_json::from_slice(&bytes)
+        .map_err(|error| answer(StatusCode::BAD_REQUEST, error.to_string()))
+}
+
 /// Undoes percent-encoding.
 pub fn decode(text: &str) -> String {
     percent_decode_str(text).decode_utf8_lossy().into_owned()
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! They are servers on loopback with ephemeral ports and faults that tests control.
 
 pub mod client;
+pub mod engine;
 mod http_util;
 pub mod model;
 pub mod platform;
--- a/crates/standins/src/platform/handler.rs
+++ b/crates/standins/src/platform/handler.rs
@@ -101,7 +101,7 @@
     if let Some(refused) = admit(shared, &mut state, Kind::Read) {
         return refused;
     }
-    Ok(json(StatusCode::OK, &state.visible_hosts(shared.now())))
+    Ok(json(StatusCode::OK, &state.hosts.visible(shared.now())))
 }
 
 fn list(shared: &Shared, query: Option<&str>) -> Outcome {
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -5,6 +5,7 @@
 
 mod faults;
 mod handler;
+mod hosts;
 mod rate;
 mod server;
 mod state;
--- a/crates/standins/src/platform/server.rs
+++ b/crates/standins/src/platform/server.rs
@@ -1,16 +1,16 @@
 //! Builder and handle of the platform.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::faults::Faults;
 use super::handler;
+use super::hosts::Hosts;
 use super::rate::Rate;
 use super::state::{Shared, State};
 use super::{Counters, Host, Outage, Store};
-use crate::server::{Server, StartError};
+use crate::server::{Bound, Server, StartError};
 
 /// Settings of a platform.
 #[derive(Clone, Debug)]
@@ -82,10 +82,9 @@
             reads: Rate::new(self.reads_per_s),
             writes: Rate::new(self.writes_per_s),
             counters: Counters::default(),
-            host_lag: self.host_lag,
-            hosts: VecDeque::from([(Duration::ZERO, self.hosts)]),
+            hosts: Hosts::new(self.host_lag, self.hosts),
         }));
-        let server = Server::start(|_| handler::new(&shared))?;
+        let server = Bound::new()?.serve(handler::new(&shared));
         Ok(Platform { shared, server })
     }
 }
@@ -130,10 +129,8 @@
 
     /// Sets the host list; it becomes visible after the lag.
     pub fn set_hosts(&self, hosts: Vec<Host>) {
-        let at = self.shared.now();
-        let mut state = self.shared.lock();
-        let visible = at + state.host_lag;
-        state.hosts.push_back((visible, hosts));
+        let now = self.shared.now();
+        self.shared.lock().hosts.set(now, hosts);
     }
 
     /// Begins or ends an outage. Waiting watches meet it too.
--- a/crates/standins/src/platform/state.rs
+++ b/crates/standins/src/platform/state.rs
@@ -1,6 +1,5 @@
 //! State that the platform's handlers and its handle share.
 
-use std::collections::VecDeque;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -8,9 +7,10 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use super::Store;
 use super::faults::Faults;
+use super::hosts::Hosts;
 use super::rate::Rate;
-use super::{Host, HostList, Store};
 
 /// Calls by kind since the start. Each call counts once, also if it was refused.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
@@ -62,9 +62,7 @@
     pub(super) reads: Rate,
     pub(super) writes: Rate,
     pub(super) counters: Counters,
-    pub(super) host_lag: Duration,
-    /// Lists that were set and when each becomes visible.
-    pub(super) hosts: VecDeque<(Duration, Vec<Host>)>,
+    pub(super) hosts: Hosts,
 }
 
 impl State {
@@ -72,18 +70,6 @@
     pub(super) fn read_store(&self) -> &Store {
         self.faults.stale.as_ref().unwrap_or(&self.store)
     }
-
-    /// The latest list that is visible.
-    pub(super) fn visible_hosts(&mut self, now: Duration) -> HostList {
-        while self.hosts.get(1).is_some_and(|(at, _)| *at <= now) {
-            self.hosts.pop_front();
-        }
-        let hosts = match self.hosts.front() {
-            Some((at, hosts)) if *at <= now => hosts.clone(),
-            _ => Vec::new(),
-        };
-        HostList { hosts }
-    }
 }
 
 /// State with its lock, its clock and the signal that wakes watches.
--- a/crates/standins/src/platform/tests.rs
+++ b/crates/standins/src/platform/tests.rs
@@ -2,8 +2,9 @@
 
 use eelgrasshold_core::platform::{Call, Condition, MAX_VALUE_BYTES, Reply};
 
+use super::hosts::Hosts;
 use super::rate::Rate;
-use super::{Store, WriteError};
+use super::{Host, HostState, Store, WriteError};
 
 /// Guards against versions that repeat after a deletion: a writer that paused
 /// over the deletion would then overwrite the new object.
@@ -100,3 +101,25 @@
     }
     assert_eq!(taken(&mut rate, 3), 10);
 }
+
+/// Guards against a host list that shows a change at once: membership must
+/// not come to rely on that.
+#[test]
+fn host_list_lags_behind() {
+    let host = |name: &str| Host {
+        host: name.into(),
+        address: "127.0.0.1".into(),
+        data_centre: "dc-1".into(),
+        state: HostState::Live,
+    };
+    let mut hosts = Hosts::new(Duration::from_secs(5), vec![host("a")]);
+    hosts.set(Duration::from_secs(10), vec![host("b")]);
+    hosts.set(Duration::from_secs(11), vec![host("c")]);
+    let mut names = |ms| -> Vec<String> {
+        let visible = hosts.visible(Duration::from_millis(ms));
+        visible.hosts.into_iter().map(|host| host.host).collect()
+    };
+    assert_eq!(names(14_999), ["a"]);
+    assert_eq!(names(15_000), ["b"]);
+    assert_eq!(names(16_000), ["c"]);
+}
--- a/crates/standins/src/server/mod.rs
+++ b/crates/standins/src/server/mod.rs
@@ -79,36 +79,59 @@
     }
 }
 
-/// A running server.
-pub(crate) struct Server {
+/// A server whose port is bound and whose handler is still to be made.
+pub(crate) struct Bound {
     address: SocketAddr,
+    reservation: TcpSocket,
+    listener: TcpListener,
     control: Control,
-    task: JoinHandle<()>,
+    rx: mpsc::UnboundedReceiver<Command>,
 }
 
-impl Server {
-    /// Binds an ephemeral port on loopback and serves it.
-    pub(crate) fn start(make_handler: impl FnOnce(Control) -> Handler) -> Result<Self, StartError> {
+impl Bound {
+    /// Binds an ephemeral port on loopback.
+    pub(crate) fn new() -> Result<Self, StartError> {
         let reservation = bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
         let address = reservation.local_addr().context(ListenSnafu)?;
         let listener = listen(address)?;
         let (tx, rx) = mpsc::unbounded_channel();
-        let control = Control { tx };
-        let handler = make_handler(control.clone());
-        let runner = Runner {
+        Ok(Self {
             address,
             reservation,
-            handler,
+            listener,
+            control: Control { tx },
             rx,
-        };
-        let task = tokio::spawn(runner.run(listener));
-        Ok(Self {
-            address,
-            control,
-            task,
         })
     }
 
+    pub(crate) fn control(&self) -> Control {
+        self.control.clone()
+    }
+
+    /// Serves the port with a handler.
+    pub(crate) fn serve(self, handler: Handler) -> Server {
+        let runner = Runner {
+            address: self.address,
+            reservation: self.reservation,
+            handler,
+            rx: self.rx,
+        };
+        Server {
+            address: self.address,
+            control: self.control,
+            task: tokio::spawn(runner.run(self.listener)),
+        }
+    }
+}
+
+/// A running server.
+pub(crate) struct Server {
+    address: SocketAddr,
+    control: Control,
+    task: JoinHandle<()>,
+}
+
+impl Server {
     pub(crate) fn address(&self) -> SocketAddr {
         self.address
     }
--- a/crates/standins/src/server/tests.rs
+++ b/crates/standins/src/server/tests.rs
@@ -4,11 +4,12 @@
 use http::StatusCode;
 use tokio::net::TcpStream;
 
-use super::Server;
-use crate::http_util::empty;
+use super::{Bound, Server};
+use crate::http_util::{Answering, empty};
 
 fn start() -> Server {
-    Server::start(|_| Arc::new(|_| Box::pin(async { Ok(empty(StatusCode::OK)) }))).unwrap()
+    let handler = Arc::new(|_| Box::pin(async { Ok(empty(StatusCode::OK)) }) as Answering);
+    Bound::new().unwrap().serve(handler)
 }
 
 /// Guards against a killed stand-in that still accepts connections, and
--- a/crates/standins/tests/platform.rs
+++ b/crates/standins/tests/platform.rs
@@ -203,30 +203,31 @@
     platform.close().await;
 }
 
-/// Guards against a host list that shows a change at once: membership must
-/// not come to rely on that.
-#[tokio::test(start_paused = true)]
-async fn host_list_lags_behind() {
+/// Guards against a host list that differs from the published protocol.
+#[tokio::test]
+async fn host_list_names_live_and_leaving_hosts() {
+    let host = |name: &str, state| Host {
+        host: name.into(),
+        address: "127.0.0.1".into(),
+        data_centre: "dc-1".into(),
+        state,
+    };
+    let first = vec![host("a", HostState::Live)];
+    let second = vec![host("a", HostState::Leaving), host("b", HostState::Live)];
     let platform = Platform::builder()
-        .host_lag(Duration::from_secs(5))
+        .hosts(first.clone())
+        .host_lag(Duration::ZERO)
         .start()
         .unwrap();
-    let client = Client::new();
     let url = format!("http://{}/v1/hosts", platform.address());
-    let host = Host {
-        host: "entry-1".into(),
-        address: "127.0.0.1".into(),
-        data_centre: "dc-1".into(),
-        state: HostState::Leaving,
-    };
-    let names = async || {
+    let client = Client::new();
+    let hosts = async || {
         let answer = client.get(&url).await.unwrap();
         let list: HostList = serde_json::from_slice(&answer.body).unwrap();
         list.hosts
     };
-    platform.set_hosts(vec![host.clone()]);
-    assert_eq!(names().await, []);
-    tokio::time::advance(Duration::from_secs(5)).await;
-    assert_eq!(names().await, [host]);
+    assert_eq!(hosts().await, first);
+    platform.set_hosts(second.clone());
+    assert_eq!(hosts().await, second);
     platform.close().await;
 }
