Serve a request from the caller to the engine and back

The drivers, the fleet machines and the stand-ins existed side by side, but no request had gone through them. Wires the fleet machines to links and platform, applies the configuration that was published, and passes on priorities, cancellations and crossed answers at the engine. Attempts are known to engines by their own id, since a cancellation by request id would stop a later attempt of the same request.

--- a/crates/daemon/src/cli/mod.rs
+++ b/crates/daemon/src/cli/mod.rs
@@ -43,7 +43,10 @@
 pub fn parse() -> Args {
     let matches = command().get_matches();
     Args {
-        settings: matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default(),
+        settings: matches
+            .get_one::<PathBuf>("settings")
+            .cloned()
+            .unwrap_or_default(),
         check: matches.get_flag("check"),
     }
 }
--- a/crates/daemon/src/logs/mod.rs
+++ b/crates/daemon/src/logs/mod.rs
@@ -26,14 +26,20 @@
 
 fn format(out: FormatCallback<'_>, message: &fmt::Arguments<'_>, record: &Record<'_>) {
     let time = humantime::format_rfc3339_millis(SystemTime::now()).to_string();
-    out.finish(format_args!("{}", line(&time, &message.to_string(), record)));
+    out.finish(format_args!(
+        "{}",
+        line(&time, &message.to_string(), record)
+    ));
 }
 
 /// One line of the log.
 pub fn line(time: &str, message: &str, record: &Record<'_>) -> String {
     let mut fields = Fields(Map::new());
     fields.0.insert("time".into(), time.into());
-    fields.0.insert("level".into(), record.level().as_str().to_lowercase().into());
+    fields.0.insert(
+        "level".into(),
+        record.level().as_str().to_lowercase().into(),
+    );
     // The visitor below never fails.
     let _ = record.key_values().visit(&mut fields);
     fields.0.insert("message".into(), message.into());
--- a/crates/daemon/src/run/mod.rs
+++ b/crates/daemon/src/run/mod.rs
@@ -68,8 +68,10 @@
 ///
 /// If it can't start, or if its shutdown cut requests.
 pub fn run(settings: Settings) -> Result<(), RunError> {
-    let runtime =
-        tokio::runtime::Builder::new_multi_thread().enable_all().build().context(SetupSnafu)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .context(SetupSnafu)?;
     runtime.block_on(run_role(settings))
 }
 
@@ -104,9 +106,9 @@
     let identity = match &settings.tls {
         None => None,
         Some(tls) => Some(Identity::from_files(
-            &tls.certificate_file,
-            &tls.key_file,
-            &tls.authority_file,
+            &tls.certificate,
+            &tls.key,
+            &tls.authority,
         )?),
     };
     Ok(HostOptions::builder(&settings.host, &settings.platform_url)
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -23,7 +23,9 @@
     match (settings.role, &settings.engine) {
         (None, _) => report("role", "must be `entry` or `upstream`"),
         (Some(Role::Upstream), None) => report("engine", "the role `upstream` needs an engine"),
-        (Some(Role::Entry), Some(_)) => report("engine", "the role `entry` has no engine; remove it"),
+        (Some(Role::Entry), Some(_)) => {
+            report("engine", "the role `entry` has no engine; remove it");
+        }
         _ => {}
     }
     if let Some(engine) = &settings.engine {
@@ -38,7 +40,10 @@
         }
     }
     if settings.role == Some(Role::Upstream) && settings.seeds.is_empty() {
-        report("seeds", "an upstream process needs the control address of an entry host");
+        report(
+            "seeds",
+            "an upstream process needs the control address of an entry host",
+        );
     }
     if !settings.platform_url.starts_with("http://") {
         report("platform_url", "must start with http://");
@@ -52,7 +57,10 @@
         ("admin_address", settings.admin_address),
     ] {
         if address.ip().is_unspecified() {
-            report(path, "must be set to an address of this host that others can reach");
+            report(
+                path,
+                "must be set to an address of this host that others can reach",
+            );
         }
     }
     let open = |address: SocketAddr| !address.ip().is_loopback();
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -10,7 +10,7 @@
 
 use snafu::{ResultExt, Snafu};
 
-pub use model::{EngineSettings, Role, Settings, TlsSettings};
+pub use model::{EngineSettings, Role, Settings};
 
 /// Why settings can't be used.
 #[derive(Debug, Snafu)]
@@ -78,5 +78,9 @@
     if problems.is_empty() {
         return Ok(settings);
     }
-    InvalidSnafu { path: name, problems }.fail()
+    InvalidSnafu {
+        path: name,
+        problems,
+    }
+    .fail()
 }
--- a/crates/daemon/src/settings/model.rs
+++ b/crates/daemon/src/settings/model.rs
@@ -58,11 +58,11 @@
 #[serde(deny_unknown_fields)]
 pub struct TlsSettings {
     /// PEM file with the certificate chain.
-    pub certificate_file: PathBuf,
+    pub certificate: PathBuf,
     /// PEM file with the private key.
-    pub key_file: PathBuf,
+    pub key: PathBuf,
     /// PEM file with the authority of the other daemons.
-    pub authority_file: PathBuf,
+    pub authority: PathBuf,
 }
 
 /// The engine or plain service next to an upstream process.
--- a/crates/daemon/src/settings/tests.rs
+++ b/crates/daemon/src/settings/tests.rs
@@ -24,7 +24,10 @@
     assert!(error.contains("drain_limit"), "{error}");
     let wrong = ENTRY.replace("\"role\"", "\"drain_limit_s\": \"5\", \"role\"");
     let error = parse("entry.json", &wrong).unwrap_err().to_string();
-    assert!(error.starts_with("entry.json: at `drain_limit_s`"), "{error}");
+    assert!(
+        error.starts_with("entry.json: at `drain_limit_s`"),
+        "{error}"
+    );
 }
 
 // Guards against links in the clear on a network because TLS was forgotten.
--- a/crates/net/src/control/io.rs
+++ b/crates/net/src/control/io.rs
@@ -50,7 +50,9 @@
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.inner).poll_read(cx, buf);
         let read = buf.filled().len() - before;
-        self.traffic.received.fetch_add(read as u64, Ordering::Relaxed);
+        self.traffic
+            .received
+            .fetch_add(read as u64, Ordering::Relaxed);
         polled
     }
 }
@@ -63,7 +65,9 @@
     ) -> Poll<std::io::Result<usize>> {
         let polled = Pin::new(&mut self.inner).poll_write(cx, buf);
         if let Poll::Ready(Ok(written)) = polled {
-            self.traffic.sent.fetch_add(written as u64, Ordering::Relaxed);
+            self.traffic
+                .sent
+                .fetch_add(written as u64, Ordering::Relaxed);
         }
         polled
     }
--- a/crates/net/src/control/links.rs
+++ b/crates/net/src/control/links.rs
@@ -36,7 +36,11 @@
     /// No links yet. With an identity, links use mutual TLS.
     #[must_use]
     pub fn new(traffic: Arc<Traffic>, identity: Option<Identity>) -> Arc<Self> {
-        Arc::new(Self { queues: Mutex::new(BTreeMap::new()), traffic, identity })
+        Arc::new(Self {
+            queues: Mutex::new(BTreeMap::new()),
+            traffic,
+            identity,
+        })
     }
 
     /// Sends a message to the control address `IP:PORT`; it may be lost.
@@ -62,6 +66,24 @@
         tokio::spawn(async move { links.run(address, rx).await });
     }
 
+    /// Whether there is a link, or one is being opened.
+    #[must_use]
+    pub fn is_open(&self, address: &str) -> bool {
+        let queues = self.queues.lock().unwrap_or_else(PoisonError::into_inner);
+        queues.get(address).is_some_and(|queue| !queue.is_closed())
+    }
+
+    /// Waits until the link to an address is closed.
+    pub async fn closed(&self, address: &str) {
+        let queue = {
+            let queues = self.queues.lock().unwrap_or_else(PoisonError::into_inner);
+            queues.get(address).cloned()
+        };
+        if let Some(queue) = queue {
+            queue.closed().await;
+        }
+    }
+
     async fn run(self: Arc<Self>, address: String, mut queue: mpsc::Receiver<Message>) {
         let connect = tokio::time::timeout(CONNECT_TIMEOUT, self.connect(&address));
         let client = match connect.await {
--- a/crates/net/src/control/server.rs
+++ b/crates/net/src/control/server.rs
@@ -44,7 +44,9 @@
 
 impl fmt::Debug for ControlServer {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("ControlServer").field("listener", &self.listener).finish_non_exhaustive()
+        f.debug_struct("ControlServer")
+            .field("listener", &self.listener)
+            .finish_non_exhaustive()
     }
 }
 
@@ -57,7 +59,12 @@
         identity: Option<Identity>,
         deliver: impl Fn(Message) + Send + Sync + 'static,
     ) -> Self {
-        Self { listener, traffic, identity, deliver: Arc::new(deliver) }
+        Self {
+            listener,
+            traffic,
+            identity,
+            deliver: Arc::new(deliver),
+        }
     }
 
     /// Accepts links until `shutdown`, then closes them.
@@ -102,7 +109,9 @@
         };
         let framed = Framed::new(stream, LengthDelimitedCodec::new());
         let transport = tarpc::serde_transport::new(framed, Bincode::default());
-        let receiver = Receiver { deliver: Arc::clone(&self.deliver) };
+        let receiver = Receiver {
+            deliver: Arc::clone(&self.deliver),
+        };
         BaseChannel::with_defaults(transport)
             .execute(receiver.serve())
             .for_each(|handled| handled)
--- a/crates/net/src/entry/attempt.rs
+++ b/crates/net/src/entry/attempt.rs
@@ -62,10 +62,7 @@
     }
 }
 
-fn dispatch_request(
-    incoming: &Incoming,
-    dispatch: &Dispatch,
-) -> Option<Request<Body>> {
+fn dispatch_request(incoming: &Incoming, dispatch: &Dispatch) -> Option<Request<Body>> {
     let upstream = &dispatch.upstream;
     let uri = format!("http://{}{}", upstream.address, incoming.target.path);
     let mut request = Request::new(full(incoming.body.clone()));
--- a/crates/net/src/host/entry.rs
+++ b/crates/net/src/host/entry.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock, PoisonError, RwLock};
 use std::time::Duration;
 
@@ -56,6 +56,7 @@
     addresses: RwLock<BTreeMap<HostId, String>>,
     answers_expired: Notify,
     draining: AtomicBool,
+    incarnation: AtomicU64,
     /// An operator asked for a graceful shutdown.
     drain_wanted: Notify,
     driver: OnceLock<Arc<EntryDriver>>,
@@ -74,7 +75,9 @@
 
 impl std::fmt::Debug for EntryHost {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("EntryHost").field("options", &self.options).finish_non_exhaustive()
+        f.debug_struct("EntryHost")
+            .field("options", &self.options)
+            .finish_non_exhaustive()
     }
 }
 
@@ -89,7 +92,8 @@
         let shared = Arc::new(Shared::default());
         let driver = start_driver(&options, &base, &shared);
         let fleet = start_fleet(&options, &base, &shared, &driver);
-        base.timeline.record(Event::new(EventKind::DaemonStarted, "entry host"));
+        base.timeline
+            .record(Event::new(EventKind::DaemonStarted, "entry host"));
         let mut tasks = vec![
             tokio::spawn(Arc::clone(&driver).run_timers()),
             tokio::spawn(Arc::clone(&fleet).run(base.shutdown.clone())),
@@ -105,7 +109,15 @@
             move || wanted.drain_wanted.notify_one(),
         ));
         let data_task = serve_callers(&mut base, &driver);
-        Ok(Self { options, base, shared, driver, fleet, tasks, data_task })
+        Ok(Self {
+            options,
+            base,
+            shared,
+            driver,
+            fleet,
+            tasks,
+            data_task,
+        })
     }
 
     /// Address for callers.
@@ -147,7 +159,11 @@
         }
         let open = self.driver.held() as u64;
         self.stop();
-        if open == 0 { Drained::Whole } else { Drained::Cut(open) }
+        if open == 0 {
+            Drained::Whole
+        } else {
+            Drained::Cut(open)
+        }
     }
 
     /// Stops at once and cuts what is open.
@@ -156,7 +172,9 @@
     }
 
     async fn drain(&self) {
-        self.base.timeline.record(Event::new(EventKind::DrainStarted, "leaving the fleet"));
+        self.base
+            .timeline
+            .record(Event::new(EventKind::DrainStarted, "leaving the fleet"));
         self.shared.draining.store(true, Ordering::Relaxed);
         self.fleet.feed(FleetInput::Leave);
         let expired = self.shared.answers_expired.notified();
@@ -200,7 +218,11 @@
     let (platform, owner) = (base.platform.clone(), Arc::clone(shared));
     let callbacks = Callbacks {
         entry_hosts: Box::new(move || {
-            answer.answer.read().unwrap_or_else(PoisonError::into_inner).clone()
+            answer
+                .answer
+                .read()
+                .unwrap_or_else(PoisonError::into_inner)
+                .clone()
         }),
         other: Box::new(move |output| match output {
             EntryOutput::Send { to, message } => peer.send(&to, message),
@@ -217,8 +239,13 @@
         }),
     };
     let client = prior_knowledge_client(options.identity.clone());
-    let driver =
-        EntryDriver::new(machine, base.clock, Arc::clone(&base.timeline), callbacks, client);
+    let driver = EntryDriver::new(
+        machine,
+        base.clock,
+        Arc::clone(&base.timeline),
+        callbacks,
+        client,
+    );
     // Set once, right after the driver was made.
     let _ = shared.driver.set(Arc::clone(&driver));
     driver
@@ -234,13 +261,24 @@
 
 impl PeerSender {
     fn send(&self, to: &HostId, message: eelgrasshold_core::entry::PeerMessage) {
-        let addresses = self.shared.addresses.read().unwrap_or_else(PoisonError::into_inner);
+        let addresses = self
+            .shared
+            .addresses
+            .read()
+            .unwrap_or_else(PoisonError::into_inner);
         let Some(address) = addresses.get(to) else {
             log::debug!("entry host {to} has no known address; a message was dropped");
             return;
         };
         let (from, clock) = (self.host.clone(), self.timeline.stamp());
-        self.links.send(address, Message::Peer { from, clock, message });
+        self.links.send(
+            address,
+            Message::Peer {
+                from,
+                clock,
+                message,
+            },
+        );
     }
 }
 
@@ -250,6 +288,8 @@
     shared: &Arc<Shared>,
     driver: &Arc<EntryDriver>,
 ) -> Arc<FleetDriver<FleetEntry>> {
+    let incarnation = new_incarnation();
+    shared.incarnation.store(incarnation, Ordering::Relaxed);
     let settings = FleetSettings::new(
         &options.host,
         &options.region,
@@ -258,7 +298,7 @@
     )
     .data_address(&base.data.address.to_string())
     .admin_address(&base.admin.address.to_string())
-    .incarnation(new_incarnation())
+    .incarnation(incarnation)
     .seeds(options.seeds.clone());
     let machine = FleetEntry::new(settings, options.seed);
     let (shared, driver) = (Arc::clone(shared), Arc::clone(driver));
@@ -272,6 +312,9 @@
             set_answer(&shared, &answer);
             set_entry_hosts(&shared, &driver, &machine.members());
         }
+        FleetOutput::Incarnation(incarnation) => {
+            shared.incarnation.store(incarnation, Ordering::Relaxed);
+        }
         FleetOutput::AnswersExpired => shared.answers_expired.notify_one(),
         other => log::debug!("an output has no driver: {other:?}"),
     };
@@ -288,10 +331,16 @@
             weight: h.weight,
         })
         .collect();
-    let body = EntryHostsBody { entry_hosts, valid_for_ms: answer.validity_ms };
+    let body = EntryHostsBody {
+        entry_hosts,
+        valid_for_ms: answer.validity_ms,
+    };
     match serde_json::to_vec(&body) {
         Ok(bytes) => {
-            *shared.answer.write().unwrap_or_else(PoisonError::into_inner) = bytes;
+            *shared
+                .answer
+                .write()
+                .unwrap_or_else(PoisonError::into_inner) = bytes;
         }
         Err(error) => log::error!("can't encode the answer that names entry hosts: {error}"),
     }
@@ -303,7 +352,10 @@
         .filter(|m| m.record.role == Role::Entry && m.record.state == State::Live)
         .map(|m| (m.record.host.clone(), m.record.control_address.clone()))
         .collect();
-    let mut addresses = shared.addresses.write().unwrap_or_else(PoisonError::into_inner);
+    let mut addresses = shared
+        .addresses
+        .write()
+        .unwrap_or_else(PoisonError::into_inner);
     if *addresses == live {
         return;
     }
@@ -323,7 +375,11 @@
     let timeline = Arc::clone(&base.timeline);
     base.serve_control(options, move |message| match message {
         Message::Fleet(message) => fleet.receive(message),
-        Message::Peer { from, clock, message } => {
+        Message::Peer {
+            from,
+            clock,
+            message,
+        } => {
             timeline.observe(clock);
             driver.feed(EntryInput::Peer { from, message });
         }
@@ -372,7 +428,7 @@
             revision: cfg.map_or(0, |cfg| cfg.revision),
             draining,
             held: driver.held() as u64,
-            incarnation: fleet.read(FleetEntry::incarnation),
+            incarnation: shared.incarnation.load(Ordering::Relaxed),
             members: members.iter().map(member_status).collect(),
             ..common()
         }
--- a/crates/net/src/host/fleet.rs
+++ b/crates/net/src/host/fleet.rs
@@ -34,7 +34,12 @@
 
 impl<M: Send + 'static> FleetDriver<M> {
     /// A driver of `machine`; `on` carries out outputs that concern the rest of the process.
-    pub(super) fn new(machine: M, step: Step<M>, base: &super::links::Base, on: OnOutput<M>) -> Arc<Self> {
+    pub(super) fn new(
+        machine: M,
+        step: Step<M>,
+        base: &super::links::Base,
+        on: OnOutput<M>,
+    ) -> Arc<Self> {
         Arc::new(Self {
             machine: Mutex::new(machine),
             step,
@@ -72,7 +77,10 @@
         let mut machine = self.machine.lock().unwrap_or_else(PoisonError::into_inner);
         for output in (self.step)(&mut machine, self.clock.now(), input) {
             match output {
-                Output::Send { to_address, mut message } => {
+                Output::Send {
+                    to_address,
+                    mut message,
+                } => {
                     message.clock = self.timeline.stamp();
                     self.links.send(&to_address, Message::Fleet(message));
                 }
--- a/crates/net/src/host/links.rs
+++ b/crates/net/src/host/links.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use eelgrasshold_core::config::Config;
+use eelgrasshold_core::fleet::platform_policy::PlatformLimits;
 use http::Request;
 use hyper::body::Incoming;
 use snafu::ResultExt;
@@ -45,12 +46,17 @@
 
 impl Bound {
     async fn new(address: SocketAddr) -> Result<Self, StartError> {
-        let listener = TcpListener::bind(address).await.context(ListenSnafu { address })?;
+        let listener = TcpListener::bind(address)
+            .await
+            .context(ListenSnafu { address })?;
         let address = listener.local_addr().context(ListenSnafu { address })?;
         if address.ip().is_unspecified() {
             return UnspecifiedSnafu { address }.fail();
         }
-        Ok(Self { listener: Some(listener), address })
+        Ok(Self {
+            listener: Some(listener),
+            address,
+        })
     }
 }
 
@@ -59,7 +65,12 @@
         let traffic = Arc::new(Traffic::default());
         let metrics = Metrics::new()?;
         let clock = Clock::start();
-        let platform = Platform::new(&options.platform, clock, options.seed);
+        let platform = Platform::new(
+            &options.platform,
+            clock,
+            PlatformLimits::default(),
+            options.seed,
+        );
         observe(&metrics, &traffic, &platform);
         Ok(Self {
             clock,
@@ -140,8 +151,12 @@
     metrics.observe("eelgrasshold_control_sent_bytes", text, move || sent.sent());
     let received = Arc::clone(traffic);
     let text = "Bytes received from other daemons for control";
-    metrics.observe("eelgrasshold_control_received_bytes", text, move || received.received());
+    metrics.observe("eelgrasshold_control_received_bytes", text, move || {
+        received.received()
+    });
     let platform = platform.clone();
     let text = "Calls to the platform";
-    metrics.observe("eelgrasshold_platform_calls", text, move || platform.calls());
+    metrics.observe("eelgrasshold_platform_calls", text, move || {
+        platform.calls()
+    });
 }
--- a/crates/net/src/host/mod.rs
+++ b/crates/net/src/host/mod.rs
@@ -57,8 +57,9 @@
 
 /// A life that is later than all earlier ones of the same process.
 fn new_incarnation() -> Incarnation {
-    let since_epoch =
-        SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or(Duration::ZERO);
+    let since_epoch = SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or(Duration::ZERO);
     let ms = u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX >> 20);
     (ms << 20) | (rand::random::<u64>() & 0xf_ffff)
 }
--- a/crates/net/src/host/upstream.rs
+++ b/crates/net/src/host/upstream.rs
@@ -44,7 +44,9 @@
 
 impl std::fmt::Debug for UpstreamHost {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("UpstreamHost").field("options", &self.options).finish_non_exhaustive()
+        f.debug_struct("UpstreamHost")
+            .field("options", &self.options)
+            .finish_non_exhaustive()
     }
 }
 
@@ -65,7 +67,8 @@
             Arc::clone(&base.timeline),
         );
         let fleet = start_fleet(&options, &engine, &base, &shared, &driver);
-        base.timeline.record(Event::new(EventKind::DaemonStarted, "upstream process"));
+        base.timeline
+            .record(Event::new(EventKind::DaemonStarted, "upstream process"));
         let mut tasks = vec![
             tokio::spawn(Arc::clone(&driver).run_timers()),
             tokio::spawn(Arc::clone(&fleet).run(base.shutdown.clone())),
@@ -81,11 +84,25 @@
         tasks.extend(base.serve_admin(
             &options,
             status,
-            move || config.cfg.read().unwrap_or_else(PoisonError::into_inner).clone(),
+            move || {
+                config
+                    .cfg
+                    .read()
+                    .unwrap_or_else(PoisonError::into_inner)
+                    .clone()
+            },
             move || wanted.drain_wanted.notify_one(),
         ));
         let data_task = serve_dispatches(&mut base, &options, &driver);
-        Ok(Self { options, base, shared, driver, fleet, tasks, data_task })
+        Ok(Self {
+            options,
+            base,
+            shared,
+            driver,
+            fleet,
+            tasks,
+            data_task,
+        })
     }
 
     /// Address for dispatches.
@@ -119,7 +136,11 @@
         }
         let open = u64::from(self.driver.load().in_flight);
         self.stop();
-        if open == 0 { Drained::Whole } else { Drained::Cut(open) }
+        if open == 0 {
+            Drained::Whole
+        } else {
+            Drained::Cut(open)
+        }
     }
 
     /// Stops at once and cuts what is running.
@@ -185,7 +206,10 @@
     let Some(listener) = base.data.listener.take() else {
         return tokio::spawn(std::future::ready(()));
     };
-    let limits = Limits::builder().header_bytes(64 * 1_024).streams(STREAMS).build();
+    let limits = Limits::builder()
+        .header_bytes(64 * 1_024)
+        .streams(STREAMS)
+        .build();
     let server = Server::new(listener, limits, options.identity.clone());
     let driver = Arc::clone(driver);
     let serve = move |request| Arc::clone(&driver).serve(request);
@@ -201,12 +225,20 @@
     let common = base.status(options, "upstream");
     let (shared, driver) = (Arc::clone(shared), Arc::clone(driver));
     move || {
-        let cfg = shared.cfg.read().unwrap_or_else(PoisonError::into_inner).clone();
+        let cfg = shared
+            .cfg
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
         let draining = shared.draining.load(Ordering::Relaxed);
         let load = driver.load();
         Status {
             ready: !draining,
-            reason: if draining { "draining".to_owned() } else { String::new() },
+            reason: if draining {
+                "draining".to_owned()
+            } else {
+                String::new()
+            },
             revision: cfg.map_or(0, |cfg| cfg.revision),
             draining,
             held: u64::from(load.in_flight + load.queued),
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,7 +1,10 @@
 //! Sockets and timers around the core.
 
 pub mod admin;
+pub mod control;
 pub mod entry;
+
+pub mod host;
 pub mod http;
 pub mod metrics;
 pub mod platform;
--- a/crates/net/src/platform/mod.rs
+++ b/crates/net/src/platform/mod.rs
@@ -1,5 +1,9 @@
 //! Client of the platform's object API.
 
+mod config;
+
+pub use config::{ReadError, publish_config, read_config};
+
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -34,16 +38,27 @@
 impl Platform {
     /// A client of the API at a base address such as `http://127.0.0.1:7000`.
     #[must_use]
-    pub fn new(base: &str, clock: Clock, seed: u64) -> Self {
+    pub fn new(base: &str, clock: Clock, limits: PlatformLimits, seed: u64) -> Self {
         Self {
             base: base.trim_end_matches('/').to_owned(),
             client: plain_client(),
             clock,
-            policy: Arc::new(Mutex::new(PlatformPolicy::new(PlatformLimits::default(), seed))),
+            policy: Arc::new(Mutex::new(PlatformPolicy::new(limits, seed))),
             calls: Arc::default(),
         }
     }
 
+    /// A client for one command of an operator, which may read and write all shards at once.
+    #[must_use]
+    pub fn for_operator(base: &str) -> Self {
+        let limits = PlatformLimits {
+            calls_per_s: 50.0,
+            burst: 2_000.0,
+            ..PlatformLimits::default()
+        };
+        Self::new(base, Clock::start(), limits, rand::random())
+    }
+
     /// Calls that were made.
     #[must_use]
     pub fn calls(&self) -> u64 {
--- a/crates/net/src/upstream/driver.rs
+++ b/crates/net/src/upstream/driver.rs
@@ -164,8 +164,14 @@
             Output::Start { attempt, priority } => {
                 self.command(attempt, Command::Start { priority });
             }
-            // The engine's interface has no call to change the priority of a running draft.
-            Output::Reprioritize { .. } => {}
+            Output::Reprioritize { attempt, priority } => {
+                let engine = self.engine.clone();
+                tokio::spawn(async move {
+                    engine
+                        .set_priority(&Engine::draft_id(attempt), priority)
+                        .await;
+                });
+            }
             Output::Stop(attempt) => self.command(attempt, Command::Stop),
             Output::Bounce {
                 attempt,
--- a/crates/net/src/upstream/engine.rs
+++ b/crates/net/src/upstream/engine.rs
@@ -2,14 +2,14 @@
 
 use bytes::Bytes;
 use eelgrasshold_core::config::ServiceKind;
-use eelgrasshold_core::types::{Request as Meta, Run};
+use eelgrasshold_core::types::{AttemptId, Request as Meta, Run};
 use http::request::Parts;
-use http::{Request, Response, Uri, header};
+use http::{Method, Request, Response, Uri, header};
 use hyper::body::Incoming;
 use serde_json::Value;
 use snafu::Snafu;
 
-use crate::http::{Client, empty, full, plain_client};
+use crate::http::{Client, full, plain_client};
 use crate::wire::headers;
 
 /// Why the engine gave no answer.
@@ -21,6 +21,9 @@
     /// The connection broke after the request was sent.
     #[snafu(display("the engine's connection broke"))]
     Broken,
+    /// The answer belongs to another request.
+    #[snafu(display("the engine answered another request"))]
+    Crossed,
     /// The request can't be expressed to the engine.
     #[snafu(display("the request can't be passed on: {reason}"))]
     BadRequest {
@@ -35,7 +38,7 @@
     pub fn run(&self) -> Run {
         match self {
             Self::Unreachable | Self::BadRequest { .. } => Run::NotRun,
-            Self::Broken => Run::Unknown,
+            Self::Broken | Self::Crossed => Run::Unknown,
         }
     }
 }
@@ -73,6 +76,7 @@
     pub async fn send(
         &self,
         meta: &Meta,
+        engine_id: &str,
         priority: u8,
         parts: &Parts,
         body: &Bytes,
@@ -98,24 +102,56 @@
         *request.headers_mut() = pass_through(parts);
         request
             .headers_mut()
-            .insert(headers::X_REQUEST_ID, headers::value(&meta.id));
-        self.client.request(request).await.map_err(|error| {
+            .insert(headers::X_REQUEST_ID, headers::value(engine_id));
+        let answer = self.client.request(request).await.map_err(|error| {
             if error.is_connect() {
                 EngineError::Unreachable
             } else {
                 EngineError::Broken
             }
-        })
+        })?;
+        match headers::text(answer.headers(), &headers::X_REQUEST_ID) {
+            Some(id) if id != engine_id => Err(EngineError::Crossed),
+            _ => Ok(answer),
+        }
+    }
+
+    /// Id of an attempt at the engine. Drafts are known by their attempt, so that stopping one
+    /// attempt never stops another of the same request; plain services see the request's id.
+    #[must_use]
+    pub fn id_of(&self, meta: &Meta, attempt: AttemptId) -> String {
+        match self.kind {
+            ServiceKind::Model => Self::draft_id(attempt),
+            ServiceKind::Plain => meta.id.clone(),
+        }
+    }
+
+    /// Id of a draft's attempt at the engine.
+    #[must_use]
+    pub fn draft_id(attempt: AttemptId) -> String {
+        format!("{attempt:016x}")
     }
 
     /// Asks the engine to stop a draft; best effort, since a closed connection stops it as well.
-    pub async fn cancel(&self, request_id: &str) {
+    pub async fn cancel(&self, engine_id: &str) {
+        self.control(Method::DELETE, engine_id, String::new()).await;
+    }
+
+    /// Changes the priority of a draft; best effort, since it only affects the order of work.
+    pub async fn set_priority(&self, engine_id: &str, priority: u8) {
+        let body = format!("{{\"priority\":{priority}}}");
+        self.control(Method::PATCH, engine_id, body).await;
+    }
+
+    async fn control(&self, method: Method, engine_id: &str, body: String) {
         if self.kind != ServiceKind::Model {
             return;
         }
-        let uri = format!("http://{}/v1/completions/{request_id}", self.address);
-        if let Ok(request) = Request::delete(uri).body(empty()) {
-            let _ = self.client.request(request).await;
+        let uri = format!("http://{}/v1/completions/{engine_id}", self.address);
+        let request = Request::builder().method(method).uri(uri).body(full(body));
+        let Ok(request) = request else { return };
+        if let Err(error) = self.client.request(request).await {
+            log::debug!("the engine took no order about {engine_id}: {error}");
         }
     }
 
--- a/crates/net/src/upstream/work.rs
+++ b/crates/net/src/upstream/work.rs
@@ -27,6 +27,7 @@
 struct Guard {
     driver: Arc<UpstreamDriver>,
     attempt: AttemptId,
+    engine_id: String,
     ended: bool,
 }
 
@@ -67,6 +68,7 @@
     let mut guard = Guard {
         driver: Arc::clone(&driver),
         attempt,
+        engine_id: driver.engine().id_of(&dispatch.meta, attempt),
         ended: false,
     };
     let (request, age) = (dispatch.meta.clone(), dispatch.age);
@@ -87,9 +89,13 @@
         }
         Some(Command::Stop) | None => return failed(headers::FAILED_NOT_RUN),
     };
-    let call = driver
-        .engine()
-        .send(&dispatch.meta, priority, &dispatch.parts, &dispatch.body);
+    let call = driver.engine().send(
+        &dispatch.meta,
+        &guard.engine_id,
+        priority,
+        &dispatch.parts,
+        &dispatch.body,
+    );
     let answer = tokio::select! {
         answer = call => answer,
         command = commands.recv() => {
@@ -102,7 +108,7 @@
             guard.report(EngineEvent::Failed(Run::Unknown));
             failed(headers::FAILED_UNKNOWN)
         }
-        Ok(answer) => stream(guard, dispatch.meta, answer, commands),
+        Ok(answer) => stream(guard, answer, commands),
         Err(error) => {
             guard.report(EngineEvent::Failed(error.run()));
             let crashed = driver.check_engine().await && error.run() == Run::Unknown;
@@ -213,7 +219,6 @@
 
 fn stream(
     guard: Guard,
-    meta: Meta,
     answer: Response<Incoming>,
     commands: mpsc::UnboundedReceiver<Command>,
 ) -> Response<Body> {
@@ -232,14 +237,13 @@
     let (tx, out) = channel_body();
     let is_draft =
         guard.driver.engine().kind() == ServiceKind::Model && parts.status == StatusCode::OK;
-    tokio::spawn(pump(guard, meta, body, tx, commands, is_draft));
+    tokio::spawn(pump(guard, body, tx, commands, is_draft));
     Response::from_parts(parts, out)
 }
 
 /// Passes the answer on until it ends, fails or nobody wants it any more.
 async fn pump(
     mut guard: Guard,
-    meta: Meta,
     mut body: Incoming,
     tx: BodySender,
     mut commands: mpsc::UnboundedReceiver<Command>,
@@ -288,7 +292,7 @@
         }
     }
     drop(body);
-    guard.driver.engine().cancel(&meta.id).await;
+    guard.driver.engine().cancel(&guard.engine_id).await;
 }
 
 /// Reports the tokens in a piece of the stream; true if it ends the answer.
