Test shards, publishing and the merge of time lines

Cause: the publication and the shards decide what every host runs, and eelctl needs one time line from several processes.

Change: tests for each refusal, for racing operators and lost answers, for a configuration of 4,300 teams and 14 models, and a merge of event records with a filter by request, group and time.

--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -9,6 +9,10 @@
 mod shard;
 mod validate;
 
+#[cfg(test)]
+mod publish_tests;
+#[cfg(test)]
+mod shard_tests;
 #[cfg(test)]
 mod tests;
 
--- a/crates/core/src/event/mod.rs
+++ b/crates/core/src/event/mod.rs
@@ -2,6 +2,7 @@
 
 mod catalogue;
 mod clock;
+mod merge;
 mod ring;
 
 #[cfg(test)]
@@ -9,6 +10,7 @@
 
 pub use catalogue::EventKind;
 pub use clock::{HybridClock, Stamp};
+pub use merge::{Filter, merge};
 pub use ring::{Record, Ring};
 
 use crate::types::{GroupId, RequestId};
--- a/crates/core/src/event/tests.rs
+++ b/crates/core/src/event/tests.rs
@@ -48,3 +48,65 @@
         .collect();
     assert_eq!(listed, known);
 }
+
+fn record(host: &str, wall_ms: u64, counter: u32, request: &str) -> Record {
+    Record {
+        stamp: Stamp { wall_ms, counter },
+        host: host.into(),
+        number: 2002,
+        name: "RequestDispatched".into(),
+        request: Some(request.into()),
+        group: None,
+        detail: "to up-1".into(),
+    }
+}
+
+// Guards against an effect shown before its cause, and against an event shown twice.
+#[test]
+fn merged_time_line_is_in_order_of_stamps() {
+    let first = vec![record("entry-1", 5, 0, "r"), record("entry-1", 9, 0, "r")];
+    let second = vec![record("entry-1", 5, 0, "r"), record("up-1", 5, 1, "r")];
+    let merged = merge(vec![first, second], &Filter::default());
+    let order: Vec<_> = merged.iter().map(|r| (r.host.as_str(), r.stamp)).collect();
+    let at = |wall_ms, counter| Stamp { wall_ms, counter };
+    let expected = [
+        ("entry-1", at(5, 0)),
+        ("up-1", at(5, 1)),
+        ("entry-1", at(9, 0)),
+    ];
+    assert_eq!(order, expected);
+}
+
+// Guards against events of other requests or times in a filtered time line.
+#[test]
+fn filter_passes_only_the_request_and_the_time() {
+    let records = vec![
+        record("a", 1, 0, "r"),
+        record("a", 2, 0, "r"),
+        record("a", 2, 1, "other"),
+        record("a", 3, 0, "r"),
+    ];
+    let filter = Filter {
+        request: Some("r".into()),
+        from_ms: Some(2),
+        until_ms: Some(3),
+        ..Filter::default()
+    };
+    let merged = merge(vec![records.clone()], &filter);
+    assert_eq!(merged, [records[1].clone()]);
+    let filter = Filter {
+        group: Some("g".into()),
+        ..Filter::default()
+    };
+    assert_eq!(merge(vec![records], &filter), []);
+}
+
+// Guards against a detail from outside that breaks the line.
+#[test]
+fn each_event_is_one_readable_line() {
+    let mut record = record("up-1", 1_000, 2, "r-7");
+    record.detail = "first\nsecond".into();
+    let expected =
+        "1970-01-01T00:00:01.000Z.2 up-1 2002 RequestDispatched request=r-7: first\\nsecond";
+    assert_eq!(record.to_string(), expected);
+}
