Let the engine's stand-in take orders and run in groups

Fencing, map switches, placement and cache hints need an engine that does what orders say and forgets it when it dies.

The engine takes fenced orders, or ignores the number by setting; it keeps an expert map with a two-phase switch, exports and imports KV caches, and publishes cache events late and with gaps. A group runs engines in lock-step and counts steps in which their maps differ.

--- /dev/null
+++ b/crates/standins/src/engine/kv.rs
@@ -0,0 +1,48 @@
+//! KV cache of single requests, which can be moved between engines.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+/// Ended requests whose KV cache is kept.
+const KEPT: usize = 64;
+
+/// Body of `GET` and `PUT /v1/kv/{id}`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct KvCache {
+    /// Hash of the whole prompt: the last of [`super::block_hashes`].
+    pub prompt: u64,
+    /// Tokens of the answer that it covers.
+    pub tokens: u32,
+}
+
+/// KV caches by request id; the oldest goes first.
+#[derive(Clone, Debug, Default)]
+pub(super) struct KvStore {
+    caches: BTreeMap<String, KvCache>,
+    order: VecDeque<String>,
+}
+
+impl KvStore {
+    pub(super) fn get(&self, id: &str) -> Option<KvCache> {
+        self.caches.get(id).copied()
+    }
+
+    pub(super) fn insert(&mut self, id: &str, cache: KvCache) {
+        if self.caches.insert(id.to_owned(), cache).is_none() {
+            self.order.push_back(id.to_owned());
+        }
+        if self.order.len() > KEPT
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.caches.remove(&oldest);
+        }
+    }
+
+    /// Whether the cache of a request saves its whole prefill.
+    pub(super) fn covers(&self, id: &str, prompt: Option<u64>, resume_from: u32) -> bool {
+        self.get(id)
+            .is_some_and(|cache| Some(cache.prompt) == prompt && cache.tokens >= resume_from)
+    }
+}
--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -8,8 +8,13 @@
 //! A crashed or killed engine loses all that it had in memory.
 
 mod cache;
+mod cache_log;
 mod completions;
+mod group;
 mod handler;
+mod kv;
+mod orders;
+mod rank;
 mod server;
 mod state;
 mod steps;
@@ -19,7 +24,12 @@
 mod tests;
 
 pub use cache::{BLOCK_CHARS, block_hashes};
+pub use cache_log::{CacheChange, CacheEvent, CacheEvents};
 pub use completions::Completion;
+pub use group::Group;
+pub use kv::KvCache;
+pub use orders::{FencedOrder, Loaded, Order, OrderAnswer, Role};
+pub use rank::{Armed, Attempt, Map, MapChange, MapId, RankAnswer, RankState, Weight};
 pub use server::{EngineBuilder, ModelEngine};
 pub use state::{Counters, Run};
 pub use token::{CHARS_PER_TOKEN, CRASH_MARKER, answer_tokens, length_marker, token};
--- a/crates/standins/src/engine/server.rs
+++ b/crates/standins/src/engine/server.rs
@@ -7,7 +7,7 @@
 use tokio::task::JoinHandle;
 
 use super::state::Shared;
-use super::{Counters, Run, handler, steps};
+use super::{Counters, FencedOrder, Loaded, RankState, Run, handler, steps};
 use crate::model::Spec;
 use crate::server::{Bound, Server, StartError};
 
@@ -17,6 +17,10 @@
     pub(super) spec: Spec,
     pub(super) cache_blocks: usize,
     pub(super) crash_downtime: Duration,
+    pub(super) honours_fencing: bool,
+    pub(super) order_time: Duration,
+    pub(super) event_lag: Duration,
+    pub(super) event_gap_every: u64,
 }
 
 /// Settings of an engine.
@@ -32,6 +36,10 @@
                 spec: Spec::default(),
                 cache_blocks: 512,
                 crash_downtime: Duration::from_secs(2),
+                honours_fencing: true,
+                order_time: Duration::ZERO,
+                event_lag: Duration::from_secs(1),
+                event_gap_every: 0,
             },
         }
     }
@@ -59,6 +67,34 @@
         self
     }
 
+    /// Whether orders with an old fencing number are refused; true by default.
+    #[must_use]
+    pub fn honours_fencing(mut self, honours: bool) -> Self {
+        self.settings.honours_fencing = honours;
+        self
+    }
+
+    /// Time between the arrival of an order and its effect; none by default.
+    #[must_use]
+    pub fn order_time(mut self, time: Duration) -> Self {
+        self.settings.order_time = time;
+        self
+    }
+
+    /// Time after which cache events are published; 1 s by default.
+    #[must_use]
+    pub fn event_lag(mut self, lag: Duration) -> Self {
+        self.settings.event_lag = lag;
+        self
+    }
+
+    /// Loses each cache event whose number is a multiple of `every`; 0, the default, loses none.
+    #[must_use]
+    pub fn event_gap_every(mut self, every: u64) -> Self {
+        self.settings.event_gap_every = every;
+        self
+    }
+
     /// Starts the engine. It must be called inside a tokio runtime.
     ///
     /// # Errors
@@ -120,6 +156,24 @@
         self.shared.lock().jobs.len()
     }
 
+    /// Models, adapters and role as orders left them.
+    #[must_use]
+    pub fn loaded(&self) -> Loaded {
+        self.shared.lock().orders.loaded.clone()
+    }
+
+    /// Expert map and switch of the rank.
+    #[must_use]
+    pub fn rank(&self) -> RankState {
+        self.shared.lock().orders.rank.clone()
+    }
+
+    /// Orders that were carried out, the oldest first; the latest 16,384 are kept.
+    #[must_use]
+    pub fn orders(&self) -> Vec<FencedOrder> {
+        self.shared.lock().order_log.iter().cloned().collect()
+    }
+
     /// Stops or resumes the steps. A stalled engine accepts requests and produces nothing.
     pub fn set_stalled(&self, stalled: bool) {
         self.shared.lock().faults.stalled = stalled;
@@ -145,17 +199,27 @@
 
     /// Kills the engine: closes all connections, refuses new ones and loses all memory.
     pub async fn kill(&self) {
-        self.shared.lock().lose_memory(&self.shared.settings);
+        self.die();
         self.server.control().stop().await;
         // Requests that came in before the connections were closed die as well.
-        self.shared.lock().lose_memory(&self.shared.settings);
+        self.die();
     }
 
     /// Starts a killed engine under the same address.
     pub async fn restart(&self) {
+        self.shared.lock().down_until = Duration::ZERO;
         self.server.control().start().await;
     }
 
+    pub(super) fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    fn die(&self) {
+        let mut state = self.shared.lock();
+        state.die(Duration::MAX, &self.shared.settings);
+    }
+
     /// Ends the engine.
     pub async fn close(self) {
         self.server.close().await;
--- a/crates/standins/src/engine/state.rs
+++ b/crates/standins/src/engine/state.rs
@@ -11,7 +11,10 @@
 use tokio::time::Instant;
 
 use super::cache::{BLOCK_TOKENS, BlockCache, block_hashes};
+use super::cache_log::CacheLog;
 use super::completions::Completion;
+use super::kv::{KvCache, KvStore};
+use super::orders::{FencedOrder, OrderAnswer, Orders};
 use super::server::Settings;
 use super::token::{CRASH_MARKER, answer_tokens, prompt_tokens, token};
 use crate::http_util::Hangup;
@@ -76,6 +79,13 @@
         self.next += 1;
     }
 
+    /// KV cache of the prompt and the tokens so far; none for an empty prompt.
+    fn kv(&self) -> Option<KvCache> {
+        let prompt = *block_hashes(&self.prompt).last()?;
+        let tokens = self.next;
+        Some(KvCache { prompt, tokens })
+    }
+
     fn send_done(&self) {
         let _ = self.tx.send(Ok(Frame::data("data: [DONE]\n\n".into())));
     }
@@ -101,7 +111,14 @@
     pub(super) model: Model,
     pub(super) jobs: BTreeMap<JobId, Running>,
     last_job: JobId,
-    pub(super) cache: BlockCache,
+    cache: BlockCache,
+    pub(super) cache_log: CacheLog,
+    pub(super) kv: KvStore,
+    pub(super) orders: Orders,
+    /// Orders that were carried out; a crash doesn't reset them.
+    pub(super) order_log: VecDeque<FencedOrder>,
+    /// End of the time for which the engine is crashed or killed.
+    pub(super) down_until: Duration,
     pub(super) faults: Faults,
     pub(super) counters: Counters,
     pub(super) runs: VecDeque<Run>,
@@ -116,6 +133,11 @@
             jobs: BTreeMap::new(),
             last_job: 0,
             cache: BlockCache::new(settings.cache_blocks),
+            cache_log: CacheLog::new(settings.event_lag, settings.event_gap_every),
+            kv: KvStore::default(),
+            orders: Orders::new(settings.honours_fencing),
+            order_log: VecDeque::new(),
+            down_until: Duration::ZERO,
             faults: Faults::default(),
             counters: Counters::default(),
             runs: VecDeque::new(),
@@ -151,7 +173,7 @@
             priority: completion.priority,
             prefix: None,
             prefix_tokens: 0,
-            prompt_tokens: self.uncached_tokens(completion),
+            prompt_tokens: self.uncached_tokens(now, request_id, completion),
             output_tokens: end - completion.resume_from,
         };
         self.jobs.insert(id, running);
@@ -162,6 +184,7 @@
     /// Drops a job; it ends its stream without the end mark.
     pub(super) fn cancel(&mut self, now: Duration, id: JobId) {
         if let Some(running) = self.jobs.remove(&id) {
+            self.keep_kv(&running);
             running.hang_up();
             self.counters.cancelled += 1;
             self.model.cancel(now, id);
@@ -208,13 +231,48 @@
     }
 
     /// Loses all jobs and memory, as a dying process does.
-    pub(super) fn lose_memory(&mut self, settings: &Settings) {
+    pub(super) fn die(&mut self, down_until: Duration, settings: &Settings) {
+        self.down_until = down_until;
         for running in std::mem::take(&mut self.jobs).into_values() {
             running.hang_up();
             self.counters.failed += 1;
         }
         self.model = Model::new(settings.spec);
         self.cache = BlockCache::new(settings.cache_blocks);
+        self.cache_log.restart();
+        self.kv = KvStore::default();
+        self.orders = Orders::new(settings.honours_fencing);
+    }
+
+    /// Carries an order out unless its fencing number is too low.
+    pub(super) fn order(&mut self, order: &FencedOrder) -> OrderAnswer {
+        let answer = self.orders.take(order.clone());
+        if !matches!(answer, OrderAnswer::FenceRefused { .. }) {
+            push_bounded(&mut self.order_log, order.clone());
+        }
+        answer
+    }
+
+    /// Whether a serving step can run: the engine runs and its map is decided.
+    pub(super) fn can_serve(&self) -> bool {
+        !self.faults.stalled && !self.orders.rank.is_held()
+    }
+
+    /// Whether the rank can start a step of its group. It needs a map for that.
+    pub(super) fn can_join_step(&self, now: Duration) -> bool {
+        self.can_serve() && now >= self.down_until && self.orders.rank.map.is_some()
+    }
+
+    /// KV cache of a request that is running or was kept.
+    pub(super) fn export_kv(&self, request_id: &str) -> Option<KvCache> {
+        let running = self
+            .jobs
+            .values()
+            .rev()
+            .find(|r| r.request_id == request_id);
+        running
+            .and_then(Running::kv)
+            .or_else(|| self.kv.get(request_id))
     }
 
     /// Produces a job's next token; returns whether its prompt crashes the engine instead.
@@ -238,10 +296,17 @@
 
     fn finish(&mut self, running: &Running) {
         running.send_done();
+        self.keep_kv(running);
         self.counters.finished += 1;
         push_bounded(&mut self.finished, running.request_id.clone());
     }
 
+    fn keep_kv(&mut self, running: &Running) {
+        if let Some(cache) = running.kv() {
+            self.kv.insert(&running.request_id, cache);
+        }
+    }
+
     fn record(&mut self, request_id: &str, completion: &Completion) {
         self.counters.started += 1;
         let run = Run {
@@ -261,15 +326,22 @@
     }
 
     /// Tokens to prefill: the prompt and what was produced elsewhere, less what is cached.
-    fn uncached_tokens(&mut self, completion: &Completion) -> u32 {
-        let used = self.cache.use_prompt(&block_hashes(&completion.prompt));
-        let hits = u32::try_from(used.hits).unwrap_or(u32::MAX);
+    fn uncached_tokens(&mut self, now: Duration, request_id: &str, completion: &Completion) -> u32 {
+        let hashes = block_hashes(&completion.prompt);
+        let used = self.cache.use_prompt(&hashes);
+        self.cache_log.record(now, &used);
         let prompt = prompt_tokens(&completion.prompt);
-        let cached = hits.saturating_mul(BLOCK_TOKENS).min(prompt);
-        let uncached = prompt - cached + completion.resume_from;
+        let whole = prompt.saturating_add(completion.resume_from);
+        let last = hashes.last().copied();
+        let cached = if self.kv.covers(request_id, last, completion.resume_from) {
+            whole
+        } else {
+            let hits = u32::try_from(used.hits).unwrap_or(u32::MAX);
+            hits.saturating_mul(BLOCK_TOKENS).min(prompt)
+        };
         self.counters.cached_tokens += u64::from(cached);
-        self.counters.prefilled_tokens += u64::from(uncached);
-        uncached
+        self.counters.prefilled_tokens += u64::from(whole - cached);
+        whole - cached
     }
 }
 
--- a/crates/standins/src/engine/steps.rs
+++ b/crates/standins/src/engine/steps.rs
@@ -25,7 +25,7 @@
 
 fn next_at(shared: &Shared) -> Option<std::time::Duration> {
     let state = shared.lock();
-    if state.faults.stalled {
+    if !state.can_serve() {
         return None;
     }
     state.model.next_at()
@@ -33,8 +33,10 @@
 
 fn step(shared: &Shared) {
     let mut state = shared.lock();
-    if state.step(shared.now()) {
-        state.lose_memory(&shared.settings);
-        shared.control.crash(shared.settings.crash_downtime);
+    let now = shared.now();
+    if state.step(now) {
+        let downtime = shared.settings.crash_downtime;
+        state.die(now + downtime, &shared.settings);
+        shared.control.crash(downtime);
     }
 }
--- a/crates/standins/src/engine/tests.rs
+++ b/crates/standins/src/engine/tests.rs
@@ -1,5 +1,10 @@
+use std::time::Duration;
+
 use super::cache::{BlockCache, Use};
-use super::{BLOCK_CHARS, answer_tokens, block_hashes, length_marker, token};
+use super::cache_log::CacheLog;
+use super::kv::{KvCache, KvStore};
+use super::rank::{Armed, Attempt, Map, MapChange, MapId, RankAnswer, RankState};
+use super::{BLOCK_CHARS, CacheChange, answer_tokens, block_hashes, length_marker, token};
 
 /// Guards against tokens that look alike, so that a crossed or shifted answer would pass a check.
 #[test]
@@ -50,3 +55,116 @@
     assert_eq!(cache.use_prompt(&[3, 4]), expected);
     assert_eq!(cache.use_prompt(&[1, 2]).hits, 1);
 }
+
+/// Guards against cache events that are published at once or without gaps.
+#[test]
+fn cache_events_are_late_and_have_gaps() {
+    let mut log = CacheLog::new(Duration::from_secs(1), 3);
+    let used = Use {
+        hits: 0,
+        stored: vec![1, 2, 3],
+        evicted: vec![4],
+    };
+    log.record(Duration::from_secs(5), &used);
+    assert_eq!(log.after(Duration::from_millis(5_999), 0).events, []);
+    let published = log.after(Duration::from_secs(6), 1);
+    let seen: Vec<_> = published
+        .events
+        .iter()
+        .map(|event| (event.seq, event.change, event.block))
+        .collect();
+    assert_eq!(
+        seen,
+        [(2, CacheChange::Stored, 2), (4, CacheChange::Evicted, 4)]
+    );
+    log.restart();
+    let new_life = log.after(Duration::from_secs(6), 0);
+    assert_eq!((new_life.epoch, new_life.events.len()), (2, 0));
+}
+
+/// Guards against a KV cache that is used for another prompt or for more
+/// tokens than it covers, and against a store without limit.
+#[test]
+fn kv_caches_cover_their_own_prompt_only() {
+    let mut store = KvStore::default();
+    let cache = KvCache {
+        prompt: 7,
+        tokens: 5,
+    };
+    store.insert("r", cache);
+    assert!(store.covers("r", Some(7), 5));
+    assert!(!store.covers("r", Some(7), 6));
+    assert!(!store.covers("r", Some(8), 5));
+    assert!(!store.covers("other", Some(7), 5));
+    for n in 0..64 {
+        store.insert(&format!("r{n}"), cache);
+    }
+    assert_eq!(store.get("r"), None);
+}
+
+fn attempt(sequence: u64) -> Attempt {
+    Attempt { fence: 1, sequence }
+}
+
+fn armed(sequence: u64, step: u64) -> Armed {
+    Armed {
+        id: MapId {
+            version: sequence,
+            attempt: attempt(sequence),
+        },
+        step,
+        change: MapChange {
+            layers: [(0, serde_json::json!("new"))].into(),
+        },
+        committed: false,
+    }
+}
+
+fn rank() -> RankState {
+    let mut rank = RankState::default();
+    let map = Map {
+        id: MapId::default(),
+        layers: vec![serde_json::json!("old")],
+    };
+    assert_eq!(rank.install(map, None), RankAnswer::Installed);
+    rank
+}
+
+/// Guards against a rank that runs the switch step without the decision, or
+/// switches at another step.
+#[test]
+fn rank_holds_the_switch_step_until_the_decision() {
+    let mut rank = rank();
+    assert_eq!(rank.arm(armed(1, 1)), RankAnswer::Armed(attempt(1)));
+    assert_eq!(rank.start_step(), Some(MapId::default()));
+    assert_eq!(rank.start_step(), None);
+    assert!(rank.is_held());
+    let committed = RankAnswer::Decided {
+        attempt: attempt(1),
+        commit: true,
+    };
+    assert_eq!(rank.commit(attempt(1)), committed);
+    assert_eq!(rank.start_step(), Some(armed(1, 1).id));
+    assert_eq!(rank.map.as_ref().unwrap().layers, ["new"]);
+    assert_eq!(rank.commit(attempt(1)), committed);
+    assert_eq!(rank.arm(armed(2, 1)), RankAnswer::ArmRefused(attempt(2)));
+}
+
+/// Guards against an abort that undoes a commit, and against an aborted attempt that comes back.
+#[test]
+fn rank_keeps_its_decisions() {
+    let mut rank = rank();
+    rank.arm(armed(1, 0));
+    let aborted = RankAnswer::Decided {
+        attempt: attempt(1),
+        commit: false,
+    };
+    assert_eq!(rank.abort(attempt(1)), aborted);
+    assert_eq!(rank.arm(armed(1, 5)), RankAnswer::ArmRefused(attempt(1)));
+    assert_eq!(rank.commit(attempt(1)), RankAnswer::Refused);
+    rank.arm(armed(2, 5));
+    rank.commit(attempt(2));
+    assert_eq!(rank.abort(attempt(2)), RankAnswer::Refused);
+    let map = Map::default();
+    assert_eq!(rank.install(map, None), RankAnswer::Refused);
+}
