Add expert maps, the fence, the lease and the two-phase switch

Ranks of a group must use the same map in each step while planners race, processes restart and the platform is down. A leader that writes the decision to the platform would block with the platform.

GroupRank is the process next to a rank, GroupPlanner the planner that any process of the group can run. Both are driven as handle(now, input). The decision is held on the ranks: an armed engine holds the switch step until one rank knows of a commit or all pledge to abort. Pledges count only among processes that know of the same lives of each other.

--- a/crates/core/src/event/catalogue.rs
+++ b/crates/core/src/event/catalogue.rs
@@ -62,6 +62,18 @@
     WorkFailed = 3005, "the engine failed work";
     WorkCancelled = 3006, "work was cancelled";
 
+    LeaseAcquired = 4001, "the planner's lease was taken";
+    LeaseLost = 4002, "the planner's lease ended or was lost";
+    SwitchProposed = 4003, "all ranks loaded a map and a switch step was proposed";
+    SwitchCommitted = 4004, "an engine took the commit of a map";
+    SwitchAborted = 4005, "an engine went on with the present map";
+    StepHeld = 4006, "an engine holds the switch step without a decision";
+    OrderRefused = 4007, "an order with an old fencing number was refused";
+    MapSwitched = 4008, "an engine started to use a new map";
+    MapInstalled = 4009, "a new engine took the group's map";
+    PlanMade = 4010, "a new map was planned";
+    PlanGivenUp = 4011, "a planned map was given up";
+
     MemberJoined = 5001, "a process joined";
     MemberSuspected = 5002, "a process did not answer probes";
     MemberGone = 5003, "a process is gone";
--- /dev/null
+++ b/crates/core/src/group/coordinator/machine.rs
@@ -0,0 +1,447 @@
+//! State machine of a process that may plan for its group.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{CoordinatorSettings, Input, Output, Timer};
+use crate::event::{Event, EventKind};
+use crate::group::lease::Lease;
+use crate::group::map::{
+    Attempt, ExpertMap, FenceNumber, LayerMap, MapChange, MapId, RankId, Step,
+};
+use crate::group::switch::{Envelope, Message, RankReport, Refuse, Sender, View};
+use crate::platform::{CallId, Reply};
+use crate::types::{Incarnation, Now};
+
+/// Most steps between the latest known step and the switch step.
+const MAX_MARGIN_STEPS: u64 = 4_096;
+
+#[derive(Clone, Debug)]
+enum Progress {
+    /// Ranks load weights; those that have, with their next step.
+    Preparing(BTreeMap<RankId, Step>),
+    /// Ranks acknowledge the switch step.
+    Proposing {
+        step: Step,
+        acked: BTreeMap<RankId, Incarnation>,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    id: MapId,
+    base: MapId,
+    change: MapChange,
+    progress: Progress,
+    give_up_at: Now,
+    send_at: Now,
+}
+
+/// How the latest attempt ended, for ranks that missed it.
+#[derive(Clone, Debug)]
+enum Ended {
+    Committed {
+        attempt: Attempt,
+        step: Step,
+        view: View,
+    },
+    Aborted(Attempt),
+}
+
+/// What is known under one fencing number.
+#[derive(Clone, Debug, Default)]
+struct Term {
+    number: FenceNumber,
+    sequence: u64,
+    reports: BTreeMap<RankId, RankReport>,
+    map: Option<ExpertMap>,
+    running: Option<Running>,
+    ended: Option<Ended>,
+    next_poll: Now,
+    polls: u32,
+}
+
+/// State machine of a process that may plan for its group.
+///
+/// ```
+/// use std::time::Duration;
+/// use eelgrasshold_core::group::coordinator::{
+///     CoordinatorSettings, GroupPlanner, Input, Output,
+/// };
+/// use eelgrasshold_core::group::lease::{LeaseSettings, lease_key};
+///
+/// let mut planner = GroupPlanner::new(CoordinatorSettings {
+///     group: "drafts".into(),
+///     rank: 0,
+///     ranks: 2,
+///     incarnation: 1,
+///     lease: LeaseSettings {
+///         key: lease_key("drafts"),
+///         holder: "host-1".into(),
+///         incarnation: 1,
+///         duration: Duration::from_secs(15),
+///         poll_every: Duration::from_secs(5),
+///     },
+///     poll_every: Duration::from_secs(30),
+///     retry_every: Duration::from_millis(500),
+///     prepare_limit: Duration::from_secs(120),
+///     propose_limit: Duration::from_secs(5),
+///     margin_steps: 64,
+/// });
+/// let out = planner.handle(Duration::ZERO, Input::Start);
+/// // It looks at the lease first.
+/// assert!(out.iter().any(|o| matches!(o, Output::Platform(..))));
+/// ```
+#[derive(Clone, Debug)]
+pub struct GroupPlanner {
+    settings: CoordinatorSettings,
+    lease: Lease,
+    term: Option<Term>,
+    target: Option<Vec<LayerMap>>,
+    margin_steps: u64,
+}
+
+impl GroupPlanner {
+    /// A planner that doesn't hold the lease.
+    #[must_use]
+    pub fn new(settings: CoordinatorSettings) -> Self {
+        Self {
+            lease: Lease::new(settings.lease.clone()),
+            margin_steps: settings.margin_steps.max(1),
+            settings,
+            term: None,
+            target: None,
+        }
+    }
+
+    /// Fencing number if the lease is held at `now`.
+    #[must_use]
+    pub fn holds_lease(&self, now: Now) -> Option<FenceNumber> {
+        self.lease.held(now)
+    }
+
+    /// Takes an input at the time `now` and returns what the driver shall do.
+    pub fn handle(&mut self, now: Now, input: Input) -> Vec<Output> {
+        let mut out = Vec::new();
+        let mut set_timer = false;
+        if let Input::Platform(id, reply) = &input {
+            self.platform(now, *id, reply.clone(), &mut out);
+        }
+        self.check_lease(now, &mut out);
+        match input {
+            Input::Message(envelope) => self.message(now, envelope, &mut out),
+            Input::Target(layers) => self.target = Some(layers),
+            Input::Start | Input::Timer(Timer::Tick) => set_timer = true,
+            Input::Platform(..) => {}
+        }
+        if set_timer {
+            self.tick(now, &mut out);
+            let at = now + self.settings.retry_every;
+            let timer = Timer::Tick;
+            out.push(Output::SetTimer { at, timer });
+        }
+        out
+    }
+
+    fn platform(&mut self, now: Now, id: CallId, reply: Reply, out: &mut Vec<Output>) {
+        if let Some((id, call)) = self.lease.reply(now, id, reply) {
+            out.push(Output::Platform(id, call));
+        }
+    }
+
+    /// Compares the term with the lease as it stands now; without it nothing is sent.
+    fn check_lease(&mut self, now: Now, out: &mut Vec<Output>) {
+        let held = self.lease.held(now);
+        let number = self.term.as_ref().map(|t| t.number);
+        if held == number {
+            return;
+        }
+        if let Some(number) = number {
+            self.event(EventKind::LeaseLost, format!("number {number}"), out);
+        }
+        self.term = held.map(|number| Term {
+            number,
+            ..Term::default()
+        });
+        if let Some(number) = held {
+            self.event(EventKind::LeaseAcquired, format!("number {number}"), out);
+        }
+    }
+
+    fn tick(&mut self, now: Now, out: &mut Vec<Output>) {
+        if let Some((id, call)) = self.lease.tick(now) {
+            out.push(Output::Platform(id, call));
+        }
+        let Some(term) = &mut self.term else { return };
+        match &term.running {
+            Some(running) if now >= running.give_up_at => self.give_up(now, "time limit", out),
+            Some(running) if now >= running.send_at => self.send_running(now, out),
+            None if now >= term.next_poll => self.poll(now, out),
+            Some(_) | None => {}
+        }
+    }
+
+    fn poll(&mut self, now: Now, out: &mut Vec<Output>) {
+        let ranks = self.settings.ranks;
+        let Some(term) = &mut self.term else { return };
+        let stale = term.reports.values().next().map(|r| r.map);
+        let want = term.map.as_ref().map(|m| m.id) != stale || stale.is_none();
+        let source = term.polls % ranks.max(1);
+        term.polls = term.polls.wrapping_add(1);
+        term.reports.clear();
+        term.next_poll = now + self.settings.retry_every * 2;
+        let fence = term.number;
+        for to in 0..ranks {
+            let want_map = want && to == source;
+            self.send(to, Message::Poll { fence, want_map }, out);
+        }
+    }
+
+    fn message(&mut self, now: Now, envelope: Envelope, out: &mut Vec<Output>) {
+        let from = envelope.from;
+        match envelope.message {
+            Message::Report(report) => self.report(now, from.rank, report, out),
+            Message::Ready { attempt, step } => self.ready(now, from.rank, attempt, step, out),
+            Message::Acked { attempt, step } => self.acked(now, from, attempt, step, out),
+            Message::Refused { attempt, reason } => self.refused(now, attempt, reason, out),
+            _ => {}
+        }
+    }
+
+    fn report(&mut self, now: Now, from: RankId, mut report: RankReport, out: &mut Vec<Output>) {
+        let Some(term) = &mut self.term else { return };
+        if let Some(map) = report.content.take() {
+            term.map = Some(map);
+        }
+        if !report.settled && term.running.is_none() {
+            return self.send_ended(from, out);
+        }
+        term.reports.insert(from, report);
+        self.plan_if_complete(now, out);
+    }
+
+    /// Tells a rank that is not settled how the latest attempt ended.
+    fn send_ended(&self, to: RankId, out: &mut Vec<Output>) {
+        let Some(ended) = self.term.as_ref().and_then(|t| t.ended.clone()) else {
+            return;
+        };
+        let message = match ended {
+            Ended::Committed {
+                attempt,
+                step,
+                view,
+            } => Message::Commit {
+                attempt,
+                step,
+                view,
+            },
+            Ended::Aborted(attempt) => Message::Abort { attempt },
+        };
+        self.send(to, message, out);
+    }
+
+    fn plan_if_complete(&mut self, now: Now, out: &mut Vec<Output>) {
+        let Some(term) = &mut self.term else { return };
+        if term.running.is_some() || term.reports.len() < self.settings.ranks as usize {
+            return;
+        }
+        let Some(map) = &term.map else { return };
+        if term.reports.values().any(|r| r.map != map.id) {
+            return;
+        }
+        term.next_poll = now + self.settings.poll_every;
+        let Some(target) = self.target.take() else {
+            return;
+        };
+        let change = map.change_to(&target);
+        if change.layers.is_empty() {
+            return;
+        }
+        term.sequence += 1;
+        let attempt = Attempt {
+            fence: term.number,
+            sequence: term.sequence,
+        };
+        let id = MapId {
+            version: map.id.version + 1,
+            attempt,
+        };
+        let detail = format!("version {}, {} layers", id.version, change.layers.len());
+        term.running = Some(Running {
+            id,
+            base: map.id,
+            change,
+            progress: Progress::Preparing(BTreeMap::new()),
+            give_up_at: now + self.settings.prepare_limit,
+            send_at: now,
+        });
+        self.event(EventKind::PlanMade, detail, out);
+        self.send_running(now, out);
+    }
+
+    /// Sends the present phase's message to the ranks that haven't answered it.
+    fn send_running(&mut self, now: Now, out: &mut Vec<Output>) {
+        let retry_every = self.settings.retry_every;
+        let Some(running) = self.term.as_mut().and_then(|t| t.running.as_mut()) else {
+            return;
+        };
+        running.send_at = now + retry_every;
+        let attempt = running.id.attempt;
+        let (message, answered): (_, BTreeSet<RankId>) = match &running.progress {
+            Progress::Preparing(ready) => {
+                let message = Message::Prepare {
+                    id: running.id,
+                    base: running.base,
+                    change: running.change.clone(),
+                };
+                (message, ready.keys().copied().collect())
+            }
+            Progress::Proposing { step, acked } => {
+                let step = *step;
+                let message = Message::Propose { attempt, step };
+                (message, acked.keys().copied().collect())
+            }
+        };
+        for to in (0..self.settings.ranks).filter(|r| !answered.contains(r)) {
+            self.send(to, message.clone(), out);
+        }
+    }
+
+    fn ready(
+        &mut self,
+        now: Now,
+        from: RankId,
+        attempt: Attempt,
+        step: Step,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(running) = self.term.as_mut().and_then(|t| t.running.as_mut()) else {
+            return;
+        };
+        let Progress::Preparing(ready) = &mut running.progress else {
+            return;
+        };
+        if running.id.attempt != attempt {
+            return;
+        }
+        ready.insert(from, step);
+        if ready.len() < self.settings.ranks as usize {
+            return;
+        }
+        let latest = ready.values().copied().max().unwrap_or(step);
+        let step = latest + self.margin_steps;
+        let detail = format!("version {} at step {step}", running.id.version);
+        running.progress = Progress::Proposing {
+            step,
+            acked: BTreeMap::new(),
+        };
+        running.give_up_at = now + self.settings.propose_limit;
+        self.event(EventKind::SwitchProposed, detail, out);
+        self.send_running(now, out);
+    }
+
+    fn acked(
+        &mut self,
+        now: Now,
+        from: Sender,
+        attempt: Attempt,
+        step: Step,
+        out: &mut Vec<Output>,
+    ) {
+        let ranks = self.settings.ranks as usize;
+        let Some(term) = &mut self.term else { return };
+        let Some(running) = &mut term.running else {
+            return;
+        };
+        let Progress::Proposing {
+            step: proposed,
+            acked,
+        } = &mut running.progress
+        else {
+            return;
+        };
+        if running.id.attempt != attempt || *proposed != step {
+            return;
+        }
+        acked.insert(from.rank, from.incarnation);
+        if acked.len() < ranks {
+            return;
+        }
+        let view: View = acked.values().copied().collect();
+        term.running = None;
+        term.ended = Some(Ended::Committed {
+            attempt,
+            step,
+            view,
+        });
+        term.next_poll = now + self.settings.retry_every;
+        self.margin_steps = self.settings.margin_steps.max(1);
+        for to in 0..self.settings.ranks {
+            self.send_ended(to, out);
+        }
+    }
+
+    fn refused(&mut self, now: Now, attempt: Attempt, reason: Refuse, out: &mut Vec<Output>) {
+        let Some(term) = &mut self.term else { return };
+        if attempt.fence != term.number {
+            return;
+        }
+        if let Refuse::Stale(highest) = reason {
+            self.lease.observe_number(highest);
+            return self.check_lease(now, out);
+        }
+        if let Refuse::Superseded(floor) = reason {
+            if floor.fence > term.number {
+                self.lease.observe_number(floor.fence);
+                return self.check_lease(now, out);
+            }
+            if floor.fence == term.number {
+                term.sequence = term.sequence.max(floor.sequence);
+            }
+        }
+        if term.running.as_ref().map(|r| r.id.attempt) != Some(attempt) {
+            return;
+        }
+        match reason {
+            Refuse::Starting => {}
+            Refuse::StepPassed(_) => {
+                self.margin_steps = (self.margin_steps * 2).min(MAX_MARGIN_STEPS);
+                self.give_up(now, "the switch step was already started", out);
+            }
+            _ => self.give_up(now, "a rank can't accept it", out),
+        }
+    }
+
+    /// Ends an attempt that was not committed. Its layers stay the target.
+    fn give_up(&mut self, now: Now, why: &str, out: &mut Vec<Output>) {
+        let Some(term) = &mut self.term else { return };
+        let Some(running) = term.running.take() else {
+            return;
+        };
+        term.ended = Some(Ended::Aborted(running.id.attempt));
+        term.next_poll = now + self.settings.retry_every;
+        if self.target.is_none()
+            && let Some(map) = &term.map
+        {
+            self.target = Some(map.changed(running.id, &running.change).layers);
+        }
+        let detail = format!("version {}: {why}", running.id.version);
+        self.event(EventKind::PlanGivenUp, detail, out);
+        for to in 0..self.settings.ranks {
+            self.send_ended(to, out);
+        }
+    }
+
+    fn send(&self, to: RankId, message: Message, out: &mut Vec<Output>) {
+        let from = Sender {
+            rank: self.settings.rank,
+            incarnation: self.settings.incarnation,
+        };
+        let envelope = Envelope { from, message };
+        out.push(Output::Send { to, envelope });
+    }
+
+    fn event(&self, kind: EventKind, detail: String, out: &mut Vec<Output>) {
+        let event = Event::new(kind, detail).about_group(self.settings.group.clone());
+        out.push(Output::Event(event));
+    }
+}
--- /dev/null
+++ b/crates/core/src/group/fence/tests.rs
@@ -0,0 +1,34 @@
+use super::*;
+
+// Guards against an order of a replaced planner that reaches an engine after its successor's.
+#[test]
+fn older_number_is_refused_after_a_newer_one() {
+    let mut fence = Fence::default();
+    fence.learn(3);
+    assert_eq!(fence.admit(4), Ok(()));
+    let stale = FenceError::Stale {
+        number: 3,
+        highest: 4,
+    };
+    assert_eq!(fence.admit(3), Err(stale));
+    assert_eq!(fence.admit(4), Ok(()));
+}
+
+// Guards against a restarted process that passes on an order before it knows the highest number.
+#[test]
+fn nothing_passes_before_the_number_is_learned() {
+    let mut fence = Fence::default();
+    assert_eq!(fence.admit(4), Err(FenceError::Unknown));
+    fence.learn(5);
+    assert!(fence.admit(4).is_err());
+    assert_eq!(fence.admit(5), Ok(()));
+}
+
+// Guards against learning that lowers a number which an order already raised.
+#[test]
+fn learning_never_lowers_the_number() {
+    let mut fence = Fence::default();
+    assert_eq!(fence.admit(9), Err(FenceError::Unknown));
+    fence.learn(2);
+    assert!(fence.admit(8).is_err());
+}
