Replace the upstream's FIFO by fair shares, feedback levels and admission

A plain FIFO lets one team's backlog and long drafts hold up all others, and refuses work only after it has waited until its deadline.

Teams now get weighted fair shares (start-time fair queueing over expected tokens), running work sinks by the tokens it produced, long work has a limit with slots lent beyond it, and work is bounced on arrival when the predicted wait and run don't fit its deadline. Lengths are learned per team and service.

--- a/crates/core/src/event/catalogue.rs
+++ b/crates/core/src/event/catalogue.rs
@@ -61,6 +61,7 @@
     WorkFinished = 3004, "the engine finished work";
     WorkFailed = 3005, "the engine failed work";
     WorkCancelled = 3006, "work was cancelled";
+    WorkExpired = 3101, "queued work was returned because its deadline can't be met any more";
 
     MemberJoined = 5001, "a process joined";
     MemberSuspected = 5002, "a process did not answer probes";
--- /dev/null
+++ b/crates/core/src/serving/queue/tests.rs
@@ -0,0 +1,233 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::*;
+use crate::types::{AttemptId, Now, Request, WorkClass};
+
+fn request(team: &str) -> Request {
+    Request {
+        id: "r".into(),
+        service: "drafts".into(),
+        team: team.into(),
+        priority: 4,
+        deadline: Duration::from_secs(10),
+        class: WorkClass::Idempotent,
+        idempotency_key: None,
+        fingerprint: 1,
+        prefix: None,
+        prompt_tokens: 0,
+        max_tokens: 1_000,
+        resume_from: 0,
+    }
+}
+
+fn item(attempt: AttemptId, team: &str, tokens: f64) -> Item {
+    Item {
+        attempt,
+        request: request(team),
+        arrived: Now::ZERO,
+        latest_start: Now::from_secs(10),
+        expected_tokens: tokens,
+        long: tokens >= 512.0,
+    }
+}
+
+fn pop_all(queue: &mut FairQueue, policy: &Policy) -> Vec<AttemptId> {
+    std::iter::from_fn(|| queue.pop(Now::ZERO, policy, true))
+        .map(|i| i.attempt)
+        .collect()
+}
+
+// Guards against a large team's backlog that starves a small team.
+#[test]
+fn small_team_goes_before_the_backlog_of_a_large_one() {
+    let policy = Policy::builder().build();
+    let mut queue = FairQueue::default();
+    for attempt in 0..10 {
+        queue.push(&policy, item(attempt, "large", 100.0));
+    }
+    queue.pop(Now::ZERO, &policy, true);
+    queue.push(&policy, item(99, "small", 100.0));
+    assert_eq!(pop_all(&mut queue, &policy)[0], 99);
+}
+
+// Guards against shares that ignore the teams' weights.
+#[test]
+fn started_work_follows_the_weights() {
+    let weights = BTreeMap::from([("a".into(), 3), ("b".into(), 1)]);
+    let policy = Policy::builder().weights(weights).build();
+    let mut queue = FairQueue::default();
+    for attempt in 0..40 {
+        let team = if attempt % 2 == 0 { "a" } else { "b" };
+        queue.push(&policy, item(attempt, team, 100.0));
+    }
+    let first = pop_all(&mut queue, &policy);
+    let of_a = first[..20].iter().filter(|a| **a % 2 == 0).count();
+    assert_eq!(of_a, 15);
+}
+
+// Guards against an idle team that saves up its share and then blocks the others.
+#[test]
+fn idle_share_is_lent_out_and_not_saved() {
+    let policy = Policy::builder().build();
+    let mut queue = FairQueue::default();
+    for attempt in 0..20 {
+        queue.push(&policy, item(attempt, "busy", 100.0));
+    }
+    for _ in 0..10 {
+        assert!(queue.pop(Now::ZERO, &policy, true).is_some());
+    }
+    for attempt in 100..110 {
+        queue.push(&policy, item(attempt, "idle", 100.0));
+    }
+    let next = pop_all(&mut queue, &policy);
+    let of_idle = next[..10].iter().filter(|a| **a >= 100).count();
+    assert_eq!(of_idle, 5);
+}
+
+// Guards against waits predicted as if work were served in order of arrival.
+#[test]
+fn cost_before_new_work_counts_only_what_its_share_lets_pass() {
+    let policy = Policy::builder().build();
+    let mut queue = FairQueue::default();
+    for attempt in 0..10 {
+        queue.push(&policy, item(attempt, "large", 100.0));
+    }
+    let small = queue.cost_before(&policy, &item(90, "small", 100.0), false);
+    let large = queue.cost_before(&policy, &item(91, "large", 100.0), false);
+    assert!(small < 1.0, "{small}");
+    assert!((large - 1_000.0).abs() < 1.0, "{large}");
+}
+
+// Guards against a lane's cost that drifts and predicts waits for an empty queue.
+#[test]
+fn removed_and_expired_work_leaves_no_cost() {
+    let policy = Policy::builder().build();
+    let mut queue = FairQueue::default();
+    queue.push(&policy, item(1, "a", 0.1));
+    queue.push(&policy, item(2, "a", 0.2));
+    assert!(queue.remove(1).is_some());
+    assert!(queue.expire(Now::from_secs(9)).is_none());
+    assert!(queue.expire(Now::from_secs(10)).is_some());
+    assert_eq!((queue.len(), queue.next_expiry()), (0, None));
+    assert!(queue.waiting_cost().abs() < 1e-9);
+}
+
+// Guards against long work of a team that is passed by its own short work for ever.
+#[test]
+fn long_work_that_waited_enough_goes_before_short_work() {
+    let policy = Policy::builder().build();
+    let mut queue = FairQueue::default();
+    queue.push(&policy, item(1, "a", 600.0));
+    queue.push(&policy, item(2, "a", 10.0));
+    let mut impatient = queue.clone();
+    assert_eq!(queue.pop(Now::ZERO, &policy, true).unwrap().attempt, 2);
+    let late = Now::from_secs(2);
+    assert_eq!(impatient.pop(late, &policy, true).unwrap().attempt, 1);
+}
+
+// Guards against a mean that hides the tail: work that outlived the short answers is long.
+#[test]
+fn remaining_tokens_grow_once_the_short_answers_are_ruled_out() {
+    let mut lengths = Lengths::default();
+    let (service, team) = ("drafts".into(), "a".into());
+    for n in 0..100 {
+        lengths.learn(&service, &team, if n % 10 == 0 { 3_000 } else { 100 });
+    }
+    let at_start = lengths.remaining(&service, &team, 0, 8_000);
+    let later = lengths.remaining(&service, &team, 200, 8_000);
+    assert!((300.0..500.0).contains(&at_start), "{at_start}");
+    assert!(later > 2_000.0, "{later}");
+    assert!(lengths.remaining(&service, &team, 200, 250) <= 50.0);
+}
+
+// Guards against lengths of one team that are applied to a team with other ones.
+#[test]
+fn lengths_are_learned_per_team_and_fall_back_to_the_service() {
+    let mut lengths = Lengths::default();
+    let service = "drafts".into();
+    for _ in 0..50 {
+        lengths.learn(&service, &"long".into(), 2_000);
+        lengths.learn(&service, &"short".into(), 20);
+    }
+    let expect = |team: &str| lengths.remaining(&service, &team.into(), 0, 8_000);
+    assert!(expect("long") > 1_000.0);
+    assert!(expect("short") < 40.0);
+    assert!((500.0..1_500.0).contains(&expect("new")));
+}
+
+fn levels_with_long(policy: &Policy, long: u64) -> Levels {
+    let mut levels = Levels::default();
+    for attempt in 0..long {
+        levels.start(Now::ZERO, attempt, Level::Short, request("a"), 100.0);
+        levels.produce(Now::from_secs(1), policy, attempt, 600);
+    }
+    levels.assign(Now::from_secs(1), policy);
+    levels
+}
+
+// Guards against long work that takes all slots, and against short work that waits behind it.
+#[test]
+fn short_work_finds_a_slot_when_long_work_fills_the_engine() {
+    let policy = Policy::builder().concurrency(4).build();
+    let levels = levels_with_long(&policy, 4);
+    assert_eq!(levels.holding(), 2);
+    assert!(levels.has_slot(&policy));
+    assert_eq!(levels.slot_for_long(&policy), None);
+}
+
+// Guards against the same long work being paused all the time, which would never finish.
+#[test]
+fn long_work_takes_turns_by_its_slowdown() {
+    let policy = Policy::builder().concurrency(2).build();
+    let mut levels = levels_with_long(&policy, 2);
+    levels.start(Now::ZERO, 9, Level::Short, request("a"), 100.0);
+    assert!(levels.takes_turns(&policy));
+    levels.produce(Now::from_secs(9), &policy, 0, 600);
+    let changes = levels.assign(Now::from_secs(9), &policy);
+    assert_eq!(changes, [(0, 6), (1, 4)]);
+}
+
+// Guards against room for short work that long work uses up, or that idles without need.
+#[test]
+fn long_work_beyond_its_share_borrows_slots_but_leaves_room() {
+    let policy = Policy::builder().concurrency(16).build();
+    let mut levels = Levels::default();
+    let mut started = Vec::new();
+    for attempt in 0.. {
+        let Some(level) = levels.slot_for_long(&policy) else {
+            break;
+        };
+        levels.start(Now::ZERO, attempt, level, request("a"), 600.0);
+        started.push(level);
+    }
+    assert_eq!(started.len(), 14);
+    assert_eq!(started.iter().filter(|l| **l == Level::Long).count(), 8);
+}
+
+// Guards against work that is queued though its deadline can't be met, and refused much later.
+#[test]
+fn work_is_admitted_only_if_wait_and_run_fit_the_deadline() {
+    let policy = Policy::builder().build();
+    let ms = Duration::from_millis;
+    assert!(admission::admits(&policy, ms(100), ms(500), ms(1_000)));
+    assert!(!admission::admits(&policy, ms(500), ms(500), ms(1_000)));
+    assert!(!admission::admits(&policy, ms(1_100), ms(500), ms(60_000)));
+    assert!(admission::admits(&policy, ms(1_100), ms(5_000), ms(60_000)));
+}
+
+// Guards against bounces before the engine's speed is known, when any wait is a guess.
+#[test]
+fn no_wait_is_predicted_before_the_pace_is_known() {
+    let policy = Policy::builder().concurrency(1).build();
+    let mut levels = Levels::default();
+    levels.start(Now::ZERO, 1, Level::Short, request("a"), 100.0);
+    let lengths = Lengths::default();
+    let wait = |levels: &Levels| {
+        admission::wait_for_slot(&policy, levels, &lengths, false, 100.0).as_millis()
+    };
+    assert_eq!(wait(&levels), 0);
+    levels.produce(Now::from_millis(100), &policy, 1, 1);
+    levels.produce(Now::from_millis(130), &policy, 1, 1);
+    assert_eq!(wait(&levels), 10_680);
+}
--- a/crates/core/src/upstream/machine.rs
+++ b/crates/core/src/upstream/machine.rs
@@ -1,61 +1,62 @@
 //! The queue and the running work of one upstream.
 
-use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use super::{Bounce, EngineEvent, Input, Output, Timer};
 use crate::event::{Event, EventKind};
+use crate::serving::queue::{FairQueue, Item, Lengths, Level, Levels, Policy, Running, admission};
 use crate::types::{AttemptId, Load, Now, Request, Run};
 
 /// A dispatch older than this is refused: its sender was paused.
 const MAX_DISPATCH_AGE: Duration = Duration::from_secs(60);
-/// Work that waits at most.
-const MAX_QUEUED: usize = 1_024;
-
-#[derive(Clone, Debug)]
-struct Waiting {
-    attempt: AttemptId,
-    request: Request,
-    deadline: Now,
-}
+/// Time between turns of long work on the slots of its share. Shorter turns
+/// cost the engine more for bringing paused work back.
+const TURN: Duration = Duration::from_secs(1);
 
 /// State machine of the process next to an upstream.
 #[derive(Clone, Debug)]
 pub struct Upstream {
-    concurrency: usize,
-    queue: VecDeque<Waiting>,
-    running: BTreeMap<AttemptId, Request>,
+    policy: Policy,
+    queue: FairQueue,
+    levels: Levels,
+    lengths: Lengths,
     leaving: bool,
     engine_up: bool,
     expire_at: Option<Now>,
+    turn_at: Option<Now>,
 }
 
 impl Upstream {
     /// A machine that lets the engine run `concurrency` requests at once.
     #[must_use]
     pub fn new(concurrency: usize) -> Self {
+        Self::with_policy(Policy::builder().concurrency(concurrency).build())
+    }
+
+    /// A machine with a policy.
+    #[must_use]
+    pub fn with_policy(policy: Policy) -> Self {
         Self {
-            concurrency: concurrency.max(1),
-            queue: VecDeque::new(),
-            running: BTreeMap::new(),
+            policy,
+            queue: FairQueue::default(),
+            levels: Levels::default(),
+            lengths: Lengths::default(),
             leaving: false,
             engine_up: true,
             expire_at: None,
+            turn_at: None,
         }
     }
 
     /// Load as it is sent back with answers.
     #[must_use]
     pub fn load(&self) -> Load {
+        let count = |n| u32::try_from(n).unwrap_or(u32::MAX);
         Load {
-            in_flight: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
-            queued: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
-            queued_tokens: self
-                .queue
-                .iter()
-                .map(|w| u64::from(w.request.max_tokens))
-                .sum(),
-            predicted_wait_ms: 0,
+            in_flight: count(self.levels.len()),
+            queued: count(self.queue.len()),
+            queued_tokens: self.queue.waiting_cost() as u64,
+            predicted_wait_ms: count(self.wait_of_newcomer().as_millis() as usize),
         }
     }
 
@@ -67,20 +68,37 @@
                 attempt,
                 request,
                 age,
-            } => {
-                self.accept(now, attempt, request, age, &mut out);
-            }
+            } => self.accept(now, attempt, request, age, &mut out),
             Input::Cancel(attempt) => self.cancel(attempt, &mut out),
-            Input::Engine(attempt, event) => self.engine(attempt, event, &mut out),
+            Input::Engine(attempt, EngineEvent::Tokens(tokens)) => {
+                if !self.levels.produce(now, &self.policy, attempt, tokens) {
+                    return out;
+                }
+                self.assign_levels(now, &mut out);
+            }
+            Input::Engine(attempt, EngineEvent::Finished) => {
+                self.finished(now, attempt, &mut out);
+            }
+            Input::Engine(attempt, EngineEvent::Failed(run)) => {
+                self.failed(attempt, run, &mut out);
+            }
             Input::EngineDown => self.engine_down(&mut out),
             Input::EngineUp => self.engine_up = true,
             Input::Leave => self.leaving = true,
+            Input::Policy(policy) => {
+                self.policy = policy;
+                self.assign_levels(now, &mut out);
+            }
             Input::Timer(Timer::Expire) => self.expire_at = None,
+            Input::Timer(Timer::Turn) => {
+                self.turn_at = None;
+                self.assign_levels(now, &mut out);
+            }
         }
         self.expire(now, &mut out);
-        self.start(&mut out);
-        self.set_timer(&mut out);
-        if self.leaving && self.queue.is_empty() && self.running.is_empty() {
+        self.start(now, &mut out);
+        self.set_timers(now, &mut out);
+        if self.leaving && self.queue.is_empty() && self.levels.is_empty() {
             out.push(Output::Drained);
         }
         out
@@ -94,27 +112,32 @@
         age: Duration,
         out: &mut Vec<Output>,
     ) {
-        if let Some(reason) = self.reason_to_bounce(attempt, age) {
-            out.push(Output::Bounce {
-                attempt,
-                reason,
-                load: self.load(),
-            });
+        let item = self.item(now, attempt, request);
+        if let Some(reason) = self.reason_to_bounce(&item, age) {
+            out.push(self.bounce(&item, reason));
+            out.push(about(EventKind::WorkBounced, attempt, &item.request));
             return;
         }
-        let event = Event::new(EventKind::WorkQueued, format!("attempt {attempt}"));
-        out.push(Output::Event(event.about_request(request.id.clone())));
-        let deadline = now + request.deadline;
-        self.queue.push_back(Waiting {
+        out.push(about(EventKind::WorkQueued, attempt, &item.request));
+        self.queue.push(&self.policy, item);
+    }
+
+    fn item(&self, now: Now, attempt: AttemptId, request: Request) -> Item {
+        let expected_tokens = admission::expected_tokens(&self.lengths, &request);
+        let run = admission::expected_run(&self.levels, expected_tokens);
+        Item {
             attempt,
+            arrived: now,
+            latest_start: admission::latest_start(now + request.deadline, run),
+            expected_tokens,
+            long: expected_tokens >= f64::from(self.policy.long_tokens()),
             request,
-            deadline,
-        });
+        }
     }
 
-    fn reason_to_bounce(&self, attempt: AttemptId, age: Duration) -> Option<Bounce> {
-        let seen =
-            self.running.contains_key(&attempt) || self.queue.iter().any(|w| w.attempt == attempt);
+    fn reason_to_bounce(&self, item: &Item, age: Duration) -> Option<Bounce> {
+        let attempt = item.attempt;
+        let seen = self.levels.contains(attempt) || self.queue.contains(attempt);
         if seen || age > MAX_DISPATCH_AGE {
             return Some(Bounce::Stale);
         }
@@ -124,95 +147,152 @@
         if !self.engine_up {
             return Some(Bounce::EngineDown);
         }
-        (self.queue.len() >= MAX_QUEUED).then_some(Bounce::QueueFull)
+        if self.queue.len() >= self.policy.max_queued() {
+            return Some(Bounce::QueueFull);
+        }
+        let wait = self.predicted_wait(item);
+        let run = admission::expected_run(&self.levels, item.expected_tokens);
+        let left = item.request.deadline;
+        (!admission::admits(&self.policy, wait, run, left)).then_some(Bounce::Deadline)
+    }
+
+    fn predicted_wait(&self, item: &Item) -> Duration {
+        let Self {
+            policy,
+            queue,
+            levels,
+            lengths,
+            ..
+        } = self;
+        admission::predicted_wait(policy, queue, levels, lengths, item)
+    }
+
+    fn bounce(&self, item: &Item, reason: Bounce) -> Output {
+        Output::Bounce {
+            attempt: item.attempt,
+            reason,
+            load: self.load(),
+        }
     }
 
     fn cancel(&mut self, attempt: AttemptId, out: &mut Vec<Output>) {
-        self.queue.retain(|w| w.attempt != attempt);
-        if let Some(request) = self.running.remove(&attempt) {
+        if let Some(item) = self.queue.remove(attempt) {
+            out.push(about(EventKind::WorkCancelled, attempt, &item.request));
+        }
+        if let Some(running) = self.levels.remove(attempt) {
             out.push(Output::Stop(attempt));
-            let event = Event::new(EventKind::WorkCancelled, format!("attempt {attempt}"));
-            out.push(Output::Event(event.about_request(request.id)));
+            out.push(about(EventKind::WorkCancelled, attempt, &running.request));
+            self.settle(&running);
         }
     }
 
-    fn engine(&mut self, attempt: AttemptId, event: EngineEvent, out: &mut Vec<Output>) {
-        let kind = match event {
-            EngineEvent::Tokens(_) => return,
-            EngineEvent::Finished => EventKind::WorkFinished,
-            EngineEvent::Failed(_) => EventKind::WorkFailed,
-        };
-        let Some(request) = self.running.remove(&attempt) else {
+    fn finished(&mut self, now: Now, attempt: AttemptId, out: &mut Vec<Output>) {
+        let Some(running) = self.levels.finish(now, attempt) else {
             return;
         };
-        if let EngineEvent::Failed(run) = event {
-            out.push(Output::Fail { attempt, run });
+        let request = &running.request;
+        if request.max_tokens > 0 {
+            let tokens = request.resume_from + running.produced;
+            self.lengths.learn(&request.service, &request.team, tokens);
         }
-        let event = Event::new(kind, format!("attempt {attempt}"));
-        out.push(Output::Event(event.about_request(request.id)));
+        out.push(about(EventKind::WorkFinished, attempt, request));
+        self.settle(&running);
+    }
+
+    fn failed(&mut self, attempt: AttemptId, run: Run, out: &mut Vec<Output>) {
+        let Some(running) = self.levels.remove(attempt) else {
+            return;
+        };
+        out.push(Output::Fail { attempt, run });
+        out.push(about(EventKind::WorkFailed, attempt, &running.request));
+        self.settle(&running);
+    }
+
+    /// Charges the team for what its work needed instead of what was expected.
+    fn settle(&mut self, running: &Running) {
+        let request = &running.request;
+        let used = if request.max_tokens == 0 {
+            1.0
+        } else {
+            f64::from(running.produced)
+        };
+        self.queue
+            .correct(&self.policy, &request.team, used - running.charged);
     }
 
     fn engine_down(&mut self, out: &mut Vec<Output>) {
         self.engine_up = false;
-        for attempt in std::mem::take(&mut self.running).into_keys() {
-            out.push(Output::Fail {
-                attempt,
-                run: Run::Unknown,
-            });
+        for attempt in self.levels.drain().into_keys() {
+            let run = Run::Unknown;
+            out.push(Output::Fail { attempt, run });
         }
-        let load = self.load();
-        for waiting in std::mem::take(&mut self.queue) {
-            let attempt = waiting.attempt;
-            out.push(Output::Bounce {
-                attempt,
-                reason: Bounce::EngineDown,
-                load,
-            });
+        for item in self.queue.drain() {
+            out.push(self.bounce(&item, Bounce::EngineDown));
         }
     }
 
+    /// Drops queued work that can no longer meet its deadline.
     fn expire(&mut self, now: Now, out: &mut Vec<Output>) {
-        let load = self.load();
-        self.queue.retain(|w| {
-            let live = w.deadline > now;
-            if !live {
-                let attempt = w.attempt;
-                out.push(Output::Bounce {
-                    attempt,
-                    reason: Bounce::Deadline,
-                    load,
-                });
-            }
-            live
-        });
+        while let Some(item) = self.queue.expire(now) {
+            out.push(self.bounce(&item, Bounce::Deadline));
+            out.push(about(EventKind::WorkExpired, item.attempt, &item.request));
+        }
     }
 
-    fn start(&mut self, out: &mut Vec<Output>) {
-        while self.running.len() < self.concurrency {
-            let Some(next) = self.queue.pop_front() else {
+    fn start(&mut self, now: Now, out: &mut Vec<Output>) {
+        loop {
+            let long_level = self.levels.slot_for_long(&self.policy);
+            if long_level.is_none() && !self.levels.has_slot(&self.policy) {
+                return;
+            }
+            let Some(item) = self.queue.pop(now, &self.policy, long_level.is_some()) else {
                 return;
             };
-            let attempt = next.attempt;
-            out.push(Output::Start {
-                attempt,
-                priority: next.request.priority,
-            });
-            let event = Event::new(EventKind::WorkStarted, format!("attempt {attempt}"));
-            out.push(Output::Event(event.about_request(next.request.id.clone())));
-            self.running.insert(attempt, next.request);
+            let level = match long_level {
+                Some(level) if item.long => level,
+                _ => Level::Short,
+            };
+            let attempt = item.attempt;
+            out.push(about(EventKind::WorkStarted, attempt, &item.request));
+            let charged = item.expected_tokens;
+            let priority = self
+                .levels
+                .start(now, attempt, level, item.request, charged);
+            out.push(Output::Start { attempt, priority });
         }
     }
 
-    fn set_timer(&mut self, out: &mut Vec<Output>) {
-        let Some(at) = self.queue.iter().map(|w| w.deadline).min() else {
-            return;
-        };
-        if self.expire_at.is_none_or(|t| t > at) {
+    fn assign_levels(&mut self, now: Now, out: &mut Vec<Output>) {
+        let changes = self.levels.assign(now, &self.policy);
+        for (attempt, priority) in changes {
+            out.push(Output::Reprioritize { attempt, priority });
+        }
+    }
+
+    fn set_timers(&mut self, now: Now, out: &mut Vec<Output>) {
+        if let Some(at) = self.queue.next_expiry()
+            && self.expire_at.is_none_or(|t| t > at)
+        {
             self.expire_at = Some(at);
-            out.push(Output::SetTimer {
-                at,
-                timer: Timer::Expire,
-            });
+            let timer = Timer::Expire;
+            out.push(Output::SetTimer { at, timer });
+        }
+        if self.turn_at.is_none() && self.levels.takes_turns(&self.policy) {
+            let at = now + TURN;
+            self.turn_at = Some(at);
+            let timer = Timer::Turn;
+            out.push(Output::SetTimer { at, timer });
         }
     }
+
+    /// Predicted wait of a short request of a team that has nothing waiting.
+    fn wait_of_newcomer(&self) -> Duration {
+        let before = self.queue.cost_before_newcomer();
+        admission::wait_for_slot(&self.policy, &self.levels, &self.lengths, false, before)
+    }
+}
+
+fn about(kind: EventKind, attempt: AttemptId, request: &Request) -> Output {
+    let event = Event::new(kind, format!("attempt {attempt}"));
+    Output::Event(event.about_request(request.id.clone()))
 }
--- a/crates/core/src/upstream/mod.rs
+++ b/crates/core/src/upstream/mod.rs
@@ -16,6 +16,7 @@
 pub use machine::Upstream;
 
 use crate::event::Event;
+use crate::serving::queue::Policy;
 use crate::types::{AttemptId, Load, Now, Request, Run};
 
 /// What the machine is told.
@@ -38,8 +39,10 @@
     EngineDown,
     /// The engine answers again.
     EngineUp,
-    /// The host is leaving: running work goes on, nothing new starts.
+    /// The host is leaving: running work goes on, nothing new is queued.
     Leave,
+    /// A policy came into force.
+    Policy(Policy),
     /// A timer that was set has fired.
     Timer(Timer),
 }
@@ -124,6 +127,8 @@
 /// Timers of the machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Timer {
-    /// Look for queued work whose deadline has passed.
+    /// Look for queued work that can no longer meet its deadline.
     Expire,
+    /// Let long work take turns on the slots of its share.
+    Turn,
 }
--- a/crates/core/src/upstream/tests.rs
+++ b/crates/core/src/upstream/tests.rs
@@ -107,3 +107,112 @@
             .any(|o| matches!(o, Output::Bounce { attempt: 2, .. }))
     );
 }
+
+fn work_of(attempt: AttemptId, team: &str, deadline: Duration) -> Input {
+    let request = Request {
+        team: team.into(),
+        deadline,
+        max_tokens: 1_000,
+        ..request("r")
+    };
+    Input::Work {
+        attempt,
+        request,
+        age: Duration::ZERO,
+    }
+}
+
+fn bounced(out: &[Output]) -> Vec<(AttemptId, Bounce)> {
+    out.iter()
+        .filter_map(|o| match o {
+            Output::Bounce {
+                attempt, reason, ..
+            } => Some((*attempt, *reason)),
+            _ => None,
+        })
+        .collect()
+}
+
+/// Runs an attempt of `tokens` tokens at 30 ms each from `begin` on.
+fn run(up: &mut Upstream, begin: Now, attempt: AttemptId, tokens: u32) -> Now {
+    let mut now = begin;
+    for _ in 0..tokens {
+        now += Duration::from_millis(30);
+        up.handle(now, Input::Engine(attempt, EngineEvent::Tokens(1)));
+    }
+    up.handle(now, Input::Engine(attempt, EngineEvent::Finished));
+    now
+}
+
+// Guards against a refusal that comes only after the work has waited in vain.
+#[test]
+fn work_that_cannot_meet_its_deadline_is_bounced_at_once() {
+    let mut up = Upstream::new(1);
+    up.handle(Now::ZERO, work_of(1, "a", Duration::from_secs(60)));
+    let now = run(&mut up, Now::ZERO, 1, 100);
+    up.handle(now, work_of(2, "a", Duration::from_secs(60)));
+    let out = up.handle(now, work_of(3, "a", Duration::from_secs(2)));
+    assert_eq!(bounced(&out), [(3, Bounce::Deadline)]);
+}
+
+// Guards against work that is started though its deadline can't be met any more.
+#[test]
+fn queued_work_is_dropped_once_its_run_no_longer_fits() {
+    let mut up = Upstream::new(1);
+    let mut now = Now::ZERO;
+    for attempt in 1..20 {
+        up.handle(now, work_of(attempt, "a", Duration::from_secs(60)));
+        now = run(&mut up, now, attempt, 20);
+    }
+    up.handle(now, work_of(20, "a", Duration::from_secs(60)));
+    let out = up.handle(now, work_of(21, "b", Duration::from_secs(3)));
+    assert_eq!(bounced(&out), []);
+    let at = out
+        .iter()
+        .find_map(|o| match o {
+            Output::SetTimer { at, .. } => Some(*at),
+            _ => None,
+        })
+        .unwrap();
+    assert!(at < now + Duration::from_secs(3));
+    let out = up.handle(at, Input::Timer(Timer::Expire));
+    assert_eq!(bounced(&out), [(21, Bounce::Deadline)]);
+}
+
+// Guards against long work that keeps the engine's best priority and blocks short work.
+#[test]
+fn running_work_sinks_as_it_produces_tokens() {
+    let mut up = Upstream::new(1);
+    up.handle(Now::ZERO, work_of(1, "a", Duration::from_secs(60)));
+    let tokens = Input::Engine(1, EngineEvent::Tokens(128));
+    let out = up.handle(Now::from_secs(1), tokens);
+    assert!(matches!(
+        out[..],
+        [Output::Reprioritize {
+            attempt: 1,
+            priority: 2
+        }]
+    ));
+}
+
+// Guards against cancelled work that still counts as running and blocks the queue.
+#[test]
+fn cancelled_work_frees_its_slot() {
+    let mut up = Upstream::new(1);
+    up.handle(Now::ZERO, work_of(1, "a", Duration::from_secs(60)));
+    up.handle(Now::ZERO, work_of(2, "a", Duration::from_secs(60)));
+    let out = up.handle(Now::ZERO, Input::Cancel(1));
+    assert!(out.iter().any(|o| matches!(o, Output::Stop(1))));
+    assert_eq!(started(&out), [2]);
+}
+
+// Guards against waits predicted from a policy that is no longer in force.
+#[test]
+fn new_policy_starts_queued_work_at_once() {
+    let mut up = Upstream::new(1);
+    up.handle(Now::ZERO, work(1));
+    up.handle(Now::ZERO, work(2));
+    let policy = crate::serving::queue::Policy::builder().concurrency(2);
+    let out = up.handle(Now::ZERO, Input::Policy(policy.build()));
+    assert_eq!(started(&out), [2]);
+}
