--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -1,3 +1,7 @@
 //! Policies of serving: pure functions and small structs that the roles combine.
 
+pub mod claims;
+pub mod health;
 pub mod queue;
+pub mod retry;
+pub mod suspects;
