--- a/crates/core/src/event/catalogue.rs
+++ b/crates/core/src/event/catalogue.rs
@@ -67,6 +67,7 @@
     WorkFinished = 3004, "the engine finished work";
     WorkFailed = 3005, "the engine failed work";
     WorkCancelled = 3006, "work was cancelled";
+    WorkExpired = 3101, "queued work was returned because its deadline can't be met any more";
 
     LeaseAcquired = 4001, "the planner's lease was taken";
     LeaseLost = 4002, "the planner's lease ended or was lost";
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod claims;
 pub mod health;
+pub mod queue;
 pub mod retry;
 pub mod suspects;
