Add the operators' client

Nobody could publish a configuration or look at the fleet without writing code. eelctl collects files beside the services' code, validates the whole, shows the difference, publishes by conditional update, waits until a revision is in force, shows status and time line, and drains processes. A wait asks each process directly, since the members' table of one entry host lags by minutes for processes that it rarely hears.

--- /dev/null
+++ b/crates/ctl/src/cli/tests.rs
@@ -0,0 +1,12 @@
+use super::command;
+
+// Guards against arguments that contradict each other, which clap finds only when it is asked.
+#[test]
+fn command_line_is_consistent() {
+    command().debug_assert();
+}
+
+#[test]
+fn help_lists_the_commands_and_exit_codes() {
+    insta::assert_snapshot!(command().term_width(90).render_help());
+}
--- a/crates/daemon/src/run/mod.rs
+++ b/crates/daemon/src/run/mod.rs
@@ -127,6 +127,5 @@
         address: engine.address.to_string(),
         service: engine.service,
         kind: engine.kind,
-        concurrency: engine.concurrency,
     }
 }
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -29,9 +29,6 @@
         _ => {}
     }
     if let Some(engine) = &settings.engine {
-        if engine.concurrency == 0 {
-            report("engine.concurrency", "must be at least 1");
-        }
         if engine.service.is_empty() {
             report("engine.service", "must name the service");
         }
--- a/crates/daemon/src/settings/model.rs
+++ b/crates/daemon/src/settings/model.rs
@@ -75,8 +75,6 @@
     pub service: String,
     /// What it is: `model` or `plain`.
     pub kind: ServiceKind,
-    /// Requests that it runs at once.
-    pub concurrency: usize,
 }
 
 impl Default for Settings {
@@ -107,7 +105,6 @@
             address: SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
             service: String::new(),
             kind: ServiceKind::Model,
-            concurrency: 16,
         }
     }
 }
--- a/crates/net/src/admin/mod.rs
+++ b/crates/net/src/admin/mod.rs
@@ -6,5 +6,5 @@
 #[cfg(test)]
 mod tests;
 
-pub use routes::{Admin, TimelineQuery};
+pub use routes::{Admin, filter_query, parse_filter};
 pub use status::{MemberStatus, Status};
--- a/crates/net/src/admin/routes.rs
+++ b/crates/net/src/admin/routes.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use eelgrasshold_core::config::Config;
-use eelgrasshold_core::event::Record;
+use eelgrasshold_core::event::Filter;
 use http::{Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use serde::Serialize;
@@ -35,54 +35,42 @@
     }
 }
 
-/// Which events `GET /v1/timeline` answers with.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct TimelineQuery {
-    /// Only those about this request.
-    pub request: Option<String>,
-    /// Only those about this group.
-    pub group: Option<String>,
-    /// Only those since this time, in milliseconds of the Unix epoch.
-    pub since_ms: Option<u64>,
-}
-
-impl TimelineQuery {
-    /// Reads `request=ID&group=ID&since_ms=N`; unknown parameters are an error.
-    ///
-    /// # Errors
-    ///
-    /// A sentence for the operator if a parameter is unknown or malformed.
-    pub fn parse(query: &str) -> Result<Self, String> {
-        let mut parsed = Self::default();
-        for pair in query.split('&').filter(|pair| !pair.is_empty()) {
-            let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
-            match name {
-                "request" => parsed.request = Some(value.to_owned()),
-                "group" => parsed.group = Some(value.to_owned()),
-                "since_ms" => {
-                    let since = value
-                        .parse()
-                        .map_err(|_| "since_ms must be a number".to_owned());
-                    parsed.since_ms = Some(since?);
-                }
-                other => return Err(format!("`{other}` is no parameter of the time line")),
-            }
+/// Reads `request=ID&group=ID&from_ms=N&until_ms=N`.
+///
+/// # Errors
+///
+/// A sentence for the operator if a parameter is unknown or malformed.
+pub fn parse_filter(query: &str) -> Result<Filter, String> {
+    let mut filter = Filter::default();
+    for pair in query.split('&').filter(|pair| !pair.is_empty()) {
+        let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
+        let time = || {
+            let time: Result<u64, _> = value.parse();
+            time.map_err(|_| format!("`{name}` must be a number of milliseconds"))
+        };
+        match name {
+            "request" => filter.request = Some(value.to_owned()),
+            "group" => filter.group = Some(value.to_owned()),
+            "from_ms" => filter.from_ms = Some(time()?),
+            "until_ms" => filter.until_ms = Some(time()?),
+            other => return Err(format!("`{other}` is no parameter of the time line")),
         }
-        Ok(parsed)
     }
+    Ok(filter)
+}
 
-    fn matches(&self, record: &Record) -> bool {
-        self.request
-            .as_ref()
-            .is_none_or(|id| record.request.as_ref() == Some(id))
-            && self
-                .group
-                .as_ref()
-                .is_none_or(|id| record.group.as_ref() == Some(id))
-            && self
-                .since_ms
-                .is_none_or(|since| record.stamp.wall_ms >= since)
-    }
+/// A filter as [`parse_filter`] reads it.
+#[must_use]
+pub fn filter_query(filter: &Filter) -> String {
+    let times = [("from_ms", filter.from_ms), ("until_ms", filter.until_ms)];
+    let times = times.map(|(name, time)| (name, time.map(|time| time.to_string())));
+    let ids = [
+        ("request", filter.request.clone()),
+        ("group", filter.group.clone()),
+    ];
+    let pairs = ids.into_iter().chain(times);
+    let given = pairs.filter_map(|(name, value)| Some(format!("{name}={}", value?)));
+    given.collect::<Vec<_>>().join("&")
 }
 
 impl Admin {
@@ -101,6 +89,7 @@
             (&Method::GET, "/readyz") => self.ready(),
             (&Method::GET, "/metrics") => text(StatusCode::OK, self.metrics.render()),
             (&Method::GET, "/v1/status") => json(&(self.status)()),
+            (&Method::GET, "/v1/revision") => json(&(self.status)().revision),
             (&Method::GET, "/v1/timeline") => self.timeline(query),
             (&Method::GET, "/v1/config") => match (self.config)() {
                 Some(cfg) => json(&*cfg),
@@ -129,12 +118,12 @@
     }
 
     fn timeline(&self, query: &str) -> Response<Body> {
-        let query = match TimelineQuery::parse(query) {
-            Ok(query) => query,
+        let filter = match parse_filter(query) {
+            Ok(filter) => filter,
             Err(reason) => return text(StatusCode::BAD_REQUEST, format!("{reason}\n")),
         };
         let mut records = self.timeline.records();
-        records.retain(|record| query.matches(record));
+        records.retain(|record| filter.passes(record));
         json(&records)
     }
 }
--- a/crates/net/src/host/options.rs
+++ b/crates/net/src/host/options.rs
@@ -17,8 +17,6 @@
     pub service: ServiceId,
     /// What it is.
     pub kind: ServiceKind,
-    /// Requests that it runs at once.
-    pub concurrency: usize,
 }
 
 /// Options of a process.
--- a/crates/net/src/host/upstream.rs
+++ b/crates/net/src/host/upstream.rs
@@ -9,6 +9,7 @@
 use eelgrasshold_core::fleet::{
     FleetSettings, FleetUpstream, Input as FleetInput, Output as FleetOutput,
 };
+use eelgrasshold_core::serving::queue::Policy;
 use eelgrasshold_core::upstream::Upstream;
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
@@ -61,7 +62,7 @@
         let shared = Arc::new(Shared::default());
         let incarnation = new_incarnation();
         let driver = UpstreamDriver::new(
-            Upstream::new(engine.concurrency),
+            Upstream::new(Policy::builder().build().concurrency()),
             Engine::new(engine.address.clone(), engine.kind),
             incarnation,
             Arc::clone(&base.timeline),
@@ -188,8 +189,10 @@
     .seeds(options.seeds.clone());
     let machine = FleetUpstream::new(settings, options.seed);
     let (shared, driver) = (Arc::clone(shared), Arc::clone(driver));
+    let service = engine.service.clone();
     let on = move |_: &FleetUpstream, output| match output {
         FleetOutput::ConfigInForce(cfg) => {
+            driver.set_policy(Policy::of_service(&cfg, &service));
             *shared.cfg.write().unwrap_or_else(PoisonError::into_inner) = Some(cfg);
         }
         FleetOutput::Incarnation(incarnation) => driver.set_incarnation(incarnation),
--- a/crates/net/src/upstream/driver.rs
+++ b/crates/net/src/upstream/driver.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use eelgrasshold_core::event::Stamp;
+use eelgrasshold_core::serving::queue::Policy;
 use eelgrasshold_core::types::{AttemptId, Incarnation, Load, Run};
 use eelgrasshold_core::upstream::{Bounce, Input, Output, Timer, Upstream};
 use http::{Request, Response};
@@ -77,6 +78,11 @@
         work::serve(self, request).await
     }
 
+    /// Puts the settings of the service into force.
+    pub fn set_policy(&self, policy: Policy) {
+        self.feed(Input::Policy(policy));
+    }
+
     /// Begins a graceful shutdown; [`Self::drained`] tells when it is over.
     pub fn leave(&self) {
         self.feed(Input::Leave);
--- a/crates/standins/tests/whole_path.rs
+++ b/crates/standins/tests/whole_path.rs
@@ -53,7 +53,6 @@
                 address: engine.address().to_string(),
                 service: "drafts".into(),
                 kind: ServiceKind::Model,
-                concurrency: 16,
             };
             upstreams.push(UpstreamHost::start(options, behind).await.unwrap());
             engines.push(engine);
