Add the stand-ins of the plain service and the weight store

At-most-once and the sharing of the weight store's bandwidth had nothing to be tested against.

The plain service echoes requests, records each run by request id and idempotency key, and fails before or after the run.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,5 +6,7 @@
 pub mod engine;
 mod http_util;
 pub mod model;
+pub mod plain;
 pub mod platform;
 pub mod server;
+pub mod weights;
--- /dev/null
+++ b/crates/standins/src/plain/handler.rs
@@ -0,0 +1,113 @@
+//! HTTP side of the plain service.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::{StreamExt, stream};
+use http::{HeaderValue, Request, StatusCode};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+
+use super::Echo;
+use super::state::{Execution, Failure, Shared, take_failure, take_one};
+use crate::http_util::{Body, Hangup, Outcome, empty, header, json, read_body};
+use crate::server::Handler;
+
+/// Largest body of a request, in bytes.
+const MAX_BODY_BYTES: usize = 8 << 20;
+
+pub(super) fn new(shared: &Arc<Shared>) -> Handler {
+    let shared = shared.clone();
+    Arc::new(move |req| {
+        let shared = shared.clone();
+        Box::pin(async move { handle(&shared, req).await })
+    })
+}
+
+async fn handle(shared: &Shared, req: Request<Incoming>) -> Outcome {
+    let (parts, body) = req.into_parts();
+    let body = match read_body(body, MAX_BODY_BYTES).await {
+        Ok(body) => body,
+        Err(refused) => return Ok(refused),
+    };
+    let request_id = match header(&parts.headers, "x-request-id") {
+        "" => header(&parts.headers, "eel-request-id"),
+        id => id,
+    };
+    let echo = Echo {
+        method: parts.method.to_string(),
+        path: parts.uri.to_string(),
+        request_id: request_id.to_owned(),
+        idempotency_key: header(&parts.headers, "idempotency-key").to_owned(),
+        body: String::from_utf8_lossy(&body).into_owned(),
+    };
+    run(shared, echo).await
+}
+
+/// Runs a request. Its effect comes first and the latency after it, so that a
+/// request whose caller gives up has run.
+async fn run(shared: &Shared, echo: Echo) -> Outcome {
+    let latency = {
+        let mut state = shared.lock();
+        state.counters.requests += 1;
+        if let Some(failure) = take_failure(&mut state.faults.before) {
+            state.counters.failed_before += 1;
+            return fail(failure);
+        }
+        state.run(Execution {
+            request_id: echo.request_id.clone(),
+            idempotency_key: echo.idempotency_key.clone(),
+            method: echo.method.clone(),
+            path: echo.path.clone(),
+        });
+        state.faults.latency
+    };
+    if !latency.is_zero() {
+        tokio::time::sleep(latency).await;
+    }
+    finish(shared, echo)
+}
+
+fn finish(shared: &Shared, mut echo: Echo) -> Outcome {
+    let (crossed, cut) = {
+        let mut state = shared.lock();
+        if let Some(failure) = take_failure(&mut state.faults.after) {
+            state.counters.failed_after += 1;
+            return fail(failure);
+        }
+        let faults = &mut state.faults;
+        (take_one(&mut faults.crossed), take_one(&mut faults.cuts))
+    };
+    if crossed {
+        echo.request_id.push_str("-crossed");
+        echo.body.push_str(" crossed");
+    }
+    let mut response = json(StatusCode::OK, &echo);
+    if cut {
+        *response.body_mut() = broken_body();
+    }
+    // The echo lets the receiver notice an answer to another request.
+    if let Ok(id) = HeaderValue::from_str(&echo.request_id) {
+        response.headers_mut().insert("x-request-id", id);
+    }
+    Ok(response)
+}
+
+fn fail(failure: Failure) -> Outcome {
+    match failure {
+        Failure::HangUp => Err(Hangup),
+        Failure::Status(status) => Ok(empty(status)),
+    }
+}
+
+/// The start of an echo, after which the connection breaks.
+fn broken_body() -> Body {
+    let start = Frame::data(Bytes::from_static(b"{\"method\":"));
+    let end = stream::once(async {
+        // While the body waits, the server sends the head and the start of the answer.
+        tokio::task::yield_now().await;
+        Err(Hangup)
+    });
+    let frames = stream::once(async { Ok(start) }).chain(end);
+    StreamBody::new(frames).boxed_unsync()
+}
--- /dev/null
+++ b/crates/standins/src/weights/rate.rs
@@ -0,0 +1,26 @@
+//! Rate that all downloads share.
+
+use std::time::Duration;
+
+/// Gives out times at which bytes may be sent.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Pace {
+    bytes_per_s: u64,
+    free_at: Duration,
+}
+
+impl Pace {
+    pub(super) fn new(bytes_per_s: u64) -> Self {
+        Self {
+            bytes_per_s: bytes_per_s.max(1),
+            free_at: Duration::ZERO,
+        }
+    }
+
+    /// When the next `bytes` have been sent at the shared rate.
+    pub(super) fn reserve(&mut self, now: Duration, bytes: usize) -> Duration {
+        let takes = Duration::from_secs_f64(bytes as f64 / self.bytes_per_s as f64);
+        self.free_at = self.free_at.max(now) + takes;
+        self.free_at
+    }
+}
