Add routing, subsets and the crest and retries experiments

Routing compared the entry host's own requests and the reported queue only, took the same upstream twice as both samples, never let a report age, and connected each entry host to all upstreams.

The entry machine now takes the better of two distinct samples by estimated load and wait in ms, follows prefix affinity as far as the prefill saves, and uses a subset of 20 upstreams with its own data centre first. Predicted waits are corrected by the team's true ones, and short work waits 500 ms at most.

--- a/crates/core/src/entry/attempts.rs
+++ b/crates/core/src/entry/attempts.rs
@@ -41,7 +41,7 @@
             return;
         }
         self.avoid_upstreams(now, handle);
-        let Some(upstream) = self.choose(handle) else {
+        let Some(upstream) = self.choose(now, handle) else {
             let detail = "no upstream of the service can take the request";
             let run = self.requests.get(&handle).map_or(Run::NotRun, Held::run);
             let refusal = Refusal {
@@ -141,7 +141,7 @@
         let (handle, host) = (known.handle, known.host.clone());
         match event {
             AttemptEvent::Accepted(load) => {
-                self.report_load(&host, load);
+                self.report_load(now, &host, load);
                 self.answered(now, attempt, out);
             }
             AttemptEvent::Chunk { first, count } => {
@@ -149,13 +149,13 @@
                 self.chunk(now, handle, first, count, out);
             }
             AttemptEvent::Finished(load) => {
-                self.report_load(&host, load);
+                self.report_load(now, &host, load);
                 self.answered(now, attempt, out);
                 self.end_attempt(attempt);
                 self.finish(now, handle, out);
             }
             AttemptEvent::Bounced(reason, load) => {
-                self.report_load(&host, load);
+                self.report_load(now, &host, load);
                 self.bounced(now, attempt, reason, out);
             }
             AttemptEvent::Failed(run) => {
@@ -187,8 +187,9 @@
         self.retry(now, ended.handle, Run::NotRun, out);
     }
 
-    fn report_load(&mut self, host: &HostId, load: Load) {
-        self.loads.entry(host.clone()).or_default().reported = load;
+    fn report_load(&mut self, now: Now, host: &HostId, load: Load) {
+        let view = self.loads.entry(host.clone()).or_default();
+        view.report(now, load);
     }
 
     /// Takes the first sign of an answer; of two attempts the one that answers first stays.
--- a/crates/core/src/entry/held.rs
+++ b/crates/core/src/entry/held.rs
@@ -4,7 +4,7 @@
 
 use crate::serving::claims::Claim;
 use crate::serving::suspects::ShareId;
-use crate::types::{AttemptId, HostId, Load, Now, Request, RequestHandle, Run, WorkClass};
+use crate::types::{AttemptId, HostId, Now, Request, RequestHandle, Run, WorkClass};
 
 /// The claim of a request's idempotency key.
 #[derive(Clone, Copy, Debug)]
@@ -80,10 +80,3 @@
     /// It runs alone, as a suspect.
     pub(super) alone: bool,
 }
-
-/// Load of an upstream, as far as this host knows.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Outstanding {
-    pub(super) own: u32,
-    pub(super) reported: Load,
-}
--- a/crates/core/src/entry/machine.rs
+++ b/crates/core/src/entry/machine.rs
@@ -4,20 +4,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
 
 use super::claiming::Claiming;
-use super::held::{Attempt, Held, Outstanding};
+use super::held::{Attempt, Held};
 use super::{Input, Output, PeerMessage, Timer, UpstreamInfo};
 use crate::config::Config;
 use crate::event::{Event, EventKind};
 use crate::serving::health::Health;
 use crate::serving::retry::{Budgets, HedgeDelay};
+use crate::serving::routing::LoadView;
 use crate::serving::suspects::{Sharing, Suspects};
 use crate::types::{
-    AttemptId, HostId, Incarnation, Now, Refusal, RefusalKind, Request, RequestHandle, RequestId,
-    ServiceId, TeamId, WorkClass,
+    AttemptId, DataCentreId, HostId, Incarnation, Now, Refusal, RefusalKind, Request,
+    RequestHandle, RequestId, ServiceId, TeamId, WorkClass,
 };
 
 /// Time between two ticks.
@@ -34,15 +35,17 @@
     pub(super) rng: SmallRng,
     pub(super) cfg: Option<Arc<Config>>,
     pub(super) upstreams: BTreeMap<HostId, UpstreamInfo>,
-    /// Upstreams of each service that are not leaving.
+    /// Upstreams of each service that this host uses: its subset, without those that are leaving.
     pub(super) peers: BTreeMap<ServiceId, Vec<HostId>>,
     /// Lives of upstream processes that said themselves that they are leaving.
     pub(super) left: BTreeSet<(HostId, Incarnation)>,
-    pub(super) loads: BTreeMap<HostId, Outstanding>,
+    pub(super) loads: BTreeMap<HostId, LoadView>,
     pub(super) requests: BTreeMap<RequestHandle, Held>,
     pub(super) by_id: BTreeMap<(TeamId, RequestId), RequestHandle>,
     pub(super) attempts: BTreeMap<AttemptId, Attempt>,
     pub(super) live_hosts: Vec<HostId>,
+    /// Data centres of the live entry hosts.
+    pub(super) locations: BTreeMap<HostId, DataCentreId>,
     pub(super) claiming: Claiming,
     pub(super) budgets: Budgets,
     pub(super) hedge_delays: BTreeMap<ServiceId, HedgeDelay>,
@@ -72,6 +75,7 @@
             by_id: BTreeMap::new(),
             attempts: BTreeMap::new(),
             live_hosts: Vec::new(),
+            locations: BTreeMap::new(),
             claiming: Claiming::default(),
             budgets: Budgets::default(),
             hedge_delays: BTreeMap::new(),
@@ -117,6 +121,10 @@
             Input::CallerGone(handle) => self.caller_gone(now, handle, &mut out),
             Input::Attempt(attempt, event) => self.attempt(now, attempt, event, &mut out),
             Input::EntryHosts(list) => self.set_entry_hosts(now, list, &mut out),
+            Input::Locations(locations) => {
+                self.locations = locations;
+                self.list_peers();
+            }
             Input::Peer { from, message } => self.peer(now, from, message, &mut out),
             Input::Platform { id, reply } => self.platform(now, id, reply, &mut out),
             Input::Drain => self.draining = true,
@@ -194,18 +202,11 @@
         }
     }
 
-    fn list_peers(&mut self) {
-        self.peers.clear();
-        for upstream in self.upstreams.values().filter(|u| !u.leaving) {
-            let peers = self.peers.entry(upstream.service.clone()).or_default();
-            peers.push(upstream.host.clone());
-        }
-    }
-
     fn set_entry_hosts(&mut self, now: Now, list: Vec<HostId>, out: &mut Vec<Output>) {
         self.claiming.set_owners(&list, &self.host);
         self.sharing.retain_hosts(&list);
         self.live_hosts = list;
+        self.list_peers();
         self.end_shares(now, out);
     }
 
@@ -235,7 +236,8 @@
     }
 
     fn admit(&mut self, now: Now, handle: RequestHandle, request: Request, out: &mut Vec<Output>) {
-        if let Some(refusal) = self.reason_to_refuse(&request) {
+        let refusal = self.reason_to_refuse(&request);
+        if let Some(refusal) = refusal.or_else(|| self.out_of_reach(now, &request)) {
             push_refusal(handle, &request, refusal, out);
             return;
         }
@@ -286,35 +288,6 @@
         }
         None
     }
-
-    /// The better of two sampled upstreams, by own requests in flight and reported queue.
-    pub(super) fn choose(&mut self, handle: RequestHandle) -> Option<UpstreamInfo> {
-        let held = self.requests.get(&handle)?;
-        let serves = |u: &&UpstreamInfo| u.service == held.request.service && !u.leaving;
-        let mut candidates: Vec<_> = self
-            .upstreams
-            .values()
-            .filter(serves)
-            .filter(|u| !held.tried.contains(&u.host))
-            .collect();
-        if candidates.is_empty() && held.request.class == WorkClass::Idempotent {
-            candidates = self.upstreams.values().filter(serves).collect();
-        }
-        if candidates.is_empty() {
-            return None;
-        }
-        let first = candidates[self.rng.random_range(0..candidates.len())];
-        let second = candidates[self.rng.random_range(0..candidates.len())];
-        let cost = |u: &UpstreamInfo| {
-            let load = self.loads.get(&u.host).copied().unwrap_or_default();
-            load.own + load.reported.queued
-        };
-        Some(if cost(second) < cost(first) {
-            second.clone()
-        } else {
-            first.clone()
-        })
-    }
 }
 
 pub(super) fn event(kind: EventKind, request: &Request, detail: &str) -> Output {
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -46,6 +46,7 @@
 //! ```
 
 mod attempts;
+mod choosing;
 mod claiming;
 mod ending;
 mod held;
@@ -57,6 +58,7 @@
 #[cfg(test)]
 mod tests;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -126,6 +128,8 @@
     Attempt(AttemptId, AttemptEvent),
     /// The live entry hosts, this one included, changed.
     EntryHosts(Vec<HostId>),
+    /// The data centres of the live entry hosts changed; without them, all count as one.
+    Locations(BTreeMap<HostId, DataCentreId>),
     /// A message of another daemon arrived.
     Peer {
         /// Its sender.
--- a/crates/core/src/entry/retrying.rs
+++ b/crates/core/src/entry/retrying.rs
@@ -91,7 +91,7 @@
             return;
         }
         self.avoid_upstreams(now, handle);
-        let Some(upstream) = self.choose(handle) else {
+        let Some(upstream) = self.choose(now, handle) else {
             return;
         };
         let Some(held) = self.requests.get(&handle) else {
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -3,5 +3,8 @@
 pub mod claims;
 pub mod health;
 pub mod queue;
+mod rendezvous;
 pub mod retry;
+pub mod routing;
+pub mod subset;
 pub mod suspects;
--- a/crates/core/src/serving/queue/admission.rs
+++ b/crates/core/src/serving/queue/admission.rs
@@ -72,8 +72,13 @@
 
 /// Whether work may be queued: its wait is short enough and its deadline can be met.
 #[must_use]
-pub fn admits(policy: &Policy, wait: Duration, run: Duration, time_left: Duration) -> bool {
-    let longest = policy.max_wait().max(run / 2);
+pub fn admits(policy: &Policy, wait: Duration, run: Duration, item: &Item) -> bool {
+    let time_left = item.request.deadline;
+    let longest = if item.long {
+        policy.max_wait().max(run / 2)
+    } else {
+        policy.max_wait()
+    };
     wait <= longest && wait.mul_f64(WAIT_MARGIN) + run <= time_left
 }
 
--- a/crates/core/src/serving/queue/item.rs
+++ b/crates/core/src/serving/queue/item.rs
@@ -1,5 +1,7 @@
 //! Work that waits.
 
+use std::time::Duration;
+
 use crate::types::{AttemptId, Now, Request};
 
 /// Cost of a prompt token in tokens produced. Engines prefill some 30 to 60
@@ -17,6 +19,8 @@
     pub arrived: Now,
     /// Latest start that is expected to meet the deadline; then the work is dropped.
     pub latest_start: Now,
+    /// Wait that was predicted, before correction.
+    pub predicted_wait: Duration,
     /// Tokens that it is expected to produce; a plain call counts as one.
     pub expected_tokens: f64,
     /// It is expected to be long.
--- a/crates/core/src/serving/queue/mod.rs
+++ b/crates/core/src/serving/queue/mod.rs
@@ -12,6 +12,7 @@
 mod lengths;
 mod levels;
 mod policy;
+mod waits;
 
 #[cfg(test)]
 mod tests;
@@ -21,3 +22,4 @@
 pub use lengths::Lengths;
 pub use levels::{Level, Levels, Running};
 pub use policy::{Policy, PolicyBuilder};
+pub use waits::Waits;
--- a/crates/core/src/serving/queue/policy.rs
+++ b/crates/core/src/serving/queue/policy.rs
@@ -6,6 +6,10 @@
 use crate::config::{Config, Service};
 use crate::types::{ServiceId, TeamId};
 
+/// Longest predicted wait of short work. The first token is due within 0.61 s,
+/// network and prefill included.
+const MAX_WAIT: Duration = Duration::from_millis(500);
+
 /// Settings of the queue in front of an upstream.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Policy {
@@ -27,7 +31,7 @@
                 concurrency: service.concurrency as usize,
                 long_tokens: service.long_tokens,
                 long_share_percent: service.long_share_percent,
-                max_wait: Duration::from_secs(1),
+                max_wait: MAX_WAIT,
                 max_queued: 1_024,
                 weights: BTreeMap::new(),
             },
--- a/crates/core/src/serving/queue/tests.rs
+++ b/crates/core/src/serving/queue/tests.rs
@@ -27,6 +27,7 @@
         request: request(team),
         arrived: Now::ZERO,
         latest_start: Now::from_secs(10),
+        predicted_wait: Duration::ZERO,
         expected_tokens: tokens,
         long: tokens >= 512.0,
     }
@@ -208,12 +209,33 @@
 // Guards against work that is queued though its deadline can't be met, and refused much later.
 #[test]
 fn work_is_admitted_only_if_wait_and_run_fit_the_deadline() {
-    let policy = Policy::builder().build();
+    let policy = Policy::builder().max_wait(Duration::from_secs(1)).build();
+    let ms = Duration::from_millis;
+    let with = |deadline, tokens| {
+        let mut item = item(1, "a", tokens);
+        item.request.deadline = deadline;
+        item
+    };
+    let (short, lenient) = (with(ms(1_000), 10.0), with(ms(60_000), 10.0));
+    let long = with(ms(60_000), 600.0);
+    assert!(admission::admits(&policy, ms(100), ms(500), &short));
+    assert!(!admission::admits(&policy, ms(500), ms(500), &short));
+    assert!(!admission::admits(&policy, ms(1_100), ms(5_000), &lenient));
+    assert!(admission::admits(&policy, ms(1_100), ms(5_000), &long));
+}
+
+// Guards against waits of a large team that are predicted too short for as long as others pass it.
+#[test]
+fn predicted_waits_are_corrected_by_the_team_s_true_ones() {
+    let mut waits = Waits::default();
+    let (large, small) = ("large".into(), "small".into());
     let ms = Duration::from_millis;
-    assert!(admission::admits(&policy, ms(100), ms(500), ms(1_000)));
-    assert!(!admission::admits(&policy, ms(500), ms(500), ms(1_000)));
-    assert!(!admission::admits(&policy, ms(1_100), ms(500), ms(60_000)));
-    assert!(admission::admits(&policy, ms(1_100), ms(5_000), ms(60_000)));
+    for _ in 0..50 {
+        waits.learn(&large, ms(400), ms(2_000));
+        waits.learn(&small, ms(400), ms(100));
+    }
+    assert!(waits.correct(&large, ms(400)) > ms(1_600));
+    assert_eq!(waits.correct(&small, ms(400)), ms(400));
 }
 
 // Guards against bounces before the engine's speed is known, when any wait is a guess.
--- /dev/null
+++ b/crates/core/src/serving/routing/tests.rs
@@ -0,0 +1,142 @@
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::*;
+use crate::types::{Load, WorkClass};
+
+fn request(prefix: Option<u64>, prompt_tokens: u32) -> Request {
+    Request {
+        id: "r".into(),
+        service: "drafts".into(),
+        team: "a".into(),
+        priority: 4,
+        deadline: Duration::from_secs(10),
+        class: WorkClass::Idempotent,
+        idempotency_key: None,
+        fingerprint: 1,
+        prefix,
+        prompt_tokens,
+        max_tokens: 100,
+        resume_from: 0,
+    }
+}
+
+fn loaded(in_flight: u32, predicted_wait_ms: u32) -> LoadView {
+    let mut view = LoadView::default();
+    let load = Load {
+        in_flight,
+        predicted_wait_ms,
+        ..Load::default()
+    };
+    view.report(Now::ZERO, load);
+    view
+}
+
+fn hosts(n: usize) -> Vec<HostId> {
+    (0..n).map(|i| format!("up-{i}")).collect()
+}
+
+fn candidates(hosts: &[HostId], load: impl Fn(usize) -> LoadView) -> Vec<Candidate<'_>> {
+    let each = hosts.iter().enumerate();
+    each.map(|(n, host)| Candidate {
+        host,
+        load: load(n),
+    })
+    .collect()
+}
+
+// Guards against sampling the same upstream twice, which may pick the most loaded of all.
+#[test]
+fn most_loaded_upstream_is_never_chosen() {
+    let hosts = hosts(3);
+    let candidates = candidates(&hosts, |n| loaded(if n == 1 { 9 } else { 1 }, 0));
+    let mut rng = SmallRng::seed_from_u64(1);
+    for _ in 0..200 {
+        let chosen = choose(&mut rng, Now::ZERO, &request(None, 10), &candidates);
+        assert_ne!(chosen, Some(&hosts[1]));
+    }
+}
+
+// Guards against requests that are counted twice, as own ones and as part of the report.
+#[test]
+fn own_requests_are_counted_once() {
+    let mut view = LoadView::default();
+    view.own = 3;
+    let load = Load {
+        in_flight: 5,
+        ..Load::default()
+    };
+    view.report(Now::ZERO, load);
+    view.own = 4;
+    assert!((view.in_flight(Now::ZERO) - 6.0).abs() < 1e-9);
+}
+
+// Guards against an old report that keeps all work away from an upstream for ever.
+#[test]
+fn old_reports_lose_their_worth() {
+    let view = loaded(10, 1_000);
+    assert!(view.cost_ms(Now::from_secs(4)) < view.cost_ms(Now::ZERO) * 0.51);
+    assert!(view.cost_ms(Now::from_secs(60)) < 1.0);
+    assert_eq!(view.certain_wait(Now::from_secs(1)), Duration::ZERO);
+    assert_eq!(view.certain_wait(Now::ZERO), Duration::from_secs(1));
+}
+
+// Guards against entry hosts that send one prefix to different upstreams, which caches it everywhere.
+#[test]
+fn prefix_goes_to_the_same_upstream_from_each_entry_host() {
+    let hosts = hosts(12);
+    let candidates = candidates(&hosts, |_| loaded(3, 0));
+    let request = request(Some(77), 1_000);
+    let mut chosen: Vec<_> = (0..50)
+        .map(|seed| {
+            let mut rng = SmallRng::seed_from_u64(seed);
+            choose(&mut rng, Now::ZERO, &request, &candidates)
+        })
+        .collect();
+    chosen.dedup();
+    assert_eq!(chosen.len(), 1);
+}
+
+// Guards against affinity that costs more wait than the prefill that it saves.
+#[test]
+fn prefix_is_left_when_its_upstreams_wait_longer_than_the_prefill() {
+    let hosts = hosts(12);
+    let idle = candidates(&hosts, |_| loaded(3, 0));
+    let request = request(Some(77), 1_000);
+    let homes = prefix_homes(77, &idle);
+    let homes: Vec<_> = homes.iter().map(|h| h.host.clone()).collect();
+    let wait = |ms| {
+        let homes = homes.clone();
+        let hosts = &hosts;
+        move |n: usize| loaded(3, if homes.contains(&hosts[n]) { ms } else { 0 })
+    };
+    let chosen = |ms| {
+        let mut rng = SmallRng::seed_from_u64(3);
+        let candidates = candidates(&hosts, wait(ms));
+        choose(&mut rng, Now::ZERO, &request, &candidates).cloned()
+    };
+    assert!(homes.contains(&chosen(40).unwrap()));
+    assert!(!homes.contains(&chosen(60).unwrap()));
+}
+
+// Guards against a popular prefix with a long prompt that piles up on one upstream.
+#[test]
+fn prefix_is_left_when_its_upstreams_are_far_more_loaded() {
+    let hosts = hosts(12);
+    let idle = candidates(&hosts, |_| loaded(0, 0));
+    let homes: Vec<_> = prefix_homes(77, &idle).iter().map(|h| h.host).collect();
+    let candidates = candidates(&hosts, |n| {
+        loaded(if homes.contains(&&hosts[n]) { 16 } else { 10 }, 0)
+    });
+    let request = request(Some(77), 100_000);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut kept = 0;
+    for _ in 0..100 {
+        let chosen = choose(&mut rng, Now::ZERO, &request, &candidates);
+        kept += u32::from(chosen.is_some_and(|c| homes.contains(&c)));
+    }
+    // Both samples are homes once in 66 times, and then nothing else can be chosen.
+    assert!(kept < 10, "{kept}");
+}
--- /dev/null
+++ b/crates/core/src/serving/routing/view.rs
@@ -0,0 +1,67 @@
+//! What one entry host knows about the load of an upstream.
+
+use std::time::Duration;
+
+use crate::types::{Load, Now};
+
+/// Time in which a report loses half its worth. Requests of other entry hosts
+/// that a report counted end within seconds.
+const REPORT_HALF_LIFE_S: f64 = 4.0;
+/// Age up to which a reported wait counts as certain.
+const CERTAIN: Duration = Duration::from_millis(500);
+/// Time that a request loses to each other one in flight: a larger batch makes
+/// each of its steps longer, and a full one makes it wait.
+const REQUEST_MS: f64 = 50.0;
+
+/// What one entry host knows about the load of an upstream.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LoadView {
+    /// Own requests in flight.
+    pub own: u32,
+    reported: Load,
+    /// Own requests in flight when the report came, which it counted too.
+    own_then: u32,
+    reported_at: Option<Now>,
+}
+
+impl LoadView {
+    /// Takes a report of the upstream.
+    pub fn report(&mut self, now: Now, load: Load) {
+        self.reported = load;
+        self.own_then = self.own;
+        self.reported_at = Some(now);
+    }
+
+    /// Estimated requests that the upstream holds: own ones, and others by the last report.
+    #[must_use]
+    pub fn in_flight(&self, now: Now) -> f64 {
+        let held = self.reported.in_flight.saturating_add(self.reported.queued);
+        let others = f64::from(held.saturating_sub(self.own_then));
+        f64::from(self.own) + others * self.worth(now)
+    }
+
+    /// Time that a new request is expected to lose to the upstream's load, in milliseconds.
+    #[must_use]
+    pub fn cost_ms(&self, now: Now) -> f64 {
+        let wait = f64::from(self.reported.predicted_wait_ms) * self.worth(now);
+        wait + self.in_flight(now) * REQUEST_MS
+    }
+
+    /// Predicted wait of a new request; zero if the last report is too old to tell.
+    #[must_use]
+    pub fn certain_wait(&self, now: Now) -> Duration {
+        let fresh = |at: Now| now.saturating_sub(at) <= CERTAIN;
+        if !self.reported_at.is_some_and(fresh) {
+            return Duration::ZERO;
+        }
+        Duration::from_millis(self.reported.predicted_wait_ms.into())
+    }
+
+    /// Share of the last report that still counts.
+    fn worth(&self, now: Now) -> f64 {
+        let Some(at) = self.reported_at else {
+            return 0.0;
+        };
+        (-now.saturating_sub(at).as_secs_f64() / REPORT_HALF_LIFE_S).exp2()
+    }
+}
--- /dev/null
+++ b/crates/core/src/serving/subset/tests.rs
@@ -0,0 +1,87 @@
+use std::collections::BTreeSet;
+
+use super::*;
+
+fn sites(prefix: &str, counts: &[usize]) -> BTreeMap<HostId, DataCentreId> {
+    let mut sites = BTreeMap::new();
+    for (data_centre, count) in counts.iter().enumerate() {
+        for n in 0..*count {
+            let host = format!("{prefix}-{data_centre}-{n}");
+            sites.insert(host, format!("dc-{data_centre}"));
+        }
+    }
+    sites
+}
+
+fn coverage(
+    entries: &BTreeMap<HostId, DataCentreId>,
+    upstreams: &BTreeMap<HostId, DataCentreId>,
+) -> BTreeMap<HostId, usize> {
+    let mut coverage: BTreeMap<_, _> = upstreams.keys().map(|u| (u.clone(), 0)).collect();
+    for entry in entries.keys() {
+        for upstream in subset(entry, entries, upstreams) {
+            *coverage.entry(upstream).or_default() += 1;
+        }
+    }
+    coverage
+}
+
+// Guards against a small fleet whose entry hosts don't use all upstreams.
+#[test]
+fn few_upstreams_are_all_used() {
+    let (entries, upstreams) = (sites("e", &[3, 2, 2]), sites("u", &[4, 4, 4]));
+    for entry in entries.keys() {
+        assert_eq!(subset(entry, &entries, &upstreams).len(), 12);
+    }
+    assert_eq!(subset(&"unknown".into(), &entries, &upstreams).len(), 12);
+}
+
+// Guards against subsets that are too large, hold an upstream twice, or ignore the data centre.
+#[test]
+fn subsets_are_bounded_and_prefer_the_own_data_centre() {
+    let (entries, upstreams) = (sites("e", &[95; 4]), sites("u", &[150; 4]));
+    for (entry, here) in &entries {
+        let chosen: BTreeSet<_> = subset(entry, &entries, &upstreams).into_iter().collect();
+        assert_eq!(chosen.len(), SUBSET_SIZE);
+        let own = chosen.iter().filter(|u| upstreams[*u] == *here).count();
+        assert_eq!(own, SUBSET_SIZE - MIN_REMOTE);
+    }
+}
+
+// Guards against upstreams that no entry host uses, or that far more use than others.
+#[test]
+fn coverage_is_balanced_with_equal_and_unequal_data_centres() {
+    for (entries, upstreams) in [
+        (sites("e", &[95; 4]), sites("u", &[150; 4])),
+        (sites("e", &[200, 100, 50, 30]), sites("u", &[150; 4])),
+        (sites("e", &[95; 4]), sites("u", &[400, 100, 100, 0])),
+        (sites("e", &[7]), sites("u", &[60])),
+    ] {
+        let coverage = coverage(&entries, &upstreams);
+        let mean = coverage.values().sum::<usize>() as f64 / coverage.len() as f64;
+        let max = coverage.values().max().copied().unwrap_or(0) as f64;
+        let min = coverage.values().min().copied().unwrap_or(0);
+        assert!(min >= 1, "an upstream is in no subset");
+        assert!(max / mean < 1.6, "max {max}, mean {mean}");
+    }
+}
+
+// Guards against one host that comes or goes and reconnects the whole fleet.
+#[test]
+fn one_host_more_moves_few_connections() {
+    let (entries, mut upstreams) = (sites("e", &[95; 4]), sites("u", &[150; 4]));
+    let before: Vec<_> = entries
+        .keys()
+        .map(|e| subset(e, &entries, &upstreams))
+        .collect();
+    upstreams.insert("u-new".into(), "dc-1".into());
+    let mut more_entries = entries.clone();
+    more_entries.insert("e-new".into(), "dc-2".into());
+    let mut moved = 0;
+    for (entry, before) in entries.keys().zip(before) {
+        let after = subset(entry, &more_entries, &upstreams);
+        moved += after.iter().filter(|u| !before.contains(u)).count();
+    }
+    let share = moved as f64 / (entries.len() * SUBSET_SIZE) as f64;
+    assert!(share < 0.1, "{share}");
+}
--- a/crates/core/src/upstream/machine.rs
+++ b/crates/core/src/upstream/machine.rs
@@ -4,7 +4,9 @@
 
 use super::{Bounce, EngineEvent, Input, Output, Timer};
 use crate::event::{Event, EventKind};
-use crate::serving::queue::{FairQueue, Item, Lengths, Level, Levels, Policy, Running, admission};
+use crate::serving::queue::{
+    FairQueue, Item, Lengths, Level, Levels, Policy, Running, Waits, admission,
+};
 use crate::types::{AttemptId, Load, Now, Request, Run};
 
 /// A dispatch older than this is refused: its sender was paused.
@@ -20,6 +22,7 @@
     queue: FairQueue,
     levels: Levels,
     lengths: Lengths,
+    waits: Waits,
     leaving: bool,
     engine_up: bool,
     expire_at: Option<Now>,
@@ -41,6 +44,7 @@
             queue: FairQueue::default(),
             levels: Levels::default(),
             lengths: Lengths::default(),
+            waits: Waits::default(),
             leaving: false,
             engine_up: true,
             expire_at: None,
@@ -112,7 +116,8 @@
         age: Duration,
         out: &mut Vec<Output>,
     ) {
-        let item = self.item(now, attempt, request);
+        let mut item = self.item(now, attempt, request);
+        item.predicted_wait = self.predicted_wait(&item);
         if let Some(reason) = self.reason_to_bounce(&item, age) {
             out.push(self.bounce(&item, reason));
             out.push(about(EventKind::WorkBounced, attempt, &item.request));
@@ -129,6 +134,7 @@
             attempt,
             arrived: now,
             latest_start: admission::latest_start(now + request.deadline, run),
+            predicted_wait: Duration::ZERO,
             expected_tokens,
             long: expected_tokens >= f64::from(self.policy.long_tokens()),
             request,
@@ -150,10 +156,9 @@
         if self.queue.len() >= self.policy.max_queued() {
             return Some(Bounce::QueueFull);
         }
-        let wait = self.predicted_wait(item);
+        let wait = self.waits.correct(&item.request.team, item.predicted_wait);
         let run = admission::expected_run(&self.levels, item.expected_tokens);
-        let left = item.request.deadline;
-        (!admission::admits(&self.policy, wait, run, left)).then_some(Bounce::Deadline)
+        (!admission::admits(&self.policy, wait, run, item)).then_some(Bounce::Deadline)
     }
 
     fn predicted_wait(&self, item: &Item) -> Duration {
@@ -234,6 +239,7 @@
     /// Drops queued work that can no longer meet its deadline.
     fn expire(&mut self, now: Now, out: &mut Vec<Output>) {
         while let Some(item) = self.queue.expire(now) {
+            self.learn_wait(now, &item);
             out.push(self.bounce(&item, Bounce::Deadline));
             out.push(about(EventKind::WorkExpired, item.attempt, &item.request));
         }
@@ -248,6 +254,7 @@
             let Some(item) = self.queue.pop(now, &self.policy, long_level.is_some()) else {
                 return;
             };
+            self.learn_wait(now, &item);
             let level = match long_level {
                 Some(level) if item.long => level,
                 _ => Level::Short,
@@ -262,6 +269,12 @@
         }
     }
 
+    fn learn_wait(&mut self, now: Now, item: &Item) {
+        let waited = now.saturating_sub(item.arrived);
+        self.waits
+            .learn(&item.request.team, item.predicted_wait, waited);
+    }
+
     fn assign_levels(&mut self, now: Now, out: &mut Vec<Output>) {
         let changes = self.levels.assign(now, &self.policy);
         for (attempt, priority) in changes {
--- a/crates/core/src/upstream/tests.rs
+++ b/crates/core/src/upstream/tests.rs
@@ -158,7 +158,8 @@
 // Guards against work that is started though its deadline can't be met any more.
 #[test]
 fn queued_work_is_dropped_once_its_run_no_longer_fits() {
-    let mut up = Upstream::new(1);
+    let policy = Policy::builder().concurrency(1);
+    let mut up = Upstream::with_policy(policy.max_wait(Duration::from_secs(2)).build());
     let mut now = Now::ZERO;
     for attempt in 1..20 {
         up.handle(now, work_of(attempt, "a", Duration::from_secs(60)));
@@ -212,7 +213,7 @@
     let mut up = Upstream::new(1);
     up.handle(Now::ZERO, work(1));
     up.handle(Now::ZERO, work(2));
-    let policy = crate::serving::queue::Policy::builder().concurrency(2);
+    let policy = Policy::builder().concurrency(2);
     let out = up.handle(Now::ZERO, Input::Policy(policy.build()));
     assert_eq!(started(&out), [2]);
 }
--- a/crates/standins/examples/experiment/main.rs
+++ b/crates/standins/examples/experiment/main.rs
@@ -1,6 +1,10 @@
 //! Measures the decisions of the core in virtual time against baselines.
 
+mod crest;
+mod load;
 mod report;
+mod retries;
+mod world;
 
 use clap::{Arg, ArgAction, Command, value_parser};
 
@@ -9,7 +13,18 @@
 /// An experiment: its name, what it measures, and the function that runs it with a seed.
 type Experiment = (&'static str, &'static str, fn(u64) -> Vec<Row>);
 
-const EXPERIMENTS: &[Experiment] = &[];
+const EXPERIMENTS: &[Experiment] = &[
+    (
+        "crest",
+        "quality of service at the peak of a swing in demand",
+        crest::run,
+    ),
+    (
+        "retries",
+        "attempts for each request while upstreams fail",
+        retries::run,
+    ),
+];
 
 fn command() -> Command {
     Command::new("experiment")
