Fix faults that the fuzz test found in attempts and joining ranks

- A lease that lapsed and came back under the same number began to count attempts anew, so two maps had one identity and the second was refused for ever.
Attempts are now counted over the life of a planner.
- A joining rank kept its choice of map when the source of that map was replaced meanwhile, and a new rank did not hear of a committed map that another one was installing.
Both gave two maps in one step.

The test's link from engine to process lost its order when a pause ended early; it is a queue now, as the design states.

--- a/crates/core/src/group/coordinator/machine.rs
+++ b/crates/core/src/group/coordinator/machine.rs
@@ -51,11 +51,9 @@
 #[derive(Clone, Debug, Default)]
 struct Term {
     number: FenceNumber,
-    sequence: u64,
     reports: BTreeMap<RankId, RankReport>,
     map: Option<ExpertMap>,
     running: Option<Running>,
-    ended: Option<Ended>,
     next_poll: Now,
     polls: u32,
 }
@@ -96,6 +94,9 @@
     settings: CoordinatorSettings,
     lease: Lease,
     term: Option<Term>,
+    // These outlive a term: a lease that lapsed may come back under the same number.
+    sequence: u64,
+    ended: Option<Ended>,
     target: Option<Vec<LayerMap>>,
     margin_steps: u64,
 }
@@ -109,6 +110,8 @@
             margin_steps: settings.margin_steps.max(1),
             settings,
             term: None,
+            sequence: 0,
+            ended: None,
             target: None,
         }
     }
@@ -158,6 +161,9 @@
         if let Some(number) = number {
             self.event(EventKind::LeaseLost, format!("number {number}"), out);
         }
+        if let Some(running) = self.term.take().and_then(|t| t.running) {
+            self.ended = Some(Ended::Aborted(running.id.attempt));
+        }
         self.term = held.map(|number| Term {
             number,
             ..Term::default()
@@ -221,7 +227,7 @@
 
     /// Tells a rank that is not settled how the latest attempt ended.
     fn send_ended(&self, to: RankId, out: &mut Vec<Output>) {
-        let Some(ended) = self.term.as_ref().and_then(|t| t.ended.clone()) else {
+        let Some(ended) = self.ended.clone() else {
             return;
         };
         let message = match ended {
@@ -256,10 +262,10 @@
         if change.layers.is_empty() {
             return;
         }
-        term.sequence += 1;
+        self.sequence += 1;
         let attempt = Attempt {
             fence: term.number,
-            sequence: term.sequence,
+            sequence: self.sequence,
         };
         let id = MapId {
             version: map.id.version + 1,
@@ -368,7 +374,7 @@
         }
         let view: View = acked.values().copied().collect();
         term.running = None;
-        term.ended = Some(Ended::Committed {
+        self.ended = Some(Ended::Committed {
             attempt,
             step,
             view,
@@ -395,7 +401,7 @@
                 return self.check_lease(now, out);
             }
             if floor.fence == term.number {
-                term.sequence = term.sequence.max(floor.sequence);
+                self.sequence = self.sequence.max(floor.sequence);
             }
         }
         if term.running.as_ref().map(|r| r.id.attempt) != Some(attempt) {
@@ -417,7 +423,7 @@
         let Some(running) = term.running.take() else {
             return;
         };
-        term.ended = Some(Ended::Aborted(running.id.attempt));
+        self.ended = Some(Ended::Aborted(running.id.attempt));
         term.next_poll = now + self.settings.retry_every;
         if self.target.is_none()
             && let Some(map) = &term.map
--- a/crates/core/src/group/switch/rank.rs
+++ b/crates/core/src/group/switch/rank.rs
@@ -50,6 +50,7 @@
     pub source: RankId,
     pub target: Option<(ExpertMap, Option<Armed>)>,
     pub missing: BTreeSet<Weight>,
+    pub loaded: BTreeSet<Weight>,
 }
 
 #[derive(Clone, Debug)]
@@ -164,6 +165,34 @@
         matches!(self.phase, Phase::Idle) && self.greeted_all() && self.fence.is_learned()
     }
 
+    /// State in a line, for logs and test reports.
+    #[must_use]
+    pub fn summary(&self) -> String {
+        let (phase, attempt) = match &self.phase {
+            Phase::Starting => ("starting", None),
+            Phase::Joining(_) => ("joining", None),
+            Phase::Installing => ("installing", None),
+            Phase::Idle => ("idle", None),
+            Phase::Loading(p) => ("loading", Some(p.id.attempt)),
+            Phase::Ready(p) => ("ready", Some(p.id.attempt)),
+            Phase::Arming { armed, .. } => ("arming", Some(armed.id.attempt)),
+            Phase::Armed(armed) => ("armed", Some(armed.id.attempt)),
+            Phase::Deciding(armed) => ("deciding", Some(armed.id.attempt)),
+            Phase::Committed(armed) => ("committed", Some(armed.id.attempt)),
+            Phase::Retired => ("retired", None),
+        };
+        let Self {
+            step, floor, view, ..
+        } = self;
+        let (fence, learned) = (self.fence.highest(), self.fence.is_learned());
+        let greeted = self.greeted.len();
+        format!(
+            "{phase} {attempt:?} step {step} floor {floor:?} fence {fence} learned {learned} \
+             greeted {greeted} pledged {} pledges {:?} view {view:?}",
+            self.pledged, self.pledges
+        )
+    }
+
     /// Takes an input at the time `now` and returns what the driver shall do.
     pub fn handle(&mut self, now: Now, input: Input) -> Vec<Output> {
         let mut out = Vec::new();
@@ -499,6 +528,7 @@
             }
             Phase::Joining(join) => {
                 join.missing.remove(&weight);
+                join.loaded.insert(weight);
                 self.install_if_loaded(out);
             }
             _ => {}
--- a/crates/core/src/group/switch/resolve.rs
+++ b/crates/core/src/group/switch/resolve.rs
@@ -47,7 +47,14 @@
             pledges.clear();
         }
         match &mut self.phase {
-            Phase::Joining(join) => join.states.clear(),
+            Phase::Joining(join) => {
+                // The rank that the target came from may have lost it, and others may choose
+                // the group's first map, so the choice is made anew.
+                join.states.clear();
+                join.target = None;
+                join.missing.clear();
+                out.push(Output::DropLoads);
+            }
             Phase::Armed(_) => {
                 self.pledges = None;
                 self.start_asking(out);
@@ -124,6 +131,7 @@
             | Phase::Armed(armed)
             | Phase::Deciding(armed)
             | Phase::Committed(armed) => Some(armed.clone()),
+            Phase::Installing => self.join_next.clone(),
             _ => None,
         };
         let known = armed.as_ref().map_or(self.floor, |a| a.id.attempt);
--- a/crates/core/src/group/switch/start.rs
+++ b/crates/core/src/group/switch/start.rs
@@ -167,6 +167,7 @@
         if let Some(next) = next {
             join.missing.extend(next.change.weights(rank));
         }
+        join.missing.retain(|w| !join.loaded.contains(w));
         for weight in &join.missing {
             out.push(Output::WantLoad {
                 weight: *weight,
--- a/crates/core/tests/group_fuzz/world.rs
+++ b/crates/core/tests/group_fuzz/world.rs
@@ -55,7 +55,8 @@
 enum Ev {
     Deliver(RankId, Body),
     Timer(RankId, u64, Part),
-    FromEngine(RankId, u64, EngineEvent),
+    /// What an engine said reaches its process.
+    FromEngine(RankId),
     Loaded(RankId, u64, Weight),
     Call(RankId, u64, Part, CallId, Call),
     /// The answer to a call that takes effect although its caller is told that it was lost.
@@ -86,6 +87,8 @@
     engine: Engine,
     /// Orders on their way, oldest first, with the life that gave them.
     orders: VecDeque<(u64, ToEngine)>,
+    /// What the engine said, oldest first, with the life that it was said to.
+    said: VecDeque<(u64, EngineEvent)>,
     paused_until: Duration,
     cut_until: Duration,
     stalled_until: Duration,
@@ -120,6 +123,7 @@
             process: None,
             engine: Engine::new(rank, 0, checks),
             orders: VecDeque::new(),
+            said: VecDeque::new(),
             paused_until: Duration::ZERO,
             cut_until: Duration::ZERO,
             stalled_until: Duration::ZERO,
@@ -262,7 +266,12 @@
 
     fn phases(&self) -> String {
         let phase = |h: &Host| match &h.process {
-            Some(p) => format!("{:?}\n", p.rank),
+            Some(p) => format!(
+                "life {} lease {:?} {}\n",
+                p.life,
+                p.planner.holds_lease(self.clock(h.engine.rank)),
+                p.rank.summary()
+            ),
             None => "no process\n".into(),
         };
         self.hosts.iter().map(phase).collect()
@@ -311,9 +320,7 @@
 
     fn run(&mut self, ev: Ev) {
         let to_process = match &ev {
-            Ev::Deliver(r, _) | Ev::Timer(r, ..) | Ev::FromEngine(r, ..) | Ev::Reply(r, ..) => {
-                Some(*r)
-            }
+            Ev::Deliver(r, _) | Ev::Timer(r, ..) | Ev::FromEngine(r) | Ev::Reply(r, ..) => Some(*r),
             _ => None,
         };
         if let Some(rank) = to_process
@@ -327,14 +334,19 @@
         match ev {
             Ev::Deliver(to, body) => self.deliver(to, body),
             Ev::Timer(rank, life, part) if self.life(rank) == Some(life) => self.timer(rank, part),
-            Ev::FromEngine(rank, life, event) if self.life(rank) == Some(life) => {
-                self.rank(rank, switch::Input::Engine(event));
+            Ev::FromEngine(rank) => {
+                let said = self.hosts[rank as usize].said.pop_front();
+                if let Some((life, event)) = said
+                    && self.life(rank) == Some(life)
+                {
+                    self.rank(rank, switch::Input::Engine(event));
+                }
             }
             Ev::Reply(rank, life, part, id, reply) if self.life(rank) == Some(life) => match part {
                 Part::Planner => self.planner(rank, coordinator::Input::Platform(id, reply)),
                 _ => self.rank(rank, switch::Input::Platform(id, reply)),
             },
-            Ev::Timer(..) | Ev::FromEngine(..) | Ev::Reply(..) => {}
+            Ev::Timer(..) | Ev::Reply(..) => {}
             Ev::Loaded(rank, life, weight) => self.loaded(rank, life, weight),
             Ev::Call(rank, life, part, id, call) => self.call(rank, life, part, id, call),
             Ev::LateCall(call) => {
@@ -602,7 +614,13 @@
                 }
             }
         };
-        self.push(ms(0), Ev::FromEngine(rank, life, event));
+        self.say(rank, life, event);
+    }
+
+    /// The link from an engine keeps the order, also while its process is paused.
+    fn say(&mut self, rank: RankId, life: u64, event: EngineEvent) {
+        self.hosts[rank as usize].said.push_back((life, event));
+        self.push(ms(0), Ev::FromEngine(rank));
     }
 
     fn loaded(&mut self, rank: RankId, engine_life: u64, weight: Weight) {
@@ -612,8 +630,7 @@
         }
         host.engine.state.loaded.insert(weight);
         if let Some(life) = self.life(rank) {
-            let event = EngineEvent::Loaded(weight);
-            self.push(ms(0), Ev::FromEngine(rank, life, event));
+            self.say(rank, life, EngineEvent::Loaded(weight));
         }
     }
 
@@ -628,7 +645,7 @@
         if let Some(event) = host.engine.try_start(step)
             && let Some(life) = self.life(rank)
         {
-            self.push(ms(0), Ev::FromEngine(rank, life, event));
+            self.say(rank, life, event);
         }
         oracle::check_weights(step, &self.hosts[rank as usize].engine);
         self.run_step();
