Add popularity estimates and the incremental planner

A static map leaves hot experts on single ranks, and planning anew moves most weights each time. The planner shifts shares between loaded copies first and loads weights only if the saving over the horizon exceeds the cost.

--- a/crates/core/src/group/mod.rs
+++ b/crates/core/src/group/mod.rs
@@ -9,6 +9,8 @@
 pub mod fence;
 pub mod lease;
 pub mod map;
+pub mod planner;
+pub mod popularity;
 pub mod switch;
 
 pub use coordinator::GroupPlanner;
--- /dev/null
+++ b/crates/core/src/group/planner/mod.rs
@@ -0,0 +1,148 @@
+//! Plans expert maps: which experts each rank holds, and each copy's share.
+//!
+//! There are two levers. Shifting shares between loaded copies moves no bytes,
+//! so it is used as soon as it predicts a gain above the noise. Loading weights
+//! costs bytes and slows the loading rank, so a load is planned only if the
+//! saving in step time over the horizon exceeds its cost. The plan is
+//! incremental: it starts from the present map and changes a few slots.
+
+mod full;
+mod layer;
+mod moves;
+mod shares;
+mod speed;
+
+#[cfg(test)]
+mod tests;
+
+use std::time::Duration;
+
+use super::map::{ExpertMap, LayerMap};
+use super::popularity::Popularity;
+
+pub use full::full_layer;
+pub use layer::Layer;
+pub use speed::Speeds;
+
+/// Settings of a planner.
+#[derive(Clone, Debug)]
+pub struct PlannerSettings {
+    /// Expert slots on each rank and layer.
+    pub slots_per_rank: u32,
+    /// Weights that a rank can load beside the present map in one switch, over all layers.
+    pub staging_per_rank: u32,
+    /// Time over which a better map is expected to pay.
+    pub horizon: Duration,
+    /// Time that the group loses while one weight is loaded.
+    pub load_cost: Duration,
+    /// Least predicted gain in a layer's time for which shares are shifted.
+    pub min_gain: f64,
+    /// Observations between a count and the use of a plan made from it.
+    pub lag_windows: f64,
+}
+
+impl Default for PlannerSettings {
+    fn default() -> Self {
+        Self {
+            slots_per_rank: 9,
+            staging_per_rank: 16,
+            horizon: Duration::from_secs(60),
+            load_cost: Duration::from_millis(4),
+            min_gain: 0.003,
+            lag_windows: 1.5,
+        }
+    }
+}
+
+/// A planned map.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// All layers, changed or not.
+    pub layers: Vec<LayerMap>,
+    /// Layers that changed.
+    pub changed: usize,
+    /// Weights to load, over all ranks and layers.
+    pub loads: usize,
+}
+
+/// Plans a group's maps from what was observed.
+///
+/// ```
+/// use eelgrasshold_core::group::map::ExpertMap;
+/// use eelgrasshold_core::group::planner::{Planner, PlannerSettings};
+///
+/// let map = ExpertMap::first(2, 1, 4);
+/// let settings = PlannerSettings { slots_per_rank: 3, ..PlannerSettings::default() };
+/// let mut planner = Planner::new(settings, 2);
+/// planner.observe(&[vec![700, 100, 100, 100]]);
+/// let plan = planner.plan(&map).expect("the first rank has four fifths of the work");
+/// assert!(plan.loads > 0);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Planner {
+    settings: PlannerSettings,
+    popularity: Vec<Popularity>,
+    speeds: Speeds,
+}
+
+impl Planner {
+    /// A planner that has observed nothing.
+    #[must_use]
+    pub fn new(settings: PlannerSettings, ranks: u32) -> Self {
+        Self {
+            settings,
+            popularity: Vec::new(),
+            speeds: Speeds::new(ranks),
+        }
+    }
+
+    /// Takes the tokens that each expert processed in a window, by layer.
+    pub fn observe(&mut self, counts: &[Vec<u64>]) {
+        self.popularity.resize(counts.len(), Popularity::default());
+        for (popularity, counts) in self.popularity.iter_mut().zip(counts) {
+            popularity.observe(counts);
+        }
+    }
+
+    /// Takes each rank's processed tokens and the time that it was busy with them.
+    pub fn observe_speed(&mut self, work: &[(u64, Duration)]) {
+        self.speeds.observe(work);
+    }
+
+    /// Estimated speeds; 1 is the group's typical rank.
+    #[must_use]
+    pub fn speeds(&self) -> &Speeds {
+        &self.speeds
+    }
+
+    /// A better map, if the gain exceeds its cost.
+    #[must_use]
+    pub fn plan(&self, map: &ExpertMap) -> Option<Plan> {
+        let mut staging = vec![self.settings.staging_per_rank; self.speeds.values().len()];
+        let layers = map.layers.len().max(1);
+        let horizon_s = self.settings.horizon.as_secs_f64() / layers as f64;
+        let cost = self.settings.load_cost.as_secs_f64() / horizon_s.max(f64::MIN_POSITIVE);
+        let mut plan = Plan {
+            layers: map.layers.clone(),
+            changed: 0,
+            loads: 0,
+        };
+        let pairs = plan.layers.iter_mut().zip(&self.popularity);
+        for (present, popularity) in pairs.filter(|(_, p)| !p.is_empty()) {
+            let expected = popularity.expected(self.settings.lag_windows);
+            let slots = self.settings.slots_per_rank as usize;
+            let Some(mut layer) = Layer::new(present, expected, self.speeds.values(), slots) else {
+                continue;
+            };
+            let before = layer.time();
+            let loads = moves::improve(&mut layer, cost, &mut staging);
+            if before - layer.time() < self.settings.min_gain * layer.balanced_time() {
+                continue;
+            }
+            *present = layer.to_map();
+            plan.changed += 1;
+            plan.loads += loads;
+        }
+        (plan.changed > 0).then_some(plan)
+    }
+}
--- /dev/null
+++ b/crates/core/src/group/planner/shares.rs
@@ -0,0 +1,69 @@
+//! Shares of copies: an expert's traffic goes to its copies so that their ranks
+//! finish at the same time, one expert after another until nothing changes.
+//! This lowers a convex sum (speed times squared time), whose lowest point also
+//! has the lowest time of the slowest rank, since loads can only be exchanged
+//! between ranks that hold the same expert.
+
+use super::layer::Layer;
+
+/// Change of a rank's time, against the balanced time, below which the sweeps end.
+const PRECISION: f64 = 1e-4;
+
+/// Shifts shares between the copies that exist, in at most `sweeps` sweeps.
+pub(super) fn balance(layer: &mut Layer, sweeps: usize) {
+    let replicated: Vec<usize> = (0..layer.copies.len())
+        .filter(|e| layer.copies[*e].len() > 1)
+        .collect();
+    let stop = PRECISION * layer.balanced_time();
+    for _ in 0..sweeps {
+        let mut change: f64 = 0.0;
+        for expert in &replicated {
+            change = change.max(fill(layer, *expert));
+        }
+        if change < stop {
+            return;
+        }
+    }
+}
+
+/// Distributes one expert's traffic; returns the largest change of a copy's load.
+fn fill(layer: &mut Layer, expert: usize) -> f64 {
+    let mut copies = std::mem::take(&mut layer.copies[expert]);
+    let whole = layer.popularity[expert];
+    // Time of each copy's rank without this expert, and the rank's speed.
+    let mut ranks: Vec<(f64, f64)> = copies
+        .iter()
+        .map(|c| {
+            let speed = layer.speeds[c.rank];
+            ((layer.loads[c.rank] - c.load).max(0.0) / speed, speed)
+        })
+        .collect();
+    ranks.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let level = water_level(&ranks, whole);
+    let mut change: f64 = 0.0;
+    for copy in &mut copies {
+        let speed = layer.speeds[copy.rank];
+        let base = (layer.loads[copy.rank] - copy.load).max(0.0);
+        let load = (level * speed - base).max(0.0);
+        change = change.max((load - copy.load).abs());
+        layer.loads[copy.rank] = base + load;
+        copy.load = load;
+    }
+    layer.copies[expert] = copies;
+    change
+}
+
+/// Time up to which the ranks, sorted by their time, are filled by some work.
+fn water_level(ranks: &[(f64, f64)], work: f64) -> f64 {
+    let (mut speed, mut filled) = (0.0, 0.0);
+    let mut level = 0.0;
+    for (i, (time, rank_speed)) in ranks.iter().enumerate() {
+        speed += rank_speed;
+        filled += time * rank_speed;
+        level = (work + filled) / speed;
+        if ranks.get(i + 1).is_none_or(|next| level <= next.0) {
+            break;
+        }
+    }
+    level
+}
