--- /dev/null
+++ b/crates/core/src/entry/message.rs
@@ -0,0 +1,22 @@
+//! Messages between entry hosts.
+
+use serde::{Deserialize, Serialize};
+
+use crate::serving::claims::{Claim, ClaimResult, Nonce};
+use crate::serving::suspects::Suspect;
+
+/// What one entry host tells another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PeerMessage {
+    /// Write these claims, as the owner of their shards.
+    Claims(Vec<Claim>),
+    /// How claims were settled, by the claimants' nonces.
+    ClaimResults(Vec<(Nonce, ClaimResult)>),
+    /// Forget claims (key and nonce) whose requests certainly did not run and never will.
+    Release(Vec<(u64, Nonce)>),
+    /// Fingerprints suspected of crashing upstreams.
+    Suspects(Vec<Suspect>),
+    /// Acknowledges suspects.
+    SuspectsSeen(Vec<Suspect>),
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,10 @@
-//! Stand-ins for outside systems.
+//! Small stand-ins for the outside systems that eelgrasshold meets.
+//!
+//! They are servers on loopback with ephemeral ports and faults that tests control.
+
+pub mod client;
+pub mod engine;
+mod http_util;
+pub mod model;
+pub mod platform;
+pub mod server;
