Add a whole fleet for tests and the quickstart

The quickstart starts platform, engines, plain services and the real processes in one process, sends a mix of work, causes faults and checks what must hold.

--- a/crates/net/src/host/entry.rs
+++ b/crates/net/src/host/entry.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock, PoisonError, RwLock};
 use std::time::Duration;
 
@@ -57,6 +57,7 @@
     answers_expired: Notify,
     draining: AtomicBool,
     incarnation: AtomicU64,
+    upstreams: AtomicUsize,
     /// An operator asked for a graceful shutdown.
     drain_wanted: Notify,
     driver: OnceLock<Arc<EntryDriver>>,
@@ -144,6 +145,18 @@
         self.driver.config().map_or(0, |cfg| cfg.revision)
     }
 
+    /// Upstream processes that requests can go to.
+    #[must_use]
+    pub fn known_upstreams(&self) -> usize {
+        self.shared.upstreams.load(Ordering::Relaxed)
+    }
+
+    /// Requests that are held.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        self.driver.held()
+    }
+
     /// Waits until an operator asks for a graceful shutdown on the admin address.
     pub async fn drain_wanted(&self) {
         self.shared.drain_wanted.notified().await;
@@ -305,6 +318,8 @@
     let on = move |machine: &FleetEntry, output| match output {
         FleetOutput::ConfigInForce(cfg) => driver.set_config(cfg),
         FleetOutput::Upstreams(list) => {
+            let usable = list.iter().filter(|upstream| !upstream.leaving).count();
+            shared.upstreams.store(usable, Ordering::Relaxed);
             driver.feed(EntryInput::Upstreams(list));
             set_entry_hosts(&shared, &driver, &machine.members());
         }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod client;
 pub mod engine;
+pub mod fleet;
 mod http_util;
 pub mod model;
 pub mod plain;
