Add a caller that checks answers

Tests, quickstart and the load tool need a caller that keeps to the contract and notices what is wrong with an answer.

The caller asks for the entry hosts, keeps the answer for its validity, chooses by weight, checks each token or echo against its request, resumes a broken draft through another entry host at the exact token, and tells whole, refused, cut and wrong answers apart. A plain call is never sent twice once it may have arrived.

--- /dev/null
+++ b/crates/standins/src/caller/call.rs
@@ -0,0 +1,164 @@
+//! Calls to plain services.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use http::{Method, Response};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use super::Caller;
+use super::outcome::{Outcome, Report, is_problem, read_problem};
+use crate::client::ClientError;
+use crate::plain::Echo;
+
+/// Time after the deadline that the system has to say that it passed.
+const GRACE: Duration = Duration::from_secs(5);
+
+/// How long a caller waits for the end of a request.
+pub(super) fn patience(deadline: Duration) -> Duration {
+    deadline + GRACE
+}
+
+/// A call to a plain service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlainCall {
+    /// Service.
+    pub service: String,
+    /// Method.
+    pub method: Method,
+    /// Path and query after the service's name, with a leading slash.
+    pub path: String,
+    /// Body.
+    pub body: String,
+    /// Key that marks repeats of one non-idempotent call.
+    pub idempotency_key: Option<String>,
+    /// Whether the answer must be an [`Echo`] of the call.
+    pub checks_echo: bool,
+}
+
+impl PlainCall {
+    /// A call without a key whose answer must be its echo.
+    #[must_use]
+    pub fn new(service: &str, method: Method, path: &str, body: &str) -> Self {
+        Self {
+            service: service.to_owned(),
+            method,
+            path: path.to_owned(),
+            body: body.to_owned(),
+            idempotency_key: None,
+            checks_echo: true,
+        }
+    }
+
+    /// Adds an idempotency key.
+    #[must_use]
+    pub fn key(self, key: &str) -> Self {
+        Self {
+            idempotency_key: Some(key.to_owned()),
+            ..self
+        }
+    }
+}
+
+impl Caller {
+    /// Sends a plain call. It is sent again only to a host that accepted no connection before.
+    pub async fn call(&self, request_id: &str, call: &PlainCall) -> Report {
+        let started = Instant::now();
+        let mut report = Report::new(request_id);
+        let patience = patience(self.settings.deadline);
+        let running = self.run_call(call, &mut report, started);
+        if tokio::time::timeout(patience, running).await.is_err() {
+            report.outcome = Outcome::Cut;
+            report.detail = format!("no end within {} ms", patience.as_millis());
+        }
+        report.total = started.elapsed();
+        report
+    }
+
+    /// Headers of each request.
+    pub(super) fn headers(&self, request_id: &str) -> Vec<(&'static str, String)> {
+        let settings = &self.settings;
+        let mut headers = vec![
+            ("content-type", "application/json".to_owned()),
+            ("eel-request-id", request_id.to_owned()),
+            ("eel-deadline-ms", settings.deadline.as_millis().to_string()),
+        ];
+        headers.extend(settings.team.clone().map(|team| ("eel-team", team)));
+        let priority = settings.priority.map(|p| ("eel-priority", p.to_string()));
+        headers.extend(priority);
+        headers
+    }
+
+    async fn run_call(&self, call: &PlainCall, report: &mut Report, started: Instant) {
+        let mut headers = self.headers(&report.request_id);
+        let key = call.idempotency_key.clone();
+        headers.extend(key.map(|key| ("idempotency-key", key)));
+        let headers: Vec<(&str, &str)> = headers.iter().map(|(n, v)| (*n, v.as_str())).collect();
+        let mut tried = BTreeSet::new();
+        while let Some(address) = self.choose(&tried).await {
+            let url = format!("{address}/v1/services/{}{}", call.service, call.path);
+            let sent = self
+                .client
+                .open(call.method.clone(), &url, &headers, call.body.clone());
+            match sent.await {
+                Ok(response) => {
+                    report.first = Some(started.elapsed());
+                    return finish(call, report, response).await;
+                }
+                Err(error) if error.is_connect() => {
+                    report.detail = error.to_string();
+                    tried.insert(address);
+                }
+                Err(error) => return cut(report, &error),
+            }
+        }
+    }
+}
+
+fn cut(report: &mut Report, error: &ClientError) {
+    report.outcome = Outcome::Cut;
+    report.detail = error.to_string();
+}
+
+async fn finish(call: &PlainCall, report: &mut Report, response: Response<Incoming>) {
+    let (parts, body) = response.into_parts();
+    report.status = Some(parts.status);
+    let body = match body.collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            report.outcome = Outcome::Cut;
+            report.detail = format!("the answer broke off: {error}");
+            return;
+        }
+    };
+    if is_problem(&parts.headers) {
+        let refused = read_problem(&parts.headers, &body);
+        report.outcome = refused.outcome;
+        report.detail = refused.detail;
+        report.retry_after = refused.retry_after;
+        return;
+    }
+    report.outcome = if call.checks_echo && parts.status.is_success() {
+        check_echo(call, &report.request_id, &body)
+    } else {
+        Outcome::Whole
+    };
+    report.body = body;
+}
+
+fn check_echo(call: &PlainCall, request_id: &str, body: &[u8]) -> Outcome {
+    let expected = Echo {
+        method: call.method.to_string(),
+        path: call.path.clone(),
+        request_id: request_id.to_owned(),
+        idempotency_key: call.idempotency_key.clone().unwrap_or_default(),
+        body: call.body.clone(),
+    };
+    match serde_json::from_slice::<Echo>(body) {
+        Ok(echo) if echo == expected => Outcome::Whole,
+        Ok(echo) => Outcome::Wrong(format!("the answer belongs to request {}", echo.request_id)),
+        Err(error) => Outcome::Wrong(format!("the answer is no echo: {error}")),
+    }
+}
--- /dev/null
+++ b/crates/standins/src/caller/tests.rs
@@ -0,0 +1,313 @@
+use std::collections::{BTreeSet, VecDeque};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use serde_json::json;
+
+use super::hosts::{EntryHost, EntryHosts, HostTable};
+use super::sse::{DraftReader, Progress};
+use super::{Caller, Draft, Outcome, PlainCall};
+use crate::engine::token;
+use crate::http_util::{Answering, Body, Hangup, Outcome as Sent, answer, header};
+use crate::server::{Bound, Server};
+
+/// What an entry host of a test answers.
+#[derive(Clone)]
+enum Script {
+    /// Tokens `from..to`, and the end mark if `done`.
+    Tokens { from: u32, to: u32, done: bool },
+    /// A refusal.
+    Problem(&'static str),
+    /// The connection is closed.
+    HangUp,
+    /// A plain answer.
+    Body(String),
+}
+
+const PROMPT: &str = "write";
+
+fn event(index: u32) -> String {
+    let data = json!({ "token": token(PROMPT, index) });
+    format!("id: {index}\ndata: {data}\n\n")
+}
+
+fn respond(script: Script) -> Sent {
+    match script {
+        Script::Tokens { from, to, done } => {
+            let mut text: String = (from..to).map(event).collect();
+            if done {
+                text += "data: [DONE]\n\n";
+            }
+            Ok(answer(StatusCode::OK, text))
+        }
+        Script::Problem(run) => Ok(problem(run)),
+        Script::HangUp => Err(Hangup),
+        Script::Body(body) => Ok(answer(StatusCode::OK, body)),
+    }
+}
+
+fn problem(run: &str) -> Response<Body> {
+    let body = json!({"status": 503, "detail": "busy", "run": run}).to_string();
+    let mut response = answer(StatusCode::SERVICE_UNAVAILABLE, body);
+    let headers = response.headers_mut();
+    headers.insert("content-type", "application/problem+json".parse().unwrap());
+    headers.insert("retry-after", "2".parse().unwrap());
+    response
+}
+
+#[derive(Default)]
+struct Entry {
+    script: VecDeque<Script>,
+    hosts: EntryHosts,
+    /// Requests for the hosts, and `last-event-id` of each other request.
+    asked: usize,
+    resumed: Vec<String>,
+}
+
+impl Entry {
+    fn answer(&mut self, req: &Request<Incoming>) -> Sent {
+        if req.uri().path() == "/v1/entry-hosts" {
+            self.asked += 1;
+            let body = serde_json::to_vec(&self.hosts).unwrap();
+            return Ok(answer(StatusCode::OK, body));
+        }
+        let last = header(req.headers(), "last-event-id");
+        self.resumed.push(last.to_owned());
+        respond(self.script.pop_front().unwrap_or(Script::HangUp))
+    }
+}
+
+struct Host {
+    server: Server,
+    entry: Arc<Mutex<Entry>>,
+}
+
+impl Host {
+    fn start(script: &[Script]) -> Self {
+        let entry = Entry {
+            script: script.to_vec().into(),
+            ..Entry::default()
+        };
+        let entry = Arc::new(Mutex::new(entry));
+        let shared = entry.clone();
+        let handler = Arc::new(move |req: Request<Incoming>| {
+            let sent = shared.lock().unwrap().answer(&req);
+            Box::pin(async move { sent }) as Answering
+        });
+        let server = Bound::new().unwrap().serve(handler);
+        Self { server, entry }
+    }
+
+    fn url(&self) -> String {
+        format!("http://{}", self.server.address())
+    }
+
+    fn name_hosts(&self, hosts: &[&Host], valid_for_ms: u64) {
+        self.entry.lock().unwrap().hosts = EntryHosts {
+            entry_hosts: hosts
+                .iter()
+                .map(|host| entry_host(&host.url(), 1))
+                .collect(),
+            valid_for_ms,
+        };
+    }
+}
+
+fn entry_host(address: &str, weight: u32) -> EntryHost {
+    EntryHost {
+        address: address.into(),
+        weight,
+        data_centre: "dc-1".into(),
+    }
+}
+
+fn draft(max_tokens: u32) -> Draft {
+    Draft {
+        service: "drafts".into(),
+        prompt: PROMPT.into(),
+        max_tokens,
+    }
+}
+
+fn tokens(from: u32, to: u32, done: bool) -> Script {
+    Script::Tokens { from, to, done }
+}
+
+/// Guards against a check that passes a foreign, repeated, skipped, cut or early-ended answer.
+#[test]
+fn reader_accepts_only_the_whole_own_answer() {
+    let read = |text: &str| {
+        let mut reader = DraftReader::new(PROMPT, 2);
+        // One byte at a time, since events may be split anywhere.
+        for byte in text.as_bytes() {
+            reader.push(&[*byte]);
+            match reader.next_event() {
+                Some(Ok(Progress::Token)) | None => {}
+                Some(settled) => return Some(settled.is_ok()),
+            }
+        }
+        None
+    };
+    let done = "data: [DONE]\n\n";
+    let (first, second) = (event(0), event(1));
+    let foreign = first.replace(&token(PROMPT, 0), &token("other", 0));
+    assert_eq!(read(&format!("{first}{second}{done}")), Some(true));
+    assert_eq!(read(&format!("{first}{second}")), None);
+    for wrong in [
+        format!("{first}{done}"),
+        format!("{first}{first}"),
+        format!("{second}{done}"),
+        format!("{foreign}{second}{done}"),
+        done.to_owned(),
+    ] {
+        assert_eq!(read(&wrong), Some(false), "{wrong}");
+    }
+}
+
+/// Guards against a choice that ignores weights or returns to a host that just failed.
+#[test]
+fn hosts_are_chosen_by_weight_and_not_twice() {
+    let mut table = HostTable::new(vec!["first".into()]);
+    let mut rng = SmallRng::seed_from_u64(3);
+    let none = BTreeSet::new();
+    assert_eq!(table.choose(&mut rng, &none).unwrap(), "first");
+    let answer = EntryHosts {
+        entry_hosts: vec![entry_host("a", 90), entry_host("b", 10)],
+        valid_for_ms: 1_000,
+    };
+    table.set(Duration::from_secs(5), answer);
+    assert!(table.is_valid(Duration::from_millis(5_999)));
+    assert!(!table.is_valid(Duration::from_secs(6)));
+    let mut chosen = |tried: &BTreeSet<String>| table.choose(&mut rng, tried);
+    let count = (0..1_000).filter(|_| chosen(&none).unwrap() == "a").count();
+    assert!((850..950).contains(&count), "{count} of 1000 went to a");
+    let mut tried = BTreeSet::from(["a".to_owned()]);
+    assert_eq!(chosen(&tried).unwrap(), "b");
+    tried.insert("b".into());
+    assert_eq!(chosen(&tried).unwrap(), "first");
+    tried.insert("first".into());
+    assert_eq!(chosen(&tried), None);
+}
+
+/// Guards against a caller that asks for the hosts before each request, or never again.
+#[tokio::test]
+async fn host_answer_is_kept_for_its_validity() {
+    let host = Host::start(&[tokens(0, 0, true), tokens(0, 0, true), tokens(0, 0, true)]);
+    host.name_hosts(&[&host], 3_600_000);
+    let caller = Caller::builder(vec![host.url()]).build();
+    for _ in 0..2 {
+        let report = caller.draft(&caller.request_id(), &draft(0)).await;
+        assert_eq!(report.outcome, Outcome::Whole);
+    }
+    assert_eq!(host.entry.lock().unwrap().asked, 1);
+    assert_eq!(caller.entry_hosts().len(), 1);
+    caller.lock_table().set(
+        Duration::ZERO,
+        EntryHosts {
+            entry_hosts: vec![entry_host(&host.url(), 1)],
+            valid_for_ms: 0,
+        },
+    );
+    caller.draft(&caller.request_id(), &draft(0)).await;
+    assert_eq!(host.entry.lock().unwrap().asked, 2);
+    host.server.close().await;
+}
+
+/// Guards against a resumption at the wrong token or through the host that broke off.
+#[tokio::test]
+async fn broken_draft_resumes_through_another_host() {
+    let first = Host::start(&[tokens(0, 3, false), Script::Problem("not_run")]);
+    let second = Host::start(&[tokens(3, 4, false), tokens(4, 6, true)]);
+    first.name_hosts(&[&first], 3_600_000);
+    let caller = Caller::builder(vec![first.url(), second.url()]).build();
+    let report = caller.draft("r1", &draft(6)).await;
+    assert_eq!(report.outcome, Outcome::Whole, "{}", report.detail);
+    assert_eq!((report.tokens, report.resumes), (6, 3));
+    assert_eq!(first.entry.lock().unwrap().resumed, ["", "3"]);
+    assert_eq!(second.entry.lock().unwrap().resumed, ["2", "3"]);
+
+    first.entry.lock().unwrap().script = [tokens(0, 2, false), Script::HangUp].into();
+    let report = caller.draft("r2", &draft(6)).await;
+    assert_eq!(report.outcome, Outcome::Cut);
+    assert_eq!((report.tokens, report.resumes), (2, 3));
+    first.server.close().await;
+    second.server.close().await;
+}
+
+/// Guards against outcomes that promise more than the answer did.
+#[tokio::test]
+async fn refusals_and_cuts_are_told_apart() {
+    let host = Host::start(&[
+        Script::Problem("not_run"),
+        Script::Problem("unknown"),
+        Script::Problem("perhaps"),
+        Script::HangUp,
+        tokens(0, 1, true),
+    ]);
+    host.name_hosts(&[&host], 3_600_000);
+    let caller = Caller::builder(vec![host.url()]).max_resumes(0).build();
+    let mut outcomes = Vec::new();
+    for _ in 0..5 {
+        let report = caller.draft("r1", &draft(2)).await;
+        if report.status == Some(StatusCode::SERVICE_UNAVAILABLE) {
+            assert_eq!(report.retry_after, Some(Duration::from_secs(2)));
+            assert_eq!(report.detail, "busy");
+        }
+        outcomes.push(report.outcome);
+    }
+    let wrong = |text: &str| Outcome::Wrong(text.into());
+    let expected = [
+        Outcome::RefusedNotRun,
+        Outcome::RefusedUnknown,
+        wrong("the refusal has the unknown run `perhaps`"),
+        Outcome::Cut,
+        wrong("it ended after 1 of 2 tokens"),
+    ];
+    assert_eq!(outcomes, expected);
+    let address = host.url();
+    host.server.close().await;
+    let caller = Caller::builder(vec![address]).build();
+    let report = caller.draft("r2", &draft(2)).await;
+    assert_eq!(report.outcome, Outcome::Unreachable);
+}
+
+/// Guards against a plain call that is sent twice after a cut, and against a crossed answer that passes.
+#[tokio::test]
+async fn plain_call_is_sent_once_and_checked() {
+    let echo = |id: &str| {
+        let echo = json!({
+            "method": "POST", "path": "/orders", "request_id": id,
+            "idempotency_key": "k", "body": "lot",
+        });
+        Script::Body(echo.to_string())
+    };
+    let host = Host::start(&[
+        echo("r1"),
+        echo("r9"),
+        Script::HangUp,
+        Script::Problem("unknown"),
+    ]);
+    let other = Host::start(&[]);
+    host.name_hosts(&[&host], 3_600_000);
+    let caller = Caller::builder(vec![host.url(), other.url()]).build();
+    let call = PlainCall::new("orders", Method::POST, "/orders", "lot").key("k");
+    let mut outcomes = Vec::new();
+    for _ in 0..4 {
+        outcomes.push(caller.call("r1", &call).await.outcome);
+    }
+    let expected = [
+        Outcome::Whole,
+        Outcome::Wrong("the answer belongs to request r9".into()),
+        Outcome::Cut,
+        Outcome::RefusedUnknown,
+    ];
+    assert_eq!(outcomes, expected);
+    assert_eq!(host.entry.lock().unwrap().resumed.len(), 4);
+    assert_eq!(other.entry.lock().unwrap().resumed.len(), 0);
+    host.server.close().await;
+    other.server.close().await;
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! They are servers on loopback with ephemeral ports and faults that tests control.
 
+pub mod caller;
 pub mod client;
 pub mod engine;
 mod http_util;
