Add the load tool

The targets for added latency and open streams could not be measured.

The tool sends plain calls at a fixed rate through the system and, halfway between them, directly to the service; it keeps drafts open, checks each answer, and prints rates, quantiles, their ratio and their difference. Count and time are bounded. Calls are paced by a thread, since the runtime's timer ticks once a millisecond.

No run against daemons yet.

--- /dev/null
+++ b/crates/standins/examples/load/main.rs
@@ -0,0 +1,21 @@
+//! Puts load on running daemons and compares their latency with direct calls.
+
+mod args;
+mod report;
+
+use std::process::ExitCode;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args = args::command().get_matches();
+    let summary = args::load(&args).run().await;
+    if args.get_flag("json") {
+        report::print_json(&summary);
+    } else {
+        report::print_table(&summary);
+    }
+    if summary.wrong() > 0 || summary.whole() == 0 {
+        return ExitCode::FAILURE;
+    }
+    ExitCode::SUCCESS
+}
--- a/crates/standins/src/caller/call.rs
+++ b/crates/standins/src/caller/call.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use http::{Method, Response};
+use http::{Method, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::Instant;
@@ -60,6 +60,20 @@
             ..self
         }
     }
+
+    /// Checks an answer that came as a whole.
+    pub(crate) fn check_answer(
+        &self,
+        request_id: &str,
+        status: StatusCode,
+        body: &[u8],
+    ) -> Outcome {
+        if self.checks_echo && status.is_success() {
+            check_echo(self, request_id, body)
+        } else {
+            Outcome::Whole
+        }
+    }
 }
 
 impl Caller {
@@ -140,11 +154,7 @@
         report.retry_after = refused.retry_after;
         return;
     }
-    report.outcome = if call.checks_echo && parts.status.is_success() {
-        check_echo(call, &report.request_id, &body)
-    } else {
-        Outcome::Whole
-    };
+    report.outcome = call.check_answer(&report.request_id, parts.status, &body);
     report.body = body;
 }
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod engine;
 mod http_util;
+pub mod load;
 pub mod model;
 pub mod plain;
 pub mod platform;
