--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -45,18 +45,26 @@
 //! assert!(out.iter().any(|o| matches!(o, Output::Finish { handle: 1 })));
 //! ```
 
+mod attempts;
+mod choosing;
+mod claiming;
+mod ending;
+mod held;
 mod machine;
 mod message;
+mod quarantine;
+mod retrying;
 
 #[cfg(test)]
 mod tests;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
 pub use machine::Entry;
-pub use message::{Claim, ClaimResult, Nonce, PeerMessage, Suspect};
+pub use message::PeerMessage;
 
 use crate::config::Config;
 use crate::event::Event;
@@ -118,11 +126,10 @@
     CallerGone(RequestHandle),
     /// An attempt made progress or ended.
     Attempt(AttemptId, AttemptEvent),
-    /// The claim of a non-idempotent request was settled. It goes away once the machine
-    /// handles claims by itself.
-    Claim(RequestHandle, ClaimResult),
     /// The live entry hosts, this one included, changed.
     EntryHosts(Vec<HostId>),
+    /// The data centres of the live entry hosts changed; without them, all count as one.
+    Locations(BTreeMap<HostId, DataCentreId>),
     /// A message of another daemon arrived.
     Peer {
         /// Its sender.
@@ -238,14 +245,6 @@
         /// Call.
         call: Call,
     },
-    /// Write the claim of a non-idempotent request. It goes away once the machine handles
-    /// claims by itself.
-    Claim {
-        /// Request.
-        handle: RequestHandle,
-        /// Service and key, the identity of the work.
-        key: String,
-    },
     /// Call back at a time.
     SetTimer {
         /// When.
@@ -266,6 +265,8 @@
     Deadline(RequestHandle),
     /// The claim of a request is late: claim without the shard's owner, or give up.
     Claim(RequestHandle),
+    /// Dispatch a request that waited after a pause.
+    Dispatch(RequestHandle),
     /// Write the claims that were collected for a shard.
     Shard(u8),
     /// The first answer of a request is late: start a hedge.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,8 +1,14 @@
 //! Sockets and timers around the core.
 
+pub mod admin;
+pub mod control;
 pub mod entry;
+
+pub mod host;
 pub mod http;
+pub mod metrics;
 pub mod platform;
 pub mod runtime;
+pub mod tls;
 pub mod upstream;
 pub mod wire;
--- a/crates/net/src/upstream/driver.rs
+++ b/crates/net/src/upstream/driver.rs
@@ -1,11 +1,12 @@
 //! The state machine with its clock, its timers and the work in flight.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use eelgrasshold_core::event::Stamp;
+use eelgrasshold_core::serving::queue::Policy;
 use eelgrasshold_core::types::{AttemptId, Incarnation, Load, Run};
 use eelgrasshold_core::upstream::{Bounce, Input, Output, Timer, Upstream};
 use http::{Request, Response};
@@ -36,7 +37,7 @@
     clock: Clock,
     timers: Timers<Timer>,
     timeline: Arc<Timeline>,
-    incarnation: Incarnation,
+    incarnation: AtomicU64,
     engine: Engine,
     attempts: Mutex<BTreeMap<AttemptId, mpsc::UnboundedSender<Command>>>,
     probing: AtomicBool,
@@ -57,7 +58,7 @@
             clock: Clock::start(),
             timers: Timers::new(),
             timeline,
-            incarnation,
+            incarnation: AtomicU64::new(incarnation),
             engine,
             attempts: Mutex::new(BTreeMap::new()),
             probing: AtomicBool::new(false),
@@ -77,6 +78,11 @@
         work::serve(self, request).await
     }
 
+    /// Puts the settings of the service into force.
+    pub fn set_policy(&self, policy: Policy) {
+        self.feed(Input::Policy(policy));
+    }
+
     /// Begins a graceful shutdown; [`Self::drained`] tells when it is over.
     pub fn leave(&self) {
         self.feed(Input::Leave);
@@ -99,8 +105,15 @@
         &self.engine
     }
 
-    pub(super) fn incarnation(&self) -> Incarnation {
-        self.incarnation
+    /// Goes on under a higher incarnation; dispatches for the earlier one are returned.
+    pub fn set_incarnation(&self, incarnation: Incarnation) {
+        self.incarnation.store(incarnation, Ordering::Relaxed);
+    }
+
+    /// Life that dispatches must be meant for.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation.load(Ordering::Relaxed)
     }
 
     pub(super) fn stamp(&self) -> Stamp {
@@ -145,8 +158,9 @@
     }
 
     pub(super) fn feed(&self, input: Input) {
-        let outputs = self.lock_machine().handle(self.clock.now(), input);
-        for output in outputs {
+        // Outputs are carried out under the lock, so that commands keep the machine's order.
+        let mut machine = self.lock_machine();
+        for output in machine.handle(self.clock.now(), input) {
             self.act(output);
         }
     }
@@ -156,8 +170,14 @@
             Output::Start { attempt, priority } => {
                 self.command(attempt, Command::Start { priority });
             }
-            // The engine's interface has no call to change the priority of a running draft.
-            Output::Reprioritize { .. } => {}
+            Output::Reprioritize { attempt, priority } => {
+                let engine = self.engine.clone();
+                tokio::spawn(async move {
+                    engine
+                        .set_priority(&Engine::draft_id(attempt), priority)
+                        .await;
+                });
+            }
             Output::Stop(attempt) => self.command(attempt, Command::Stop),
             Output::Bounce {
                 attempt,
