--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,10 +2,12 @@
 //!
 //! They are servers on loopback with ephemeral ports and faults that tests control.
 
+pub mod caller;
 pub mod client;
 pub mod engine;
 pub mod fleet;
 mod http_util;
+pub mod load;
 pub mod model;
 pub mod plain;
 pub mod platform;
