--- a/crates/core/src/entry/attempts.rs
+++ b/crates/core/src/entry/attempts.rs
@@ -10,7 +10,7 @@
 use crate::event::{Event, EventKind};
 use crate::serving::health::{Change, Observation};
 use crate::types::{
-    AttemptId, HostId, Load, Now, Refusal, RefusalKind, RequestHandle, Run, ServiceId,
+    AttemptId, Fingerprint, HostId, Load, Now, Refusal, RefusalKind, RequestHandle, Run, ServiceId,
 };
 use crate::upstream::Bounce;
 
@@ -31,6 +31,7 @@
             return;
         }
         if now < self.hold_until {
+            self.on_hold.insert(handle);
             out.push(Output::SetTimer {
                 at: self.hold_until,
                 timer: Timer::Dispatch(handle),
@@ -133,8 +134,10 @@
         out: &mut Vec<Output>,
     ) {
         let Some(known) = self.attempts.get(&attempt) else {
-            if matches!(event, AttemptEvent::Chunk { .. }) {
-                self.dropped_chunks += 1;
+            match event {
+                AttemptEvent::Chunk { .. } => self.dropped_chunks += 1,
+                AttemptEvent::Crashed => self.crashed_after_end(now, attempt, out),
+                _ => {}
             }
             return;
         };
@@ -207,6 +210,7 @@
             return;
         };
         let service = held.request.service.clone();
+        let fingerprint = held.request.fingerprint;
         let other = if held.hedge == Some(attempt) {
             held.attempt.replace(attempt)
         } else {
@@ -214,7 +218,7 @@
         };
         held.hedge = None;
         if let Some(other) = other {
-            self.cancel(other, out);
+            self.cancel(now, other, fingerprint, out);
         }
         self.observe_first_answer(service, took);
     }
@@ -249,8 +253,15 @@
     }
 
     /// Closes an attempt's stream and forgets it, so that what still comes from it is dropped.
-    pub(super) fn cancel(&mut self, attempt: AttemptId, out: &mut Vec<Output>) {
+    pub(super) fn cancel(
+        &mut self,
+        now: Now,
+        attempt: AttemptId,
+        fingerprint: Fingerprint,
+        out: &mut Vec<Output>,
+    ) {
         out.push(Output::Cancel(attempt));
+        self.cancelled.insert(attempt, (fingerprint, now));
         self.end_attempt(attempt);
     }
 
@@ -282,8 +293,9 @@
         };
         if first > held.next_token {
             // A gap can't be filled on this stream, so the answer goes on from another attempt.
+            let fingerprint = held.request.fingerprint;
             if let Some(attempt) = held.attempt {
-                self.cancel(attempt, out);
+                self.cancel(now, attempt, fingerprint, out);
             }
             self.retry(now, handle, Run::Unknown, out);
             return;
--- a/crates/core/src/entry/claiming.rs
+++ b/crates/core/src/entry/claiming.rs
@@ -153,13 +153,7 @@
     }
 
     fn replay(&mut self, handle: RequestHandle, of: RequestHandle, out: &mut Vec<Output>) {
-        let Some(held) = self.requests.remove(&handle) else {
-            return;
-        };
-        let id = (held.request.team, held.request.id);
-        if self.by_id.get(&id) == Some(&handle) {
-            self.by_id.remove(&id);
-        }
+        self.remove(handle);
         out.push(Output::Replay {
             handle,
             of,
@@ -248,7 +242,14 @@
                 }
                 self.dispatch(now, handle, out);
             }
-            ClaimResult::Taken => self.refuse(now, handle, taken(), out),
+            ClaimResult::Taken => {
+                if let Some(held) = self.requests.get_mut(&handle) {
+                    // The key is another request's, so there is nothing to release.
+                    self.claiming.ended(handle, held);
+                    held.claim = None;
+                }
+                self.refuse(now, handle, taken(), out);
+            }
             ClaimResult::Unavailable => {
                 let detail = "the claim of the idempotency key can't be written now";
                 let refusal = Refusal::not_run(RefusalKind::ClaimUnavailable, detail);
--- a/crates/core/src/entry/ending.rs
+++ b/crates/core/src/entry/ending.rs
@@ -98,8 +98,9 @@
         push_refusal(handle, &held.request, refusal, out);
     }
 
-    fn remove(&mut self, handle: RequestHandle) -> Option<Held> {
+    pub(super) fn remove(&mut self, handle: RequestHandle) -> Option<Held> {
         let held = self.requests.remove(&handle)?;
+        self.on_hold.remove(&handle);
         let id = (held.request.team.clone(), held.request.id.clone());
         if self.by_id.get(&id) == Some(&handle) {
             self.by_id.remove(&id);
@@ -115,7 +116,7 @@
         self.claiming.ended(handle, held);
         self.end_trial(now, held, out);
         for attempt in [held.attempt, held.hedge].into_iter().flatten() {
-            self.cancel(attempt, out);
+            self.cancel(now, attempt, held.request.fingerprint, out);
         }
     }
 }
--- a/crates/core/src/entry/machine.rs
+++ b/crates/core/src/entry/machine.rs
@@ -9,23 +9,26 @@
 
 use super::claiming::Claiming;
 use super::held::{Attempt, Held, Outstanding};
-use super::{Input, Output, PeerMessage, Timer, UpstreamInfo};
+use super::hosts::Hosts;
+use super::{Input, Output, Timer, UpstreamInfo};
 use crate::config::Config;
 use crate::event::{Event, EventKind};
 use crate::serving::health::Health;
 use crate::serving::retry::{Budgets, HedgeDelay};
 use crate::serving::suspects::{Sharing, Suspects};
 use crate::types::{
-    AttemptId, HostId, Incarnation, Now, Refusal, RefusalKind, Request, RequestHandle, RequestId,
-    ServiceId, TeamId, WorkClass,
+    AttemptId, Fingerprint, HostId, Incarnation, Now, Refusal, RefusalKind, Request, RequestHandle,
+    RequestId, ServiceId, TeamId, WorkClass,
 };
 
 /// Time between two ticks.
 const TICK: Duration = Duration::from_millis(500);
 /// Gap between two inputs that shows a pause, since several ticks are missing in it.
 const PAUSE: Duration = Duration::from_secs(2);
+/// Time after an attempt's end in which a report of a crash before it may come.
+const REPORT_TIME: Duration = Duration::from_secs(5);
 /// Time after a pause in which messages that have waited in sockets are read first.
-const RESUME_GRACE: Duration = Duration::from_millis(100);
+const GRACE: Duration = Duration::from_millis(100);
 
 /// State machine of the entry host.
 #[derive(Clone, Debug)]
@@ -42,7 +45,10 @@
     pub(super) requests: BTreeMap<RequestHandle, Held>,
     pub(super) by_id: BTreeMap<(TeamId, RequestId), RequestHandle>,
     pub(super) attempts: BTreeMap<AttemptId, Attempt>,
-    pub(super) live_hosts: Vec<HostId>,
+    /// Attempts that were cancelled lately, by request's fingerprint, since a crash may have
+    /// come first and its report be on the way.
+    pub(super) cancelled: BTreeMap<AttemptId, (Fingerprint, Now)>,
+    pub(super) hosts: Hosts,
     pub(super) claiming: Claiming,
     pub(super) budgets: Budgets,
     pub(super) hedge_delays: BTreeMap<ServiceId, HedgeDelay>,
@@ -52,7 +58,10 @@
     draining: bool,
     pub(super) dropped_chunks: u64,
     last_input: Option<Now>,
+    /// No dispatch happens before.
     pub(super) hold_until: Now,
+    /// Requests that wait for it.
+    pub(super) on_hold: BTreeSet<RequestHandle>,
 }
 
 impl Entry {
@@ -71,7 +80,8 @@
             requests: BTreeMap::new(),
             by_id: BTreeMap::new(),
             attempts: BTreeMap::new(),
-            live_hosts: Vec::new(),
+            cancelled: BTreeMap::new(),
+            hosts: Hosts::default(),
             claiming: Claiming::default(),
             budgets: Budgets::default(),
             hedge_delays: BTreeMap::new(),
@@ -82,6 +92,7 @@
             dropped_chunks: 0,
             last_input: None,
             hold_until: Now::ZERO,
+            on_hold: BTreeSet::new(),
         }
     }
 
@@ -132,7 +143,11 @@
         match timer {
             Timer::Deadline(handle) => self.deadline(now, handle, out),
             Timer::Claim(handle) => self.claim_late(now, handle, out),
-            Timer::Dispatch(handle) => self.dispatch(now, handle, out),
+            Timer::Dispatch(handle) => {
+                if self.on_hold.remove(&handle) {
+                    self.dispatch(now, handle, out);
+                }
+            }
             Timer::Shard(shard) => self.flush_shard(now, shard, out),
             Timer::Hedge(handle) => self.hedge(now, handle, out),
             Timer::Suspects => self.tell_suspects(now, out),
@@ -151,7 +166,7 @@
         if gap <= PAUSE {
             return;
         }
-        self.hold_until = now + RESUME_GRACE;
+        self.hold_until = now + GRACE;
         let detail = format!("no input for {} ms", gap.as_millis());
         out.push(Output::Event(Event::new(EventKind::PauseNoticed, detail)));
         let handles: Vec<_> = self.requests.keys().copied().collect();
@@ -164,6 +179,7 @@
         self.health.tick(now);
         self.suspects.forget(now);
         self.claiming.forget(now);
+        self.cancelled.retain(|_, (_, at)| now < *at + REPORT_TIME);
         out.push(Output::SetTimer {
             at: now + TICK,
             timer: Timer::Tick,
@@ -202,38 +218,6 @@
         }
     }
 
-    fn set_entry_hosts(&mut self, now: Now, list: Vec<HostId>, out: &mut Vec<Output>) {
-        self.claiming.set_owners(&list, &self.host);
-        self.sharing.retain_hosts(&list);
-        self.live_hosts = list;
-        self.end_shares(now, out);
-    }
-
-    fn peer(&mut self, now: Now, from: HostId, message: PeerMessage, out: &mut Vec<Output>) {
-        match message {
-            PeerMessage::Claims(claims) => {
-                for claim in claims {
-                    self.claim_for(now, Some(from.clone()), claim, out);
-                }
-            }
-            PeerMessage::ClaimResults(results) => {
-                for (nonce, result) in results {
-                    self.claim_settled(now, nonce, result, out);
-                }
-            }
-            PeerMessage::Release(claims) => {
-                for (key, nonce) in claims {
-                    self.release_here(now, key, nonce, out);
-                }
-            }
-            PeerMessage::Suspects(suspects) => self.learn_suspects(now, from, suspects, out),
-            PeerMessage::SuspectsSeen(suspects) => {
-                self.sharing.acknowledge(&from, &suspects);
-                self.end_shares(now, out);
-            }
-        }
-    }
-
     fn admit(&mut self, now: Now, handle: RequestHandle, request: Request, out: &mut Vec<Output>) {
         if let Some(refusal) = self.reason_to_refuse(&request) {
             push_refusal(handle, &request, refusal, out);
--- a/crates/core/src/entry/message.rs
+++ b/crates/core/src/entry/message.rs
@@ -17,6 +17,10 @@
     Release(Vec<(u64, Nonce)>),
     /// Fingerprints suspected of crashing upstreams.
     Suspects(Vec<Suspect>),
-    /// Acknowledges suspects.
+    /// Asks for all suspects, at the start of a process.
+    SuspectsWanted,
+    /// All suspects that a host knows, for one that asked.
+    AllSuspects(Vec<Suspect>),
+    /// Acknowledges suspects, with what the sender knows of the same fingerprints.
     SuspectsSeen(Vec<Suspect>),
 }
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -49,6 +49,7 @@
 mod claiming;
 mod ending;
 mod held;
+mod hosts;
 mod machine;
 mod message;
 mod quarantine;
--- a/crates/core/src/entry/quarantine.rs
+++ b/crates/core/src/entry/quarantine.rs
@@ -1,7 +1,5 @@
 //! Suspects: requests that were in flight when an upstream crashed.
 
-use std::collections::BTreeSet;
-
 use rand::Rng;
 
 use super::held::Held;
@@ -9,7 +7,7 @@
 use super::{Output, PeerMessage, Timer};
 use crate::event::EventKind;
 use crate::serving::suspects::{ShareId, Suspect, Verdict};
-use crate::types::{Fingerprint, HostId, Now, Refusal, RefusalKind, RequestHandle, Run};
+use crate::types::{AttemptId, Fingerprint, HostId, Now, Refusal, RefusalKind, RequestHandle, Run};
 
 impl Entry {
     /// Whether no crash counts against a request.
@@ -68,6 +66,19 @@
         self.end_shares(now, out);
     }
 
+    /// Attributes a crash whose report comes after its attempt was cancelled.
+    pub(super) fn crashed_after_end(
+        &mut self,
+        now: Now,
+        attempt: AttemptId,
+        out: &mut Vec<Output>,
+    ) {
+        if let Some((fingerprint, _)) = self.cancelled.remove(&attempt) {
+            let crash = self.rng.random();
+            self.share_crash(now, fingerprint, crash, out);
+        }
+    }
+
     fn share_crash(
         &mut self,
         now: Now,
@@ -81,12 +92,14 @@
             cleared: false,
         };
         self.suspects.note(now, suspect);
-        self.share(now, vec![suspect], out)
+        // All its crashes, since a host may have missed an earlier one.
+        let mut suspects = self.suspects.open();
+        suspects.retain(|s| s.fingerprint == fingerprint);
+        self.share(now, suspects, out)
     }
 
     fn share(&mut self, now: Now, suspects: Vec<Suspect>, out: &mut Vec<Output>) -> ShareId {
-        let others = self.live_hosts.iter().filter(|h| **h != self.host);
-        let others: BTreeSet<HostId> = others.cloned().collect();
+        let others = self.hosts.others(now, &self.host);
         for to in &others {
             out.push(Output::Send {
                 to: to.clone(),
@@ -103,6 +116,7 @@
 
     /// Tells hosts that have not acknowledged, and ends shares that took too long.
     pub(super) fn tell_suspects(&mut self, now: Now, out: &mut Vec<Output>) {
+        self.ask_for_suspects(now, out);
         self.end_shares(now, out);
         for (to, suspects) in self.sharing.messages() {
             let message = PeerMessage::Suspects(suspects);
@@ -121,13 +135,26 @@
         suspects: Vec<Suspect>,
         out: &mut Vec<Output>,
     ) {
-        for suspect in &suspects {
-            self.suspects.note(now, *suspect);
+        self.note_suspects(now, &suspects);
+        // The sender learns what this host knows of the same fingerprints, so that no trial
+        // starts that some entry host would not allow.
+        let mut seen = suspects;
+        for known in self.suspects.open() {
+            let same = seen.iter().any(|s| s.fingerprint == known.fingerprint);
+            if same && !seen.contains(&known) {
+                seen.push(known);
+            }
         }
-        let message = PeerMessage::SuspectsSeen(suspects);
+        let message = PeerMessage::SuspectsSeen(seen);
         out.push(Output::Send { to: from, message });
     }
 
+    pub(super) fn note_suspects(&mut self, now: Now, suspects: &[Suspect]) {
+        for suspect in suspects {
+            self.suspects.note(now, *suspect);
+        }
+    }
+
     /// Lets requests go on whose suspects all entry hosts know.
     pub(super) fn end_shares(&mut self, now: Now, out: &mut Vec<Output>) {
         for (id, complete) in self.sharing.take_ended(now) {
--- a/crates/core/src/serving/suspects/mod.rs
+++ b/crates/core/src/serving/suspects/mod.rs
@@ -82,6 +82,22 @@
         }
     }
 
+    /// All crashes that are not cleared.
+    #[must_use]
+    pub fn open(&self) -> Vec<Suspect> {
+        let of = |(fingerprint, crashes): (&Fingerprint, &BTreeMap<u64, Crash>)| {
+            let fingerprint = *fingerprint;
+            let open = crashes.iter().filter(|(_, c)| !c.cleared);
+            let suspect = move |(crash, _): (&u64, &Crash)| Suspect {
+                fingerprint,
+                crash: *crash,
+                cleared: false,
+            };
+            open.map(suspect).collect::<Vec<_>>()
+        };
+        self.crashes.iter().flat_map(of).collect()
+    }
+
     /// Clears a fingerprint that succeeded, and returns what other entry hosts should know.
     #[must_use]
     pub fn clear(&mut self, fingerprint: Fingerprint) -> Vec<Suspect> {
--- a/crates/core/src/serving/suspects/sharing.rs
+++ b/crates/core/src/serving/suspects/sharing.rs
@@ -52,7 +52,7 @@
     }
 
     /// Waits no longer for hosts that are not live.
-    pub fn retain_hosts(&mut self, live: &[HostId]) {
+    pub fn retain_hosts(&mut self, live: &BTreeSet<HostId>) {
         for share in self.shares.values_mut() {
             share.missing.retain(|h| live.contains(h));
         }
--- a/crates/core/src/serving/suspects/tests.rs
+++ b/crates/core/src/serving/suspects/tests.rs
@@ -64,6 +64,6 @@
     assert_eq!(sharing.take_ended(Now::from_secs(2)), [(id, false)]);
     let id = sharing.start(Now::ZERO, hosts.iter().cloned().collect(), vec![crash(1)]);
     sharing.acknowledge(&hosts[0], &[crash(1)]);
-    sharing.retain_hosts(&hosts[..1]);
+    sharing.retain_hosts(&hosts[..1].iter().cloned().collect());
     assert_eq!(sharing.take_ended(Now::ZERO), [(id, true)]);
 }
