--- a/crates/core/src/entry/choosing.rs
+++ b/crates/core/src/entry/choosing.rs
@@ -32,7 +32,7 @@
             let data_centre = self.locations.get(host).cloned().unwrap_or_default();
             (host.clone(), data_centre)
         };
-        self.live_hosts.iter().map(site).collect()
+        self.hosts.live().iter().map(site).collect()
     }
 
     /// An upstream that was not tried, or one that was if the work may be run again.
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -50,6 +50,7 @@
 mod claiming;
 mod ending;
 mod held;
+mod hosts;
 mod machine;
 mod message;
 mod quarantine;
--- a/crates/standins/examples/quickstart/faults.rs
+++ b/crates/standins/examples/quickstart/faults.rs
@@ -27,7 +27,11 @@
     let mut notes = Notes::default();
     sleep(Duration::from_secs(2)).await;
     say("fault: the store loses the answers of 3 claim writes that took effect");
-    fleet.lock().await.platform.lose_answers(LOST_ANSWERS, "claims/");
+    fleet
+        .lock()
+        .await
+        .platform
+        .lose_answers(LOST_ANSWERS, "claims/");
     sleep(Duration::from_secs(1)).await;
     notes.on_dead_engine = {
         let fleet = fleet.lock().await;
@@ -35,7 +39,10 @@
         fleet.engines[ENGINE].kill().await;
         running
     };
-    say(&format!("fault: an engine died with {} drafts on it", notes.on_dead_engine));
+    say(&format!(
+        "fault: an engine died with {} drafts on it",
+        notes.on_dead_engine
+    ));
     sleep(Duration::from_secs(1)).await;
     let entry = fleet.lock().await.entries.pop();
     say("fault: an entry host is shut down gracefully");
--- a/crates/standins/examples/quickstart/main.rs
+++ b/crates/standins/examples/quickstart/main.rs
@@ -16,7 +16,10 @@
 
 fn main() -> ExitCode {
     let args = cli::parse();
-    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+    let runtime = match tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+    {
         Ok(runtime) => runtime,
         Err(error) => {
             eprintln!("can't start: {error}");
@@ -67,5 +70,11 @@
 }
 
 async fn start(args: &Args) -> Result<Fleet, FleetError> {
-    FleetBuilder::default().entries(6).engines(12).plains(3).seed(args.seed).start().await
+    FleetBuilder::default()
+        .entries(6)
+        .engines(12)
+        .plains(3)
+        .seed(args.seed)
+        .start()
+        .await
 }
--- a/crates/standins/examples/quickstart/summary.rs
+++ b/crates/standins/examples/quickstart/summary.rs
@@ -52,7 +52,13 @@
     /// Evaluates the reports.
     pub fn new(seed: u64, reports: &[(Kind, Report)], notes: &Notes, fleet: &Fleet) -> Self {
         let counts = |kind| count(reports.iter().filter(|(k, _)| *k == kind).map(|(_, r)| r));
-        let runs = |key: &str| fleet.plains.iter().map(|plain| plain.runs_of(key)).sum::<usize>();
+        let runs = |key: &str| {
+            fleet
+                .plains
+                .iter()
+                .map(|plain| plain.runs_of(key))
+                .sum::<usize>()
+        };
         let mut summary = Self {
             seed,
             drafts: counts(Kind::Draft),
@@ -116,27 +122,38 @@
 
     fn violations(&self) -> Vec<String> {
         let mut violations = Vec::new();
-        for (name, c) in [("drafts", &self.drafts), ("status calls", &self.status_calls)] {
+        for (name, c) in [
+            ("drafts", &self.drafts),
+            ("status calls", &self.status_calls),
+        ] {
             if c.wrong + c.cut > 0 {
                 violations.push(format!("{} {name} were wrong and {} cut", c.wrong, c.cut));
             }
             // Idempotent work has somewhere else to go after each of these faults.
             if c.refused_unknown > 0 {
-                violations.push(format!("{} {name} have an unknown outcome", c.refused_unknown));
+                violations.push(format!(
+                    "{} {name} have an unknown outcome",
+                    c.refused_unknown
+                ));
             }
             if c.whole * 100 < c.sent * 95 {
                 violations.push(format!("only {} of {} {name} are whole", c.whole, c.sent));
             }
         }
         if self.reservations.wrong > 0 {
-            violations.push(format!("{} reservations got a wrong answer", self.reservations.wrong));
+            violations.push(format!(
+                "{} reservations got a wrong answer",
+                self.reservations.wrong
+            ));
         }
         if self.run_twice > 0 {
             violations.push(format!("{} reservations ran twice", self.run_twice));
         }
         if self.ran_though_refused > 0 {
             let count = self.ran_though_refused;
-            violations.push(format!("{count} requests ran though they were refused as not run"));
+            violations.push(format!(
+                "{count} requests ran though they were refused as not run"
+            ));
         }
         if !self.drain_cut_nothing {
             violations.push("the graceful shutdown cut requests".to_owned());
@@ -185,6 +202,10 @@
     for execution in fleet.plains.iter().flat_map(PlainService::executions) {
         *ran.entry(execution.request_id).or_default() += 1;
     }
-    let refused = reports.iter().filter(|(_, report)| report.outcome == Outcome::RefusedNotRun);
-    refused.filter(|(_, report)| ran.contains_key(&report.request_id)).count()
+    let refused = reports
+        .iter()
+        .filter(|(_, report)| report.outcome == Outcome::RefusedNotRun);
+    refused
+        .filter(|(_, report)| ran.contains_key(&report.request_id))
+        .count()
 }
--- a/crates/standins/examples/quickstart/work.rs
+++ b/crates/standins/examples/quickstart/work.rs
@@ -92,9 +92,17 @@
 /// Sends the plan and returns a report for each request.
 pub async fn send(fleet: &Arc<Mutex<Fleet>>, plan: &Plan) -> Vec<(Kind, Report)> {
     let entries = fleet.lock().await.entry_urls();
-    let running: FuturesUnordered<_> =
-        plan.items.iter().map(|item| send_item(item, plan.seed, &entries)).collect();
-    running.collect::<Vec<_>>().await.into_iter().flatten().collect()
+    let running: FuturesUnordered<_> = plan
+        .items
+        .iter()
+        .map(|item| send_item(item, plan.seed, &entries))
+        .collect();
+    running
+        .collect::<Vec<_>>()
+        .await
+        .into_iter()
+        .flatten()
+        .collect()
 }
 
 async fn send_item(item: &Item, seed: u64, entries: &[String]) -> Vec<(Kind, Report)> {
@@ -121,9 +129,15 @@
 }
 
 fn caller(item: &Item, seed: u64, suffix: &str, entries: &[String]) -> Caller {
-    let seed = seed.wrapping_mul(1_000_003).wrapping_add(item.number as u64);
+    let seed = seed
+        .wrapping_mul(1_000_003)
+        .wrapping_add(item.number as u64);
     let mut entries = entries.to_vec();
-    let start = if suffix == "a" { item.number } else { item.number + 1 } % entries.len();
+    let start = if suffix == "a" {
+        item.number
+    } else {
+        item.number + 1
+    } % entries.len();
     entries.rotate_left(start);
     Caller::builder(entries)
         .name(&format!("{:?}-{}-{suffix}", item.kind, item.number).to_lowercase())
@@ -136,7 +150,11 @@
 fn draft(item: &Item) -> Draft {
     Draft {
         service: DRAFTS.to_owned(),
-        prompt: format!("Describe lot {} {}", item.number, length_marker(item.tokens)),
+        prompt: format!(
+            "Describe lot {} {}",
+            item.number,
+            length_marker(item.tokens)
+        ),
         max_tokens: 512,
     }
 }
