Show the body of an answer that is neither a draft nor a refusal

A status without a problem document said nothing about its sender, which made a wrong address among the entry hosts hard to find. The report's detail now carries the body.

Measured: the crate's tests pass.

--- a/crates/standins/src/caller/draft.rs
+++ b/crates/standins/src/caller/draft.rs
@@ -127,8 +127,7 @@
             return self.refused(response).await;
         }
         if response.status() != StatusCode::OK {
-            let text = format!("status {} without a problem document", response.status());
-            return self.settle(Outcome::Wrong(text));
+            return self.not_a_draft(response).await;
         }
         self.reader.begin_stream();
         let mut body = response.into_body();
@@ -146,6 +145,15 @@
         End::Broken
     }
 
+    /// An answer that is neither a draft nor a refusal breaks the contract.
+    async fn not_a_draft(&mut self, response: Response<Incoming>) -> End {
+        let text = format!("status {} without a problem document", response.status());
+        if let Ok(body) = response.into_body().collect().await {
+            self.report.detail = String::from_utf8_lossy(&body.to_bytes()).into_owned();
+        }
+        self.settle(Outcome::Wrong(text))
+    }
+
     /// Checks the events that are whole; the outcome if they settle it.
     fn take_events(&mut self) -> Option<Outcome> {
         while let Some(checked) = self.reader.next_event() {
