--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod caller;
 pub mod client;
 pub mod engine;
+pub mod fleet;
 mod http_util;
 pub mod load;
 pub mod model;
