--- a/crates/core/src/fleet/answers.rs
+++ b/crates/core/src/fleet/answers.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::membership::rendezvous;
-use super::membership::{MemberView, Record, State};
+use super::membership::{MemberView, Record, Role, State};
 use crate::types::HostId;
 
 /// How long a caller may use an answer.
@@ -46,9 +46,12 @@
 /// Makes the answer that the host `me` gives from what it knows.
 #[must_use]
 pub fn answer(me: &Record, members: &[MemberView]) -> EntryHosts {
-    let usable = members
-        .iter()
-        .filter(|m| m.reachable && !m.record.leaving && m.record.state == State::Live);
+    let usable = members.iter().filter(|m| {
+        m.record.role == Role::Entry
+            && m.reachable
+            && !m.record.leaving
+            && m.record.state == State::Live
+    });
     let mut ranked: Vec<&MemberView> = usable.collect();
     ranked.sort_by_key(|m| (distance(me, &m.record), rank(me, &m.record)));
     let chosen = choose(me, &ranked);
--- a/crates/core/src/fleet/entry/members.rs
+++ b/crates/core/src/fleet/entry/members.rs
@@ -8,6 +8,7 @@
 use super::FleetEntry;
 use super::probe::peer_of;
 use crate::event::EventKind;
+use crate::fleet::membership::gossip::Room;
 use crate::fleet::membership::table::{Change, Member};
 use crate::fleet::membership::{Role, State, rendezvous, sync};
 use crate::fleet::message::{Body, Peer, RUMOUR_BYTES, Summary, Update};
@@ -23,12 +24,8 @@
 const SPARE_TARGETS: usize = 3;
 /// Hosts to which a change is sent at once in each round.
 const FAN_OUT: usize = 3;
-/// Bytes a second for messages sent for changes alone, in the long run and at once: with probes
-/// and heartbeats the total stays below 3 KB a second.
-const RUMOUR_BYTES_PER_S: f64 = 600.0;
-const RUMOUR_BURST_BYTES: f64 = 6_000.0;
-/// Bytes that a message costs besides its updates.
-const MESSAGE_BYTES: usize = 120;
+/// Time between questions for records that a message named and this host doesn't know.
+const WANT_AGAIN: Duration = Duration::from_millis(500);
 /// Time between comparisons of tables when they agree, and when they differed.
 const SYNC_PERIOD: Duration = Duration::from_secs(5);
 const SYNC_AGAIN: Duration = Duration::from_secs(1);
@@ -52,7 +49,8 @@
                 change @ Change::Changed { .. } => self.changed(change),
             }
         }
-        if !wanted.is_empty() && !from.is_empty() {
+        if !wanted.is_empty() && !from.is_empty() && now >= self.next_want_at {
+            self.next_want_at = now + WANT_AGAIN;
             let updates = Vec::new();
             self.send(from, Body::Repair { updates, wanted });
         }
@@ -100,7 +98,7 @@
         if let Some(kind) = kind.filter(|_| before != Some(after) || new_life) {
             self.event(kind, host.clone());
         }
-        self.gossip.push(host, new_life);
+        self.gossip.push(host, after, new_life);
         if after == State::Leaving {
             // Shown at once: new work must stop within 3 s of the first sign.
             self.show();
@@ -255,17 +253,18 @@
     }
 
     /// Sends urgent changes and a new revision to a few hosts.
-    pub(super) fn send_rumours(&mut self, passed: Duration) {
-        let earned = passed.as_secs_f64() * RUMOUR_BYTES_PER_S;
-        self.rumour_bytes = (self.rumour_bytes + earned).min(RUMOUR_BURST_BYTES);
+    pub(super) fn send_rumours(&mut self) {
         let urgent = self.gossip.is_urgent();
-        if (!urgent && self.config_rounds == 0) || self.rumour_bytes <= 0.0 {
+        if !urgent && self.config_rounds == 0 {
             return;
         }
-        let updates = self.gossip.pack(&self.table, RUMOUR_BYTES, true);
-        let bytes = MESSAGE_BYTES + updates.iter().map(update_bytes).sum::<usize>();
+        let room = Room {
+            bytes: RUMOUR_BYTES,
+            urgent_only: true,
+            short_only: !self.budget.has_spare(),
+        };
+        let updates = self.gossip.pack(&self.table, room, FAN_OUT as u32);
         for peer in self.random_peers(FAN_OUT) {
-            self.rumour_bytes -= bytes as f64;
             let updates = updates.clone();
             self.send(&peer.address, Body::Rumour { updates });
         }
@@ -329,10 +328,3 @@
         self.next_sync_at = self.next_sync_at.min(now + SYNC_AGAIN);
     }
 }
-
-fn update_bytes(update: &Update) -> usize {
-    match update {
-        Update::Full(record) => record.size_bytes(),
-        Update::Brief(_) => crate::fleet::membership::gossip::SUMMARY_BYTES,
-    }
-}
--- a/crates/core/src/fleet/entry/mod.rs
+++ b/crates/core/src/fleet/entry/mod.rs
@@ -14,6 +14,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::answers::{self, EntryHosts};
+use super::budget::Budget;
 use super::membership::gossip::Gossip;
 use super::membership::reach::Reach;
 use super::membership::table::Table;
@@ -71,13 +72,15 @@
     unanswered_seeds: BTreeSet<String>,
     joined: bool,
     next_join_at: Now,
+    join_after: HostId,
     next_sync_at: Now,
+    next_want_at: Now,
     next_seed_at: Now,
     next_duty_at: Now,
     duty_generation: u64,
     duty: BTreeSet<HostId>,
     config_rounds: u32,
-    rumour_bytes: f64,
+    budget: Budget,
     isolated: bool,
     silent: BTreeSet<String>,
     leave: Option<Leave>,
@@ -122,13 +125,15 @@
             last_tick: None,
             joined: false,
             next_join_at: Now::ZERO,
+            join_after: HostId::new(),
             next_sync_at: Now::ZERO,
+            next_want_at: Now::ZERO,
             next_seed_at: Now::ZERO,
             next_duty_at: Now::ZERO,
             duty_generation: 0,
             duty: BTreeSet::new(),
             config_rounds: 0,
-            rumour_bytes: 0.0,
+            budget: Budget::default(),
             isolated: false,
             silent: BTreeSet::new(),
             leave: None,
@@ -138,6 +143,7 @@
 
     /// Takes an input and returns what to do.
     pub fn handle(&mut self, now: Now, input: Input) -> Vec<Output> {
+        self.budget.fill(now);
         match input {
             Input::Start => self.start(now),
             Input::Message(message) => self.receive(now, message),
@@ -175,7 +181,7 @@
         self.last_tick = Some(now);
         let me = self.me.clone();
         self.table.merge_record(now, &me);
-        self.gossip.push(me.host, true);
+        self.gossip.push(me.host, me.state, true);
         let jitter = Duration::from_millis(self.rng.random_range(0..1_000));
         self.probing.next_at = now + jitter;
         self.next_sync_at = now + Duration::from_secs(5) + jitter;
@@ -196,7 +202,7 @@
         self.probe(now);
         self.judge(now);
         self.judge_upstreams(now);
-        self.send_rumours(gap);
+        self.send_rumours();
         self.sync(now);
         self.tick_config(now);
         self.table.forget_gone(now.saturating_sub(REMEMBER_GONE));
@@ -222,7 +228,7 @@
     fn announce(&mut self, now: Now, whole: bool) {
         let me = self.me.clone();
         self.table.merge_record(now, &me);
-        self.gossip.push(me.host, whole);
+        self.gossip.push(me.host, me.state, whole);
     }
 
     fn leave(&mut self, now: Now) {
@@ -238,8 +244,7 @@
         self.announce(now, false);
         let detail = format!("{} is leaving", self.me.host);
         self.event(EventKind::MemberLeaving, detail);
-        self.rumour_bytes = self.rumour_bytes.max(1.0);
-        self.send_rumours(Duration::ZERO);
+        self.send_rumours();
         self.show();
     }
 
@@ -279,14 +284,17 @@
             digest,
             load: self.me.load,
         };
-        self.out.push(Output::Send {
-            to_address: to_address.to_owned(),
-            message: FleetMessage {
-                from,
-                clock: Stamp::default(),
-                body,
-            },
-        });
+        let message = FleetMessage {
+            from,
+            clock: Stamp::default(),
+            body,
+        };
+        if self.budget.spend(&message.body, message.size_bytes()) {
+            self.out.push(Output::Send {
+                to_address: to_address.to_owned(),
+                message,
+            });
+        }
     }
 
     fn event(&mut self, kind: EventKind, detail: impl Into<String>) {
--- a/crates/core/src/fleet/entry/probe.rs
+++ b/crates/core/src/fleet/entry/probe.rs
@@ -9,8 +9,9 @@
 use super::FleetEntry;
 use crate::event::EventKind;
 use crate::fleet::membership::State;
+use crate::fleet::membership::gossip::Room;
 use crate::fleet::membership::table::Member;
-use crate::fleet::message::{Body, PIGGYBACK_BYTES, Peer, Update};
+use crate::fleet::message::{Body, PIGGYBACK_BYTES, Peer, SHORT_BYTES, Update};
 use crate::types::{DataCentreId, HostId, Now};
 
 /// Time between probes.
@@ -128,7 +129,13 @@
         if accused {
             updates.extend(self.brief(host));
         }
-        updates.extend(self.gossip.pack(&self.table, PIGGYBACK_BYTES, false));
+        let spare = self.budget.has_spare();
+        let room = Room {
+            bytes: if spare { PIGGYBACK_BYTES } else { SHORT_BYTES },
+            urgent_only: false,
+            short_only: !spare,
+        };
+        updates.extend(self.gossip.pack(&self.table, room, 1));
         updates
     }
 
--- a/crates/core/src/fleet/entry/receive.rs
+++ b/crates/core/src/fleet/entry/receive.rs
@@ -15,6 +15,8 @@
 
 /// Time between attempts to join.
 const JOIN_AGAIN: Duration = Duration::from_secs(1);
+/// Time between messages that tell a sender what others say about it.
+const TELL_AGAIN: Duration = Duration::from_millis(500);
 
 impl FleetEntry {
     pub(super) fn receive(&mut self, now: Now, message: FleetMessage) {
@@ -90,25 +92,29 @@
         };
         let theirs = (from.incarnation, from.version);
         let known = (member.record.incarnation, member.record.version);
-        if theirs < known {
-            // Sent before a newer announcement, or by a process that was given up.
-            if theirs.0 < known.0 || member.record.state >= State::Suspect {
-                self.accuse(from);
+        if theirs >= known {
+            member.heard = now;
+            member.record.revision = from.revision;
+            if member.record.load != from.load {
+                member.record.load = from.load;
+                self.shown.due |= from.role == Role::Entry;
             }
-            return;
         }
-        member.heard = now;
-        member.record.revision = from.revision;
-        if member.record.load != from.load {
-            member.record.load = from.load;
-            self.shown.due |= from.role == Role::Entry;
+        // An old life, or one that was given up, hears of it; a newer one is asked for its
+        // record. Upstream processes get this with the answer to their heartbeat.
+        let given_up = member.record.state >= State::Suspect && theirs <= known;
+        let unlike = theirs > known || theirs.0 < known.0 || given_up;
+        let told = member.told.is_some_and(|at| now < at + TELL_AGAIN);
+        if !unlike || told || from.role == Role::Upstream {
+            return;
         }
-        let state = member.record.state;
-        if theirs > known && from.role == Role::Entry {
+        member.told = Some(now);
+        if theirs > known {
             self.ask_record(from);
-        } else if state >= State::Suspect && !matches!(body, Body::Probe { .. }) {
-            self.accuse(from);
+            return;
         }
+        let updates: Vec<_> = self.brief(&from.host).into_iter().collect();
+        self.send(&from.address, Body::Rumour { updates });
     }
 
     fn ask_record(&mut self, from: &Sender) {
@@ -117,20 +123,15 @@
         self.send(&from.address, Body::Repair { updates, wanted });
     }
 
-    fn accuse(&mut self, from: &Sender) {
-        // Upstream processes get it with the answer to their heartbeat.
-        if from.role == Role::Upstream {
-            return;
-        }
-        let updates: Vec<_> = self.brief(&from.host).into_iter().collect();
-        self.send(&from.address, Body::Rumour { updates });
-    }
-
     pub(super) fn join(&mut self, now: Now) {
         if self.joined || now < self.next_join_at {
             return;
         }
         self.next_join_at = now + JOIN_AGAIN;
+        if !self.join_after.is_empty() {
+            self.ask_page();
+            return;
+        }
         if self.unanswered_seeds.is_empty() {
             self.joined = true;
             return;
@@ -142,6 +143,16 @@
         }
     }
 
+    /// Asks any host for the next page, so that the seeds don't carry a restart of many hosts.
+    fn ask_page(&mut self) {
+        let Some(peer) = self.random_peers(1).pop() else {
+            return;
+        };
+        let record = Box::new(self.me.clone());
+        let after = self.join_after.clone();
+        self.send(&peer.address, Body::Join { record, after });
+    }
+
     fn page(&mut self, now: Now, from: &Sender, record: Box<Record>, after: &str) {
         if after.is_empty() {
             self.merge(now, &[Update::Full(record)], "");
@@ -167,18 +178,23 @@
     fn joined_page(&mut self, now: Now, from: &Sender, records: Vec<Record>, more: bool) {
         self.unanswered_seeds.remove(&from.address);
         let last = records.last().map(|r| r.host.clone());
-        // The first seed's table is enough; what differs is found by comparison.
-        let first = !self.joined;
         let updates: Vec<_> = records
             .into_iter()
             .map(|r| Update::Full(Box::new(r)))
             .collect();
         self.merge(now, &updates, "");
-        if let Some(after) = last.filter(|_| more && first) {
-            let record = Box::new(self.me.clone());
-            self.send(&from.address, Body::Join { record, after });
-        } else {
-            self.joined = true;
+        // One table is enough; what differs is found by comparison.
+        match last.filter(|last| more && !self.joined && *last > self.join_after) {
+            Some(last) => {
+                self.join_after = last;
+                self.next_join_at = now + JOIN_AGAIN;
+                self.ask_page();
+            }
+            None if !more => {
+                self.joined = true;
+                self.join_after.clear();
+            }
+            None => {}
         }
         if self.unanswered_seeds.is_empty() {
             let steps = self.spread.open(now);
--- a/crates/core/src/fleet/entry/views.rs
+++ b/crates/core/src/fleet/entry/views.rs
@@ -3,7 +3,7 @@
 use super::FleetEntry;
 use crate::entry::UpstreamInfo;
 use crate::fleet::membership::table::Member;
-use crate::fleet::membership::{MemberView, Role, State};
+use crate::fleet::membership::{MemberView, Record, Role, State};
 use crate::fleet::{Output, answers};
 
 impl FleetEntry {
@@ -14,6 +14,12 @@
         present.map(|m| self.view(m)).collect()
     }
 
+    /// A member's record, also for some time after it is gone.
+    #[must_use]
+    pub fn record(&self, host: &str) -> Option<&Record> {
+        self.table.get(host).map(|m| &m.record)
+    }
+
     fn view(&self, member: &Member) -> MemberView {
         let record = member.record.clone();
         let own = record.host == self.me.host;
--- a/crates/core/src/fleet/membership/gossip.rs
+++ b/crates/core/src/fleet/membership/gossip.rs
@@ -4,13 +4,22 @@
 
 use super::record::State;
 use super::table::Table;
-use crate::fleet::message::Update;
+use crate::fleet::message::{SUMMARY_BYTES, Update};
 use crate::types::HostId;
 
-/// Bytes of a short statement in a message, at most.
-pub const SUMMARY_BYTES: usize = 28;
 /// Rounds in which a change is sent to a few hosts at once, besides riding on probes.
-const URGENT_ROUNDS: u32 = 3;
+const URGENT_ROUNDS: u32 = 2;
+
+/// Room for changes in a message.
+#[derive(Clone, Copy, Debug)]
+pub struct Room {
+    /// Bytes.
+    pub bytes: usize,
+    /// Only changes that don't wait for a probe.
+    pub urgent_only: bool,
+    /// Only changes of known lives: objections to suspicions must flow whatever the budget.
+    pub short_only: bool,
+}
 
 #[derive(Clone, Copy, Debug)]
 struct Pending {
@@ -27,11 +36,16 @@
 
 impl Gossip {
     /// Queues a member's present state.
-    pub fn push(&mut self, host: HostId, whole: bool) {
+    pub fn push(&mut self, host: HostId, state: State, whole: bool) {
         let whole = whole || self.queue.get(&host).is_some_and(|p| p.whole);
         let pending = Pending {
             sent: 0,
-            urgent_rounds: URGENT_ROUNDS,
+            urgent_rounds: match state {
+                State::Leaving | State::Gone => URGENT_ROUNDS,
+                State::Live if whole => URGENT_ROUNDS,
+                // On a bad network suspicions and objections are many.
+                State::Live | State::Suspect => 1,
+            },
             whole,
         };
         self.queue.insert(host, pending);
@@ -50,11 +64,13 @@
         }
     }
 
-    /// Takes changes for one message: leaving members first, then the least sent.
-    pub fn pack(&mut self, table: &Table, budget_bytes: usize, urgent: bool) -> Vec<Update> {
+    /// Takes changes for a message to `copies` hosts: leaving members first, then the least sent.
+    pub fn pack(&mut self, table: &Table, room: Room, copies: u32) -> Vec<Update> {
         let mut order: Vec<(bool, u32, HostId)> = Vec::new();
         for (host, pending) in &self.queue {
-            if urgent && pending.urgent_rounds == 0 {
+            if (room.urgent_only && pending.urgent_rounds == 0)
+                || (room.short_only && pending.whole)
+            {
                 continue;
             }
             let leaving = table
@@ -64,13 +80,13 @@
         }
         order.sort();
         let mut updates = Vec::new();
-        let mut left = budget_bytes;
+        let mut left = room.bytes;
         for (_, _, host) in order {
             if left < SUMMARY_BYTES {
                 break;
             }
-            if let Some((update, size)) = self.take(table, &host, left) {
-                left -= size;
+            if let Some(update) = self.take(table, &host, left, copies) {
+                left -= update.size_bytes();
                 updates.push(update);
             }
         }
@@ -78,32 +94,27 @@
         updates
     }
 
-    fn take(&mut self, table: &Table, host: &str, left: usize) -> Option<(Update, usize)> {
+    fn take(&mut self, table: &Table, host: &str, left: usize, copies: u32) -> Option<Update> {
         let record = &table.get(host)?.record;
         let pending = self.queue.get_mut(host)?;
         let whole = pending.whole && record.state != State::Gone;
-        let size = if whole {
-            record.size_bytes()
-        } else {
-            SUMMARY_BYTES
-        };
-        if size > left {
-            return None;
-        }
-        pending.sent += 1;
         let update = if whole {
             Update::Full(Box::new(record.clone()))
         } else {
             Update::Brief(record.summary())
         };
-        Some((update, size))
+        if update.size_bytes() > left {
+            return None;
+        }
+        pending.sent += copies;
+        Some(update)
     }
 
-    /// A change is sent a few times the logarithm of the number of hosts; what that misses is
+    /// A change is sent about twice the logarithm of the number of hosts; what that misses is
     /// found by comparing tables.
     fn drop_finished(&mut self, table: &Table) {
         let hosts = table.entry_hosts().count() as u32;
-        let limit = 3 * (u32::BITS - hosts.leading_zeros()) + 3;
+        let limit = 2 * (u32::BITS - hosts.leading_zeros()) + 2;
         self.queue
             .retain(|host, p| p.sent < limit && table.get(host).is_some());
     }
--- a/crates/core/src/fleet/membership/record.rs
+++ b/crates/core/src/fleet/membership/record.rs
@@ -104,7 +104,7 @@
             &self.admin_address,
         ];
         let lengths: usize = texts.iter().map(|t| t.len() + 1).sum();
-        lengths + 32
+        lengths + 36
     }
 }
 
--- a/crates/core/src/fleet/membership/table.rs
+++ b/crates/core/src/fleet/membership/table.rs
@@ -27,6 +27,8 @@
     pub heard: Now,
     /// When the present state was noted.
     pub since: Now,
+    /// When it was last told what others say about it, or asked for its record.
+    pub told: Option<Now>,
 }
 
 /// Effect of a statement on the table.
@@ -122,6 +124,7 @@
             key,
             heard,
             since: now,
+            told: None,
         };
         self.names.insert(key, record.host.clone());
         self.members.insert(record.host.clone(), member);
--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -9,7 +9,9 @@
 use crate::types::{DataCentreId, HostId, Incarnation, Revision};
 
 /// Most bytes of updates on a probe or its answer.
-pub const PIGGYBACK_BYTES: usize = 320;
+pub const PIGGYBACK_BYTES: usize = 256;
+/// Most bytes of updates on a probe or its answer when the budget is spent.
+pub const SHORT_BYTES: usize = 112;
 /// Most bytes of updates in a message that is sent for them alone.
 pub const RUMOUR_BYTES: usize = 1_000;
 /// Most bytes of records in one page for a joining host or one repair.
@@ -192,3 +194,63 @@
     /// Entry hosts to send heartbeats to, then spare ones; empty if unchanged.
     pub peers: Vec<Peer>,
 }
+
+/// Upper bound of a short statement, in bytes.
+pub const SUMMARY_BYTES: usize = 28;
+/// Bytes of a message besides names and content: frame, call envelope and headers of IP and TCP
+/// are about 96, the numbers of the sender about 50.
+const FIXED_BYTES: usize = 146;
+
+impl Update {
+    /// Upper bound of its size in a message, in bytes.
+    #[must_use]
+    pub fn size_bytes(&self) -> usize {
+        match self {
+            Self::Full(record) => record.size_bytes() + 1,
+            Self::Brief(_) => SUMMARY_BYTES,
+        }
+    }
+}
+
+impl Peer {
+    fn size_bytes(&self) -> usize {
+        self.host.len() + self.address.len() + 2
+    }
+}
+
+impl FleetMessage {
+    /// Upper bound of its size on the wire, in bytes, with what carries it.
+    #[must_use]
+    pub fn size_bytes(&self) -> usize {
+        let from = &self.from;
+        let names = from.host.len() + from.address.len() + from.data_centre.len();
+        FIXED_BYTES + names + self.body.size_bytes()
+    }
+}
+
+impl Body {
+    fn size_bytes(&self) -> usize {
+        let sum = |updates: &[Update]| updates.iter().map(Update::size_bytes).sum::<usize>() + 9;
+        match self {
+            Self::Probe { updates, .. }
+            | Self::ProbeAck { updates, .. }
+            | Self::Rumour { updates } => sum(updates) + 9,
+            Self::ProbeIndirect { target, .. } => target.size_bytes() + 9,
+            Self::Join { record, after } => record.size_bytes() + after.len() + 1,
+            Self::JoinPage { records, .. } => {
+                records.iter().map(Record::size_bytes).sum::<usize>() + 10
+            }
+            Self::Digest { buckets } => buckets.len() * 9 + 1,
+            Self::Summaries { members, .. } => members.len() * SUMMARY_BYTES + 18,
+            Self::Repair { updates, wanted } => sum(updates) + wanted.len() * 9 + 9,
+            Self::Heartbeat(h) => h.record.as_ref().map_or(0, |r| r.size_bytes()) + 12,
+            Self::HeartbeatReply(r) => {
+                SUMMARY_BYTES + r.peers.iter().map(Peer::size_bytes).sum::<usize>() + 2
+            }
+            Self::AskHead => 0,
+            Self::Head { head } => head.len() + 9,
+            Self::AskShards { hashes } => hashes.iter().map(|h| h.len() + 1).sum::<usize>() + 9,
+            Self::Shards { shards } => shards.iter().map(|s| s.len() + 9).sum::<usize>() + 9,
+        }
+    }
+}
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -44,6 +44,7 @@
 //! ```
 
 pub mod answers;
+mod budget;
 mod entry;
 mod membership;
 mod message;
@@ -52,6 +53,9 @@
 mod spread;
 mod upstream;
 
+#[cfg(test)]
+mod tests;
+
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
--- /dev/null
+++ b/crates/core/src/fleet/tests.rs
@@ -0,0 +1,399 @@
+use std::time::Duration;
+
+use super::budget::Budget;
+use super::membership::gossip::{Gossip, Room};
+use super::membership::reach::Reach;
+use super::membership::table::{Change, Table};
+use super::message::SHORT_BYTES;
+use super::platform_policy::{Breaker, PlatformLimits, PlatformPolicy};
+use super::*;
+use crate::config::{Head, Team, split};
+use crate::event::EventKind;
+use crate::types::Revision;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn record(host: &str, role: Role, centre: &str) -> Record {
+    Record {
+        host: host.into(),
+        role,
+        region: "north".into(),
+        data_centre: centre.into(),
+        service: "drafts".into(),
+        data_address: format!("{host}:443"),
+        control_address: format!("{host}:7000"),
+        admin_address: String::new(),
+        incarnation: 1,
+        version: 0,
+        state: State::Live,
+        leaving: false,
+        revision: 0,
+        load: 0,
+    }
+}
+
+fn view(record: Record) -> MemberView {
+    MemberView {
+        record,
+        reachable: true,
+    }
+}
+
+fn answered(me: &Record, members: &[MemberView]) -> Vec<String> {
+    let answer = answers::answer(me, members);
+    answer.hosts.into_iter().map(|h| h.host).collect()
+}
+
+// Guards against an answer that sends callers to upstream processes.
+#[test]
+fn answers_name_entry_hosts_only() {
+    let me = record("entry-1", Role::Entry, "north-1");
+    let members = [
+        view(me.clone()),
+        view(record("up-1", Role::Upstream, "north-1")),
+    ];
+    assert_eq!(answered(&me, &members), ["entry-1"]);
+}
+
+// Guards against callers sent far away, or to hosts that leave or can't be reached, and against
+// an answer that the loss of one data centre makes useless.
+#[test]
+fn answers_name_near_hosts_first_and_some_elsewhere() {
+    let me = record("entry-1", Role::Entry, "north-1");
+    let mut members = vec![view(me.clone())];
+    for n in 2..9 {
+        members.push(view(record(&format!("near-{n}"), Role::Entry, "north-1")));
+    }
+    let mut leaving = record("leaving", Role::Entry, "north-2");
+    leaving.leaving = true;
+    leaving.state = State::Leaving;
+    members.push(view(leaving));
+    let mut silent = view(record("silent", Role::Entry, "north-3"));
+    silent.reachable = false;
+    members.push(silent);
+    members.push(view(record("other-1", Role::Entry, "north-4")));
+    members.push(view(record("other-2", Role::Entry, "north-4")));
+    let hosts = answered(&me, &members);
+    assert_eq!(hosts.len(), 6);
+    assert_eq!(hosts[0], "entry-1");
+    assert!(
+        hosts[1..4].iter().all(|h| h.starts_with("near-")),
+        "{hosts:?}"
+    );
+    assert!(
+        hosts[4..].iter().all(|h| h.starts_with("other-")),
+        "{hosts:?}"
+    );
+}
+
+// Guards against a loaded host that gets as many callers as an idle one.
+#[test]
+fn loaded_hosts_weigh_less() {
+    let mut me = record("entry-1", Role::Entry, "north-1");
+    me.load = 85;
+    let answer = answers::answer(&me, &[view(me.clone())]);
+    assert_eq!(answer.hosts[0].weight, 20);
+    assert_eq!(answer.validity_ms, 10_000);
+}
+
+// Guards against a host that stops serving while an answer may still name it.
+#[test]
+fn leaving_host_waits_until_answers_have_expired() {
+    let settings = FleetSettings::new("entry-1", "north", "north-1", "a:1");
+    let mut entry = FleetEntry::new(settings, 1);
+    let mut now = Duration::from_secs(50);
+    entry.handle(now, Input::Start);
+    let out = entry.handle(now, Input::Leave);
+    let named = |o: &Output| matches!(o, Output::EntryHosts(e) if e.hosts.is_empty());
+    assert!(out.iter().any(named), "{out:?}");
+    let left_at = now;
+    let expired = loop {
+        now += Duration::from_millis(200);
+        let out = entry.handle(now, Input::Timer(Timer::Tick));
+        if out.contains(&Output::AnswersExpired) {
+            break now;
+        }
+        assert!(now < left_at + 60 * SECOND, "it never learns of it");
+    };
+    assert!(expired >= left_at + answers::VALIDITY + answers::LEAVE_SPREAD);
+}
+
+// Guards against a process that restarts again and again and sends a full burst each time.
+#[test]
+fn budget_of_a_starting_process_is_not_full() {
+    let digest = Body::Rumour {
+        updates: Vec::new(),
+    };
+    let sent = |budget: &mut Budget| {
+        (0..100)
+            .take_while(|_| budget.spend(&digest, 1_000))
+            .count()
+    };
+    let mut fresh = Budget::default();
+    fresh.fill(Duration::from_secs(5_000));
+    let mut rested = fresh.clone();
+    rested.fill(Duration::from_secs(5_100));
+    assert!(sent(&mut fresh) * 2 < sent(&mut rested));
+}
+
+// Guards against comparisons of tables that wait for the budget: a fleet that restarted as a
+// whole on a bad network stayed divided for longer than 20 s.
+#[test]
+fn signs_of_life_and_comparisons_never_wait() {
+    let mut budget = Budget::default();
+    budget.fill(SECOND);
+    let rumour = Body::Rumour {
+        updates: Vec::new(),
+    };
+    while budget.spend(&rumour, 500) {}
+    let seq = 1;
+    let updates = Vec::new();
+    assert!(budget.spend(&Body::Probe { seq, updates }, 500));
+    assert!(budget.spend(
+        &Body::Digest {
+            buckets: Vec::new()
+        },
+        500
+    ));
+    let wanted = vec![1];
+    let updates = Vec::new();
+    assert!(budget.spend(&Body::Repair { updates, wanted }, 500));
+}
+
+// Guards against a debt from a bad network that silences changes long after it is well.
+#[test]
+fn debt_of_the_budget_is_bounded() {
+    let mut budget = Budget::default();
+    budget.fill(SECOND);
+    let seq = 1;
+    for _ in 0..1_000 {
+        let updates = Vec::new();
+        budget.spend(&Body::Probe { seq, updates }, 500);
+    }
+    assert!(!budget.has_spare());
+    budget.fill(3 * SECOND);
+    assert!(budget.has_spare());
+}
+
+// Guards against an objection to a suspicion that waits behind whole records.
+#[test]
+fn objections_flow_when_the_budget_is_spent() {
+    let mut table = Table::default();
+    let mut gossip = Gossip::default();
+    for n in 0..20 {
+        let new = record(&format!("new-{n}"), Role::Upstream, "north-1");
+        table.merge_record(SECOND, &new);
+        gossip.push(new.host, State::Live, true);
+    }
+    let mut me = record("me", Role::Entry, "north-1");
+    me.version = 1;
+    table.merge_record(SECOND, &me);
+    gossip.push(me.host.clone(), State::Live, false);
+    let room = Room {
+        bytes: SHORT_BYTES,
+        urgent_only: false,
+        short_only: true,
+    };
+    let updates = gossip.pack(&table, room, 1);
+    assert_eq!(updates, [Update::Brief(me.summary())]);
+}
+
+// Guards against new work on a leaving host because other changes came first.
+#[test]
+fn leaving_members_come_first_in_a_message() {
+    let mut table = Table::default();
+    let mut gossip = Gossip::default();
+    for n in 0..9 {
+        let mut member = record(&format!("m-{n}"), Role::Upstream, "north-1");
+        if n == 7 {
+            member.state = State::Leaving;
+        }
+        table.merge_record(SECOND, &member);
+        gossip.push(member.host, member.state, false);
+    }
+    let room = Room {
+        bytes: 60,
+        urgent_only: false,
+        short_only: false,
+    };
+    let first = gossip.pack(&table, room, 1).remove(0);
+    assert!(
+        matches!(first, Update::Brief(s) if s.state == State::Leaving),
+        "{first:?}"
+    );
+}
+
+// Guards against a late message that brings a dead process back.
+#[test]
+fn older_statements_change_nothing() {
+    let mut table = Table::default();
+    let live = record("up-1", Role::Upstream, "north-1");
+    table.merge_record(SECOND, &live);
+    let gone = Summary {
+        state: State::Gone,
+        ..live.summary()
+    };
+    table.merge_summary(SECOND, &gone);
+    assert_eq!(table.merge_record(SECOND, &live), Change::Old);
+    let mut objection = live.clone();
+    objection.version = 1;
+    let change = table.merge_record(SECOND, &objection);
+    assert!(matches!(
+        change,
+        Change::Changed {
+            after: State::Live,
+            ..
+        }
+    ));
+}
+
+// Guards against a host that takes the loss of a data centre for its own isolation, or its own
+// isolation for the loss of all data centres.
+#[test]
+fn silence_of_some_data_centres_is_not_isolation() {
+    let mut reach = Reach::default();
+    let centres = ["a", "b"].into_iter().collect();
+    for _ in 0..2 {
+        reach.failed(SECOND, "b");
+    }
+    reach.heard(2 * SECOND, "a");
+    assert!(reach.is_silent("b") && !reach.is_silent("a"));
+    assert!(!reach.all_silent(&centres));
+    for _ in 0..2 {
+        reach.failed(3 * SECOND, "a");
+    }
+    assert!(reach.all_silent(&centres));
+    assert!(reach.heard(4 * SECOND, "a"));
+    assert!(!reach.all_silent(&centres));
+}
+
+// Guards against a paused process that accuses all others when it goes on.
+#[test]
+fn paused_host_accuses_nobody_and_goes_on_under_a_higher_incarnation() {
+    let settings = FleetSettings::new("entry-1", "north", "north-1", "entry-1:7000");
+    let mut entry = FleetEntry::new(settings.incarnation(40), 1);
+    entry.handle(SECOND, Input::Start);
+    let from = Sender {
+        host: "entry-2".into(),
+        address: "entry-2:7000".into(),
+        role: Role::Entry,
+        data_centre: "north-1".into(),
+        incarnation: 1,
+        version: 0,
+        revision: 0,
+        digest: 0,
+        load: 0,
+    };
+    let body = Body::Join {
+        record: Box::new(record("entry-2", Role::Entry, "north-1")),
+        after: String::new(),
+    };
+    let clock = crate::event::Stamp::default();
+    entry.handle(SECOND, Input::Message(FleetMessage { from, clock, body }));
+    for step in 1..=5 {
+        entry.handle(SECOND + TICK * step, Input::Timer(Timer::Tick));
+    }
+    let out = entry.handle(60 * SECOND, Input::Timer(Timer::Tick));
+    assert!(out.contains(&Output::Incarnation(41)), "{out:?}");
+    let paused = |o: &Output| matches!(o, Output::Event(e) if e.kind == EventKind::ProcessPaused);
+    assert!(out.iter().any(paused));
+    for step in 1..=100 {
+        entry.handle(60 * SECOND + TICK * step, Input::Timer(Timer::Tick));
+    }
+    assert_eq!(entry.record("entry-2").map(|r| r.state), Some(State::Live));
+}
+
+const TICK: Duration = Duration::from_millis(200);
+
+fn config(revision: Revision, team: &str) -> (Head, Vec<Vec<u8>>) {
+    let mut cfg = Config {
+        revision,
+        ..Config::default()
+    };
+    cfg.teams.insert(team.into(), Team::default());
+    let split = split(&cfg).unwrap();
+    (split.head, split.shards.into_values().collect())
+}
+
+fn give(spread: &mut spread::Spread, revision: Revision, team: &str) -> bool {
+    let (head, shards) = config(revision, team);
+    let bytes = head.to_bytes().unwrap();
+    let mut steps = spread.take_head(SECOND, &bytes, spread::Source::Platform);
+    steps.extend(spread.take_shards(SECOND, shards));
+    steps.iter().any(|s| matches!(s, spread::Step::Apply(_)))
+}
+
+// Guards against a stale read, a late message or a head that was made again taking a host back.
+#[test]
+fn lower_and_equal_revisions_with_other_content_are_refused() {
+    let mut spread = spread::Spread::default();
+    spread.open(SECOND);
+    assert!(give(&mut spread, 5, "a"));
+    assert!(!give(&mut spread, 4, "a"));
+    assert!(!give(&mut spread, 5, "b"));
+    assert_eq!(spread.identity().0, 5);
+    assert!(give(&mut spread, 6, "b"));
+}
+
+// Guards against a restarted host that falls behind a peer which it has heard.
+#[test]
+fn starting_process_listens_before_it_applies() {
+    let mut spread = spread::Spread::default();
+    assert!(!give(&mut spread, 4, "a"));
+    let from = Sender {
+        host: "entry-2".into(),
+        address: "entry-2:7000".into(),
+        role: Role::Entry,
+        data_centre: "north-1".into(),
+        incarnation: 1,
+        version: 0,
+        revision: 5,
+        digest: 9,
+        load: 0,
+    };
+    let steps = spread.hear(SECOND, &from);
+    assert!(matches!(&steps[..], [spread::Step::Ask(..)]), "{steps:?}");
+    let steps = spread.open(2 * SECOND);
+    assert!(!steps.iter().any(|s| matches!(s, spread::Step::Apply(_))));
+    assert!(!give(&mut spread, 4, "a"));
+}
+
+// Guards against calls without pause while the platform is down, and against processes that all
+// return at the same time.
+#[test]
+fn breaker_opens_tries_once_and_closes() {
+    let mut policy = PlatformPolicy::new(PlatformLimits::default(), 1);
+    for _ in 0..3 {
+        policy.ask(SECOND).unwrap();
+        policy.report(SECOND, false);
+    }
+    let wait = policy.ask(SECOND).unwrap_err();
+    assert!(wait >= Duration::from_millis(250) && wait <= Duration::from_millis(500));
+    let later = SECOND + wait;
+    policy.ask(later).unwrap();
+    assert!(policy.ask(later).is_err(), "only one call may try");
+    assert!(policy.report(later, true));
+    assert_eq!(policy.breaker(), Breaker::Closed);
+    let other = PlatformPolicy::new(PlatformLimits::default(), 2);
+    let waits: Vec<_> = [other, PlatformPolicy::new(PlatformLimits::default(), 3)]
+        .into_iter()
+        .map(|mut p| {
+            (0..3).for_each(|_| {
+                p.report(SECOND, false);
+            });
+            p.ask(SECOND).unwrap_err()
+        })
+        .collect();
+    assert_ne!(waits[0], waits[1]);
+}
+
+// Guards against a process that uses more than its share of the platform's calls.
+#[test]
+fn budget_of_calls_is_kept_over_an_hour() {
+    let limits = PlatformLimits::default();
+    let mut policy = PlatformPolicy::new(limits, 1);
+    let steps = (0..36_000_u32).map(|n| Duration::from_millis(100) * n);
+    let calls = steps.filter(|at| policy.ask(*at).is_ok()).count();
+    assert!(calls as f64 <= limits.burst + 3_600.0 * limits.calls_per_s);
+    assert!(calls as f64 >= 3_500.0 * limits.calls_per_s);
+}
--- /dev/null
+++ b/crates/core/tests/fleet_fuzz.rs
@@ -0,0 +1,243 @@
+//! Random faults, alone and together, against what membership and configuration promise.
+//!
+//! `EELGRASSHOLD_FUZZ_CASES` and `EELGRASSHOLD_FUZZ_SEED` make longer and other runs.
+
+mod fleet_world;
+
+use std::time::Duration;
+
+use eelgrasshold_core::config::HEAD_KEY;
+use fleet_world::platform::Mood;
+use fleet_world::{World, checks};
+use proptest::prelude::*;
+use proptest::test_runner::{Config as ProptestConfig, RngSeed};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+
+/// Entry hosts, as today.
+const ENTRY_HOSTS: usize = 7;
+const UPSTREAMS: usize = 5;
+const NODES: usize = ENTRY_HOSTS + UPSTREAMS;
+const CENTRES: [(&str, &str); 3] = [
+    ("north", "north-1"),
+    ("north", "north-2"),
+    ("south", "south-1"),
+];
+/// Time within which each live host is listed and no dead one, once messages flow.
+const VIEW_BOUND: Duration = Duration::from_secs(20);
+/// Time within which an accepted revision is in force everywhere, once messages flow.
+const CONFIG_BOUND: Duration = Duration::from_secs(3);
+/// Time within which a leaving upstream is shown as such, once messages flow.
+const LEAVE_BOUND: Duration = Duration::from_secs(3);
+
+#[derive(Clone, Debug)]
+enum Transition {
+    Run(u64),
+    Publish {
+        operators: usize,
+    },
+    Kill(usize),
+    Start(usize),
+    Pause(usize, u64),
+    Leave(usize),
+    CutRegions,
+    CutCentre(usize),
+    CutNode(usize),
+    CutOneWay(usize, usize),
+    HealNetwork,
+    Lossy {
+        loss: u64,
+        duplicate: u64,
+        delay_ms: u64,
+    },
+    Platform(Mood),
+    DeleteHead,
+    RestoreHead(u64),
+    RestartAll,
+    Settle,
+}
+
+/// The reference knows only the seed: what is promised is checked against the world itself.
+#[derive(Clone, Debug)]
+struct Reference {
+    seed: u64,
+}
+
+impl ReferenceStateMachine for Reference {
+    type State = Self;
+    type Transition = Transition;
+
+    fn init_state() -> BoxedStrategy<Self> {
+        any::<u64>().prop_map(|seed| Self { seed }).boxed()
+    }
+
+    fn transitions(_: &Self) -> BoxedStrategy<Transition> {
+        let moods = [Mood::Well, Mood::Down, Mood::Slow, Mood::Stale, Mood::Lossy];
+        prop_oneof![
+            8 => (100_u64..6_000).prop_map(Transition::Run),
+            4 => (1_usize..=2).prop_map(|operators| Transition::Publish { operators }),
+            2 => (0..NODES).prop_map(Transition::Kill),
+            3 => (0..NODES).prop_map(Transition::Start),
+            2 => (0..NODES, 500_u64..15_000).prop_map(|(n, ms)| Transition::Pause(n, ms)),
+            1 => (0..NODES).prop_map(Transition::Leave),
+            1 => Just(Transition::CutRegions),
+            1 => (0..CENTRES.len()).prop_map(Transition::CutCentre),
+            1 => (0..NODES).prop_map(Transition::CutNode),
+            1 => (0..NODES, 0..NODES).prop_map(|(a, b)| Transition::CutOneWay(a, b)),
+            2 => Just(Transition::HealNetwork),
+            2 => (0_u64..30, 0_u64..30, 2_u64..1_500).prop_map(|(loss, duplicate, delay_ms)| {
+                Transition::Lossy { loss, duplicate, delay_ms }
+            }),
+            3 => prop::sample::select(moods.to_vec()).prop_map(Transition::Platform),
+            1 => Just(Transition::DeleteHead),
+            1 => any::<u64>().prop_map(Transition::RestoreHead),
+            1 => Just(Transition::RestartAll),
+            2 => Just(Transition::Settle),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: Self, _: &Transition) -> Self {
+        state
+    }
+}
+
+struct Fleet;
+
+fn new_world(seed: u64) -> World {
+    let mut world = World::new(seed);
+    let seeds: Vec<String> = (0..3).map(|n| format!("10.0.{n}.1:7000")).collect();
+    for n in 0..NODES {
+        let (region, centre) = CENTRES[n % CENTRES.len()];
+        world.add(n < ENTRY_HOSTS, region, centre, &seeds);
+    }
+    for n in 0..NODES {
+        world.start(n);
+    }
+    checks::publish(&mut world, 1);
+    world
+}
+
+/// Ends all faults and checks what is promised once messages flow.
+fn settle(world: &mut World) {
+    world.heal();
+    // Seeds are addresses that an operator keeps in use.
+    for n in 0..3 {
+        if !world.is_alive(n) || world.nodes[n].leaving {
+            world.start(n);
+        }
+    }
+    world.run(VIEW_BOUND);
+    if let Err(reason) = checks::views(world) {
+        panic!("{VIEW_BOUND:?} after the last fault: {reason}");
+    }
+    let accepted = checks::publish(world, 1);
+    assert_eq!(accepted.len(), 1, "a lone operator was not accepted");
+    world.run(CONFIG_BOUND);
+    if let Err(reason) = checks::everywhere(world, accepted[0]) {
+        panic!("{CONFIG_BOUND:?} after it was accepted: {reason}");
+    }
+    let upstream = (ENTRY_HOSTS..NODES).find(|n| world.is_alive(*n) && !world.nodes[*n].leaving);
+    if let Some(upstream) = upstream {
+        world.leave(upstream);
+        world.run(LEAVE_BOUND);
+        if let Err(reason) = checks::views(world) {
+            panic!("{LEAVE_BOUND:?} after an upstream began to leave: {reason}");
+        }
+        world.kill(upstream);
+        world.start(upstream);
+    }
+}
+
+impl StateMachineTest for Fleet {
+    type SystemUnderTest = World;
+    type Reference = Reference;
+
+    fn init_test(state: &Reference) -> World {
+        new_world(state.seed)
+    }
+
+    fn apply(mut world: World, _: &Reference, transition: Transition) -> World {
+        match transition {
+            Transition::Run(ms) => world.run(Duration::from_millis(ms)),
+            Transition::Publish { operators } => {
+                checks::publish(&mut world, operators);
+            }
+            Transition::Kill(n) => world.kill(n),
+            Transition::Start(n) => world.start(n),
+            Transition::Pause(n, ms) => world.pause(n, Duration::from_millis(ms)),
+            Transition::Leave(n) => world.leave(n),
+            Transition::CutRegions => world.net.regions_cut = true,
+            Transition::CutCentre(n) => {
+                world.net.cut_centres.insert(CENTRES[n].1.to_owned());
+            }
+            Transition::CutNode(n) => {
+                world.net.cut_nodes.insert(n);
+            }
+            Transition::CutOneWay(a, b) => {
+                world.net.one_way.insert((a, b));
+            }
+            Transition::HealNetwork => {
+                let mood = world.platform.mood;
+                world.heal();
+                world.platform.mood = mood;
+            }
+            Transition::Lossy {
+                loss,
+                duplicate,
+                delay_ms,
+            } => {
+                world.net.loss_percent = loss;
+                world.net.duplicate_percent = duplicate;
+                world.net.delay_ms = (1, delay_ms);
+            }
+            Transition::Platform(mood) => world.platform.mood = mood,
+            Transition::DeleteHead => world.platform.remove(HEAD_KEY),
+            Transition::RestoreHead(pick) => {
+                if let Some(value) = world.platform.earlier(HEAD_KEY, pick) {
+                    world.platform.force(HEAD_KEY, value);
+                }
+            }
+            Transition::RestartAll => {
+                for n in 0..NODES {
+                    world.start(n);
+                    world.run(Duration::from_millis(500));
+                }
+            }
+            Transition::Settle => settle(&mut world),
+        }
+        world
+    }
+
+    fn check_invariants(world: &World, _: &Reference) {
+        checks::budget(world);
+    }
+
+    fn teardown(mut world: World, _: Reference) {
+        settle(&mut world);
+        checks::budget(&world);
+    }
+}
+
+fn number(name: &str, default: u64) -> u64 {
+    let text = std::env::var(name).ok();
+    text.and_then(|t| t.parse().ok()).unwrap_or(default)
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: u32::try_from(number("EELGRASSHOLD_FUZZ_CASES", 24)).unwrap_or(u32::MAX),
+        rng_seed: RngSeed::Fixed(number("EELGRASSHOLD_FUZZ_SEED", 1)),
+        failure_persistence: None,
+        max_shrink_iters: 200,
+        ..ProptestConfig::default()
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(config())]
+
+    // Guards against a revision that goes back, a live host that stays excluded, a dead one that
+    // stays listed, a revision that doesn't arrive in time, and traffic above the budget.
+    #[test]
+    fn fuzz_fleet_keeps_its_promises(sequential 1..24 => Fleet);
+}
--- /dev/null
+++ b/crates/core/tests/fleet_world/checks.rs
@@ -0,0 +1,266 @@
+//! What is promised, checked against the world as it is.
+
+use std::collections::BTreeSet;
+use std::fmt::Write;
+
+use eelgrasshold_core::config::{
+    Config, HEAD_KEY, Head, Publication, PublishInput, PublishOutput, Published, Team, join,
+    shard_key,
+};
+use eelgrasshold_core::fleet::{
+    Body, FleetMessage, MAX_CONFIG_MESSAGE_BYTES, MAX_PAGE_BYTES, Role, State,
+};
+use rand::Rng;
+
+use super::platform::Mood;
+use super::{Machine, World};
+
+/// Bytes that a node may send in a second, over a window.
+pub const BYTES_PER_S: u64 = 3_000;
+/// Largest message without configuration or pages of records, in bytes.
+const MAX_MESSAGE_BYTES: usize = 2_500;
+
+/// A configuration came into force on a node.
+///
+/// Promised: within a life revisions only grow; nothing below the highest revision that a message
+/// told this life of comes into force, so a restarted host never falls behind a peer that it has
+/// heard; and what comes into force was published as a whole.
+pub fn applied(world: &World, index: usize, config: &Config) {
+    let node = &world.nodes[index];
+    let host = &node.settings.host;
+    let before = node.in_force.as_ref().map_or(0, |c| c.revision);
+    let revision = config.revision;
+    assert!(
+        revision > before,
+        "{host} went from revision {before} to {revision}"
+    );
+    let heard = node.heard_revision;
+    assert!(
+        revision >= heard,
+        "{host} applied revision {revision} after hearing of {heard}"
+    );
+    let published = world.published.get(&revision);
+    let whole = published.is_some_and(|p| p.contains(config));
+    assert!(
+        whole,
+        "{host} applied a revision {revision} that nobody published"
+    );
+}
+
+pub fn message_size(message: &FleetMessage, bytes: usize) {
+    let limit = match &message.body {
+        Body::Shards { .. } | Body::Head { .. } | Body::AskShards { .. } => {
+            2 * MAX_CONFIG_MESSAGE_BYTES
+        }
+        Body::JoinPage { .. } | Body::Repair { .. } => MAX_PAGE_BYTES + MAX_MESSAGE_BYTES,
+        _ => MAX_MESSAGE_BYTES,
+    };
+    assert!(bytes <= limit, "{} has {bytes} bytes", kind(message));
+}
+
+pub fn kind(message: &FleetMessage) -> &'static str {
+    match &message.body {
+        Body::Probe { .. } => "probe",
+        Body::ProbeAck { .. } => "probe_ack",
+        Body::ProbeIndirect { .. } => "probe_indirect",
+        Body::Rumour { .. } => "rumour",
+        Body::Join { .. } => "join",
+        Body::JoinPage { .. } => "join_page",
+        Body::Digest { .. } => "digest",
+        Body::Summaries { .. } => "summaries",
+        Body::Repair { .. } => "repair",
+        Body::Heartbeat(_) => "heartbeat",
+        Body::HeartbeatReply(_) => "heartbeat_reply",
+        Body::AskHead => "ask_head",
+        Body::Head { .. } => "head",
+        Body::AskShards { .. } => "ask_shards",
+        Body::Shards { .. } => "shards",
+    }
+}
+
+/// Each live entry host lists exactly the live processes, and shows them as they are.
+pub fn views(world: &World) -> Result<(), String> {
+    let alive: BTreeSet<(String, bool)> = (0..world.nodes.len())
+        .filter(|i| world.is_alive(*i))
+        .map(|i| (world.nodes[i].settings.host.clone(), world.nodes[i].leaving))
+        .collect();
+    for node in &world.nodes {
+        let Some(Machine::Entry(machine)) = &node.machine else {
+            continue;
+        };
+        let host = &node.settings.host;
+        let listed: BTreeSet<(String, bool)> = machine
+            .members()
+            .into_iter()
+            .filter(|m| m.reachable && m.record.state < State::Suspect)
+            .map(|m| (m.record.host, m.record.leaving))
+            .collect();
+        let differing: Vec<_> = alive.symmetric_difference(&listed).collect();
+        if !differing.is_empty() {
+            let about = describe(world, &differing[0].0);
+            return Err(format!("{host} is wrong about {differing:?}; {about}"));
+        }
+        shown(world, node)?;
+    }
+    Ok(())
+}
+
+/// How each live entry host sees a member, and whom an upstream process sends heartbeats to.
+fn describe(world: &World, host: &str) -> String {
+    let mut text = String::new();
+    for node in &world.nodes {
+        let seer = &node.settings.host;
+        match &node.machine {
+            Some(Machine::Entry(m)) => {
+                let found = m.record(host).map(|r| (r.state, r.incarnation, r.version));
+                let _ = write!(text, "{seer} has {found:?} of {} ", m.members().len());
+            }
+            Some(Machine::Upstream(m)) if seer == host => {
+                let peers: Vec<_> = m.peers().iter().map(|p| p.host.as_str()).collect();
+                let _ = write!(text, "{seer} knows {peers:?} ");
+            }
+            _ => {}
+        }
+    }
+    text
+}
+
+fn shown(world: &World, node: &super::Node) -> Result<(), String> {
+    let host = &node.settings.host;
+    let upstreams: BTreeSet<(String, bool)> = (0..world.nodes.len())
+        .filter(|i| world.is_alive(*i) && !world.nodes[*i].is_entry)
+        .map(|i| (world.nodes[i].settings.host.clone(), world.nodes[i].leaving))
+        .collect();
+    let given = node.upstreams.iter().map(|u| (u.host.clone(), u.leaving));
+    let given: BTreeSet<_> = given.collect();
+    if given != upstreams {
+        return Err(format!("{host} shows upstreams {given:?}"));
+    }
+    let usable: BTreeSet<&str> = (0..world.nodes.len())
+        .filter(|i| world.is_alive(*i) && world.nodes[*i].is_entry && !world.nodes[*i].leaving)
+        .map(|i| world.nodes[i].settings.host.as_str())
+        .collect();
+    let answered: BTreeSet<&str> = node.hosts.hosts.iter().map(|h| h.host.as_str()).collect();
+    if !answered.is_subset(&usable) || answered.len() < usable.len().min(4) {
+        return Err(format!("{host} answers callers with {answered:?}"));
+    }
+    Ok(())
+}
+
+/// Each live process has this revision in force.
+pub fn everywhere(world: &World, revision: u64) -> Result<(), String> {
+    for node in world.nodes.iter().filter(|n| n.machine.is_some()) {
+        let present = node.in_force.as_ref().map_or(0, |c| c.revision);
+        if present != revision {
+            let host = &node.settings.host;
+            return Err(format!(
+                "{host} has revision {present} in force, not {revision}"
+            ));
+        }
+    }
+    Ok(())
+}
+
+/// No node sent more than the budget in any window so far.
+pub fn budget(world: &World) {
+    let limit = BYTES_PER_S * world.window.as_secs();
+    for node in &world.nodes {
+        let host = &node.settings.host;
+        let peak = node.peak_window_bytes.max(node.window_bytes);
+        assert!(
+            peak <= limit,
+            "{host} sent {peak} bytes in {:?}",
+            world.window
+        );
+    }
+}
+
+/// The platform's present configuration, if there is one.
+pub fn present(world: &World) -> Option<Config> {
+    let head = Head::from_bytes(world.platform.value(HEAD_KEY)?).ok()?;
+    let shards = head.shards.iter().filter_map(|h| {
+        let content = world.platform.value(&shard_key(h))?;
+        Some((h.clone(), content.to_vec()))
+    });
+    join(&head, &shards.collect()).ok()
+}
+
+/// Runs `count` racing operators to their ends; returns the revisions that were accepted.
+pub fn publish(world: &mut World, count: usize) -> Vec<u64> {
+    let base = present(world).unwrap_or_default();
+    let machines = world.nodes.iter().filter_map(|n| n.machine.as_ref());
+    let highest = machines.map(Machine::highest_revision).max().unwrap_or(0);
+    let mut operators: Vec<(Publication, Config, Vec<PublishOutput>)> = Vec::new();
+    for _ in 0..count {
+        let mut next = base.clone();
+        let team = format!("team-{}", world.rng.random_range(0..50));
+        let weight = world.rng.random_range(1..1_000);
+        let requests_per_s = None;
+        next.teams.insert(
+            team,
+            Team {
+                weight,
+                requests_per_s,
+            },
+        );
+        let number = world.rng.random();
+        let mut publication = Publication::new(base.clone(), next.clone(), number);
+        let out = publication.handle(PublishInput::Start(highest));
+        operators.push((publication, next, out));
+    }
+    let mut accepted = Vec::new();
+    while !operators.is_empty() {
+        let turn = world.rng.random_range(0..operators.len());
+        let (publication, next, out) = &mut operators[turn];
+        match out.pop() {
+            Some(PublishOutput::Platform { id, call }) => {
+                // The configuration is known before the platform may show it to anybody.
+                if let eelgrasshold_core::platform::Call::Put { key, value, .. } = &call
+                    && key == HEAD_KEY
+                    && let Ok(head) = Head::from_bytes(value)
+                {
+                    let revision = head.revision;
+                    let config = Config {
+                        revision,
+                        ..next.clone()
+                    };
+                    world.published.entry(revision).or_default().push(config);
+                }
+                let dice = world.rng.random();
+                let caller = (usize::MAX, 0, id);
+                let reply = world.platform.call(world.now, caller, call, dice);
+                let reply = reply.expect("an operator never watches");
+                *out = publication.handle(PublishInput::Reply { id, reply });
+            }
+            Some(PublishOutput::Done(how)) => {
+                if let Published::Accepted(revision) = how {
+                    accepted.push(revision);
+                }
+                operators.remove(turn);
+            }
+            None => panic!("a publication has nothing to do"),
+        }
+    }
+    // Among operators with the same base only one may win, unless answers were stale.
+    let orderly = world.platform.mood != Mood::Stale;
+    assert!(
+        !orderly || accepted.len() <= 1,
+        "two racing operators were accepted: {accepted:?}"
+    );
+    accepted
+}
+
+/// Whether any live entry host is there.
+pub fn any_entry(world: &World) -> bool {
+    let live = |n: &super::Node| n.is_entry && n.machine.is_some();
+    world.nodes.iter().any(live)
+}
+
+/// Role of a node, for messages of failures.
+pub fn role(world: &World, index: usize) -> Role {
+    if world.nodes[index].is_entry {
+        Role::Entry
+    } else {
+        Role::Upstream
+    }
+}
