--- a/crates/core/src/group/planner/full.rs
+++ b/crates/core/src/group/planner/full.rs
@@ -1,6 +1,6 @@
 //! A layer planned from nothing, which is the baseline for incremental plans.
 
-use super::layer::Layer;
+use super::layer::{Layer, MAX_COPIES};
 use super::shares::balance;
 use crate::group::map::LayerMap;
 
@@ -18,7 +18,7 @@
     let mut copies = vec![1_usize; experts];
     for _ in experts..ranks * slots {
         let per_copy = |e: &usize| popularity[*e] / copies[*e] as f64;
-        let open = (0..experts).filter(|e| copies[*e] < ranks);
+        let open = (0..experts).filter(|e| copies[*e] < ranks.min(MAX_COPIES));
         let Some(expert) = open.max_by(|a, b| per_copy(a).total_cmp(&per_copy(b))) else {
             break;
         };
@@ -46,7 +46,7 @@
         layer.copies[expert][last].load = weight;
         layer.loads[rank] += weight;
     }
-    if layer.copies.iter().any(Vec::is_empty) {
+    if layer.copies.iter().any(|c| c.is_empty()) {
         return None;
     }
     balance(&mut layer, SWEEPS);
--- a/crates/core/src/group/planner/layer.rs
+++ b/crates/core/src/group/planner/layer.rs
@@ -2,8 +2,11 @@
 
 use crate::group::map::{ExpertId, LayerMap, Placed, WHOLE_SHARE};
 
+/// Most copies of an expert that are planned.
+pub(super) const MAX_COPIES: usize = 16;
+
 /// A copy of an expert on a rank, with the part of the layer's traffic that it gets.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Copy {
     /// Rank.
     pub rank: usize,
@@ -11,6 +14,46 @@
     pub load: f64,
 }
 
+/// Copies of an expert, without an allocation: trials of moves copy them often.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) struct Copies {
+    len: usize,
+    items: [Copy; MAX_COPIES],
+}
+
+impl Copies {
+    /// Adds a copy. False if there are as many as can be planned.
+    pub fn push(&mut self, copy: Copy) -> bool {
+        let Some(slot) = self.items.get_mut(self.len) else {
+            return false;
+        };
+        *slot = copy;
+        self.len += 1;
+        true
+    }
+
+    fn remove(&mut self, rank: usize) {
+        if let Some(i) = self.iter().position(|c| c.rank == rank) {
+            self.items[i] = self.items[self.len - 1];
+            self.len -= 1;
+        }
+    }
+}
+
+impl std::ops::Deref for Copies {
+    type Target = [Copy];
+
+    fn deref(&self) -> &[Copy] {
+        &self.items[..self.len]
+    }
+}
+
+impl std::ops::DerefMut for Copies {
+    fn deref_mut(&mut self) -> &mut [Copy] {
+        &mut self.items[..self.len]
+    }
+}
+
 /// A layer's map with the expected popularity of its experts and the ranks' speeds.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Layer {
@@ -18,7 +61,7 @@
     pub(super) speeds: Vec<f64>,
     pub(super) slots: usize,
     /// Copies by expert.
-    pub(super) copies: Vec<Vec<Copy>>,
+    pub(super) copies: Vec<Copies>,
     /// Experts by rank.
     pub(super) held: Vec<Vec<usize>>,
     pub(super) loads: Vec<f64>,
@@ -26,14 +69,14 @@
 
 impl Layer {
     /// A layer as its map has it. None if the map places an expert that has no
-    /// popularity, or the numbers of ranks differ.
+    /// popularity or too many copies, or the numbers of ranks differ.
     #[must_use]
     pub fn new(map: &LayerMap, popularity: Vec<f64>, speeds: &[f64], slots: usize) -> Option<Self> {
         if map.ranks.len() != speeds.len() {
             return None;
         }
         let mut layer = Self {
-            copies: vec![Vec::new(); popularity.len()],
+            copies: vec![Copies::default(); popularity.len()],
             held: vec![Vec::new(); speeds.len()],
             loads: vec![0.0; speeds.len()],
             popularity,
@@ -45,7 +88,9 @@
                 let expert = p.expert as usize;
                 let whole = *layer.popularity.get(expert)?;
                 let load = whole * f64::from(p.share) / f64::from(WHOLE_SHARE);
-                layer.copies[expert].push(Copy { rank, load });
+                if !layer.copies[expert].push(Copy { rank, load }) {
+                    return None;
+                }
                 layer.held[rank].push(expert);
                 layer.loads[rank] += load;
             }
@@ -83,20 +128,21 @@
         copy.map_or(0.0, |c| c.load)
     }
 
-    /// Adds a copy without traffic.
+    /// Adds a copy without traffic, unless the expert has as many as can be planned.
     pub(super) fn add(&mut self, rank: usize, expert: usize) {
-        self.copies[expert].push(Copy { rank, load: 0.0 });
-        self.held[rank].push(expert);
+        if self.copies[expert].push(Copy { rank, load: 0.0 }) {
+            self.held[rank].push(expert);
+        }
     }
 
     /// Takes a copy away; its traffic goes to the expert's other copies.
     pub(super) fn remove(&mut self, rank: usize, expert: usize) {
         let load = self.load_of(rank, expert);
-        self.copies[expert].retain(|c| c.rank != rank);
+        self.copies[expert].remove(rank);
         self.held[rank].retain(|e| *e != expert);
         self.loads[rank] -= load;
         let others = self.copies[expert].len();
-        for copy in &mut self.copies[expert] {
+        for copy in self.copies[expert].iter_mut() {
             copy.load += load / others as f64;
             self.loads[copy.rank] += load / others as f64;
         }
--- a/crates/core/src/group/planner/mod.rs
+++ b/crates/core/src/group/planner/mod.rs
@@ -24,6 +24,12 @@
 pub use layer::Layer;
 pub use speed::Speeds;
 
+/// Moves that are tried in one plan, over all layers. They bound the time of planning;
+/// what is left is done by the next plan, since plans are incremental.
+const MAX_MOVES: usize = 240;
+/// Moves that a layer may try when few are left.
+const MIN_LAYER_MOVES: usize = 4;
+
 /// Settings of a planner.
 #[derive(Clone, Debug)]
 pub struct PlannerSettings {
@@ -127,22 +133,41 @@
             changed: 0,
             loads: 0,
         };
-        let pairs = plan.layers.iter_mut().zip(&self.popularity);
-        for (present, popularity) in pairs.filter(|(_, p)| !p.is_empty()) {
-            let expected = popularity.expected(self.settings.lag_windows);
-            let slots = self.settings.slots_per_rank as usize;
-            let Some(mut layer) = Layer::new(present, expected, self.speeds.values(), slots) else {
-                continue;
-            };
+        let mut moves = MAX_MOVES;
+        let min_gain = self.settings.min_gain;
+        for (index, mut layer) in self.worst_first(map) {
             let before = layer.time();
-            let loads = moves::improve(&mut layer, cost, &mut staging);
-            if before - layer.time() < self.settings.min_gain * layer.balanced_time() {
+            let share = (moves / 4).max(MIN_LAYER_MOVES).min(moves);
+            let mut layer_moves = share;
+            let loads = moves::improve(&mut layer, cost, min_gain, &mut staging, &mut layer_moves);
+            moves -= share - layer_moves;
+            if before - layer.time() < min_gain * layer.balanced_time() {
                 continue;
             }
-            *present = layer.to_map();
+            plan.layers[index] = layer.to_map();
             plan.changed += 1;
             plan.loads += loads;
         }
         (plan.changed > 0).then_some(plan)
     }
+
+    /// Layers with what is expected of them, the least balanced first: memory for loads
+    /// and the moves that are tried go to them.
+    fn worst_first(&self, map: &ExpertMap) -> Vec<(usize, Layer)> {
+        let speeds = self.speeds.values();
+        let slots = self.settings.slots_per_rank as usize;
+        let mut layers = Vec::with_capacity(map.layers.len());
+        for (index, (present, popularity)) in map.layers.iter().zip(&self.popularity).enumerate() {
+            if popularity.is_empty() {
+                continue;
+            }
+            let expected = popularity.expected(self.settings.lag_windows);
+            if let Some(layer) = Layer::new(present, expected, speeds, slots) {
+                layers.push((index, layer));
+            }
+        }
+        let excess = |l: &Layer| l.time() / l.balanced_time().max(f64::MIN_POSITIVE);
+        layers.sort_by(|a, b| excess(&b.1).total_cmp(&excess(&a.1)));
+        layers
+    }
 }
--- a/crates/core/src/group/planner/moves.rs
+++ b/crates/core/src/group/planner/moves.rs
@@ -3,8 +3,6 @@
 use super::layer::Layer;
 use super::shares::balance;
 
-/// Most changes of slots in one layer and plan.
-const MAX_MOVES: usize = 24;
 /// Candidates whose shares are balanced before the best is chosen.
 const TRIED: usize = 16;
 /// Slowest and coolest ranks that are considered.
@@ -56,7 +54,7 @@
         }
     }
 
-    /// Ranks that load a weight.
+    /// Ranks whose slots change; each loads a weight.
     fn loading(self) -> impl Iterator<Item = usize> {
         let (first, second) = match self {
             Self::Add { rank, .. } | Self::Replace { rank, .. } => (rank, None),
@@ -68,21 +66,30 @@
 
 /// Improves a layer: shares first, then the prefix of a greedy row of moves that
 /// saves most after its cost. `cost` is the cost of a load in units of the
-/// layer's balanced time over the horizon. Returns the loads.
-pub(super) fn improve(layer: &mut Layer, cost: f64, staging: &mut [u32]) -> usize {
+/// layer's balanced time over the horizon, and `moves` counts down the moves that may
+/// be tried. Returns the loads.
+pub(super) fn improve(
+    layer: &mut Layer,
+    cost: f64,
+    min_gain: f64,
+    staging: &mut [u32],
+    moves: &mut usize,
+) -> usize {
     balance(layer, FULL_SWEEPS);
     let unit = layer.balanced_time();
     let start = layer.time();
-    if unit <= 0.0 || start <= unit * (1.0 + cost) {
+    if unit <= 0.0 || start <= unit * (1.0 + cost.max(min_gain)) {
         return 0;
     }
     let mut best = (0.0, 0, layer.clone(), staging.to_vec());
     let (mut trial, mut left, mut loads) = (layer.clone(), staging.to_vec(), 0);
-    for _ in 0..MAX_MOVES {
-        let Some((step, next)) = best_move(&trial, &left) else {
+    while *moves > 0 {
+        *moves -= 1;
+        let Some(step) = best_move(&mut trial, &left) else {
             break;
         };
-        trial = next;
+        step.apply(&mut trial);
+        balance(&mut trial, FULL_SWEEPS);
         for rank in step.loading() {
             left[rank] -= 1;
             loads += 1;
@@ -92,7 +99,7 @@
             best = (saved, loads, trial.clone(), left.clone());
         }
         // The rest can't save more than it costs.
-        if (trial.time() / unit - 1.0) < cost {
+        if (trial.time() / unit - 1.0) < cost.max(min_gain) {
             break;
         }
     }
@@ -103,23 +110,34 @@
     loads
 }
 
-/// The move that lowers the imbalance most per load, with the layer after it.
-fn best_move(layer: &Layer, staging: &[u32]) -> Option<(Move, Layer)> {
+/// The move that lowers the imbalance most per load.
+fn best_move(layer: &mut Layer, staging: &[u32]) -> Option<Move> {
     let mut ranked = candidates(layer, staging);
-    ranked.sort_by(|a, b| b.1.total_cmp(&a.1));
-    ranked.truncate(TRIED);
+    let tried = TRIED.min(ranked.len());
+    if tried > 0 {
+        ranked.select_nth_unstable_by(tried - 1, |a, b| b.1.total_cmp(&a.1));
+    }
     let before = layer.imbalance();
-    let mut best: Option<(f64, Move, Layer)> = None;
-    for (step, _) in ranked {
-        let mut trial = layer.clone();
-        step.apply(&mut trial);
-        balance(&mut trial, QUICK_SWEEPS);
-        let gain = (before - trial.imbalance()) / step.loading().count() as f64;
-        if gain > best.as_ref().map_or(before * 1e-9, |b| b.0) {
-            best = Some((gain, step, trial));
+    let (copies, held, loads) = (
+        layer.copies.clone(),
+        layer.held.clone(),
+        layer.loads.clone(),
+    );
+    let mut best: Option<(f64, Move)> = None;
+    for (step, _) in ranked.into_iter().take(tried) {
+        step.apply(layer);
+        balance(layer, QUICK_SWEEPS);
+        let gain = (before - layer.imbalance()) / step.loading().count() as f64;
+        if gain > best.map_or(before * 1e-9, |b| b.0) {
+            best = Some((gain, step));
+        }
+        layer.copies.copy_from_slice(&copies);
+        layer.loads.copy_from_slice(&loads);
+        for rank in step.loading() {
+            layer.held[rank].clone_from(&held[rank]);
         }
     }
-    best.map(|(_, step, trial)| (step, trial))
+    best.map(|(_, step)| step)
 }
 
 /// Moves from the slowest ranks to the coolest ones, with an estimate of their gain.
--- a/crates/core/src/group/planner/shares.rs
+++ b/crates/core/src/group/planner/shares.rs
@@ -4,7 +4,7 @@
 //! has the lowest time of the slowest rank, since loads can only be exchanged
 //! between ranks that hold the same expert.
 
-use super::layer::Layer;
+use super::layer::{Layer, MAX_COPIES};
 
 /// Change of a rank's time, against the balanced time, below which the sweeps end.
 const PRECISION: f64 = 1e-4;
@@ -28,20 +28,20 @@
 
 /// Distributes one expert's traffic; returns the largest change of a copy's load.
 fn fill(layer: &mut Layer, expert: usize) -> f64 {
-    let mut copies = std::mem::take(&mut layer.copies[expert]);
+    let mut copies = layer.copies[expert];
     let whole = layer.popularity[expert];
     // Time of each copy's rank without this expert, and the rank's speed.
-    let mut ranks: Vec<(f64, f64)> = copies
-        .iter()
-        .map(|c| {
-            let speed = layer.speeds[c.rank];
-            ((layer.loads[c.rank] - c.load).max(0.0) / speed, speed)
-        })
-        .collect();
-    ranks.sort_by(|a, b| a.0.total_cmp(&b.0));
-    let level = water_level(&ranks, whole);
+    let mut ranks = [(0.0, 0.0); MAX_COPIES];
+    for (rank, copy) in ranks.iter_mut().zip(copies.iter()) {
+        let speed = layer.speeds[copy.rank];
+        let base = (layer.loads[copy.rank] - copy.load).max(0.0);
+        *rank = (base / speed, speed);
+    }
+    let ranks = &mut ranks[..copies.len()];
+    ranks.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
+    let level = water_level(ranks, whole);
     let mut change: f64 = 0.0;
-    for copy in &mut copies {
+    for copy in copies.iter_mut() {
         let speed = layer.speeds[copy.rank];
         let base = (layer.loads[copy.rank] - copy.load).max(0.0);
         let load = (level * speed - base).max(0.0);
--- a/crates/standins/examples/experiment/main.rs
+++ b/crates/standins/examples/experiment/main.rs
@@ -1,6 +1,7 @@
 //! Measures the decisions of the core in virtual time against baselines.
 
 mod report;
+mod skew;
 
 use clap::{Arg, ArgAction, Command, value_parser};
 
@@ -9,7 +10,11 @@
 /// An experiment: its name, what it measures, and the function that runs it with a seed.
 type Experiment = (&'static str, &'static str, fn(u64) -> Vec<Row>);
 
-const EXPERIMENTS: &[Experiment] = &[];
+const EXPERIMENTS: &[Experiment] = &[(
+    "skew",
+    "step-time skew across ranks, and the cost of rebalancing",
+    skew::run,
+)];
 
 fn command() -> Command {
     Command::new("experiment")
--- /dev/null
+++ b/crates/standins/examples/experiment/skew/mod.rs
@@ -0,0 +1,99 @@
+//! Step-time skew across the ranks of an expert group, and the cost of rebalancing.
+//!
+//! A group runs in lock-step on a trace of 256 experts in 4 layers, with 512
+//! tokens on each rank in a step. Each layer ends when its slowest rank does.
+//! All policies start from the same map, which is planned from the first step's
+//! counts, with spare slots of 1/8. Reports are 20 steps long and one report late.
+//! `skew_over_bound` is against the bound in [`bound::bound`], computed for each
+//! step from the counts of that very step.
+
+mod bound;
+mod model;
+mod plan_time;
+mod trace;
+
+use crate::report::Row;
+use model::{Outcome, Policy};
+
+const TOKENS_PER_RANK: usize = 512;
+
+/// Runs the experiment.
+pub fn run(seed: u64) -> Vec<Row> {
+    let mut rows = Vec::new();
+    for ranks in [8, 16, 32] {
+        let outcomes: Vec<(Policy, Outcome)> = Policy::ALL
+            .into_iter()
+            .map(|p| (p, model::run(p, seed, ranks, TOKENS_PER_RANK, false)))
+            .collect();
+        let full = outcomes.iter().find(|(p, _)| *p == Policy::FullReplan);
+        let full_loads = full.map_or(0, |(_, o)| o.loads);
+        for (policy, outcome) in &outcomes {
+            steady_rows(*policy, ranks, outcome, full_loads, &mut rows);
+        }
+        for policy in Policy::ALL {
+            let outcome = model::run(policy, seed, ranks, TOKENS_PER_RANK, true);
+            rows.push(row(
+                policy.name(),
+                "straggler_over_bound",
+                ranks,
+                outcome.over_bound,
+            ));
+        }
+    }
+    for tokens in [128, 256, 1_024] {
+        let outcome = model::run(Policy::Planned, seed, 32, tokens, false);
+        let metric = "step_skew_by_tokens";
+        rows.push(row(
+            Policy::Planned.name(),
+            metric,
+            tokens,
+            mean(&outcome.skew),
+        ));
+    }
+    for layers in [15, 29, 58] {
+        let (mean, longest) = plan_time::plan_ms(seed, layers);
+        rows.push(row("planned", "plan_ms", layers, mean));
+        rows.push(row("planned", "plan_ms_max", layers, longest));
+    }
+    rows
+}
+
+fn steady_rows(
+    policy: Policy,
+    ranks: usize,
+    outcome: &Outcome,
+    full_loads: usize,
+    rows: &mut Vec<Row>,
+) {
+    let mut push = |metric, value| rows.push(row(policy.name(), metric, ranks, value));
+    push("step_skew", mean(&outcome.skew));
+    push("step_skew_p99", p99(&outcome.skew));
+    push("skew_over_bound", outcome.over_bound);
+    let ratio = outcome.loads as f64 / full_loads.max(1) as f64;
+    push("moved_bytes_ratio", ratio);
+    let recovery = outcome.recovery_steps.map_or(f64::INFINITY, |s| s as f64);
+    push("recovery_steps", recovery);
+    push("switches", outcome.switches as f64);
+}
+
+fn row(policy: &'static str, metric: &'static str, x: usize, value: f64) -> Row {
+    Row {
+        experiment: "skew",
+        policy,
+        metric,
+        x: x as f64,
+        value,
+        extrapolated: false,
+    }
+}
+
+fn mean(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>() / values.len().max(1) as f64
+}
+
+fn p99(values: &[f64]) -> f64 {
+    let mut sorted = values.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let last = sorted.len().saturating_sub(1);
+    sorted.get(last * 99 / 100).copied().unwrap_or(f64::NAN)
+}
--- /dev/null
+++ b/crates/standins/examples/experiment/skew/model.rs
@@ -0,0 +1,277 @@
+//! A group in lock-step under a policy, step by step.
+
+use std::time::Duration;
+
+use eelgrasshold_core::group::map::{ExpertMap, LayerMap, WHOLE_SHARE};
+use eelgrasshold_core::group::planner::{Planner, PlannerSettings, full_layer};
+use eelgrasshold_core::group::popularity::Popularity;
+
+use super::bound::bound;
+use super::trace::{EXPERTS, LAYERS, Trace};
+
+/// Steps.
+pub const STEPS: usize = 2_000;
+/// Step of the jump.
+const JUMP_AT: usize = 1_000;
+/// Steps whose counts are reported together: with 58 layers, a report each half second is
+/// 2 KB a second. It is used one window later.
+const WINDOW: usize = 20;
+/// Steps between the end of loading and the switch: 0.2 s for three messages.
+const SWITCH_MARGIN: usize = 8;
+/// Steps that loading one weight takes on a rank: 44 MB at 0.9 GB/s, in steps of 24 ms.
+const STEPS_PER_LOAD: usize = 2;
+/// Part of a rank's speed that loading takes.
+const LOAD_SLOWDOWN: f64 = 0.1;
+/// Time of a step.
+const STEP: Duration = Duration::from_millis(24);
+/// Weights that a rank can hold beside its map.
+const STAGING: u32 = 16;
+/// Step from which the straggler is slow.
+const STRAGGLER_AT: usize = 500;
+/// Skew under which the group has recovered from the jump, and for how many steps.
+const RECOVERED_SKEW: f64 = 1.2;
+const RECOVERED_STEPS: usize = 20;
+
+/// What plans the maps.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Policy {
+    /// The first map for ever.
+    Static,
+    /// A map from nothing whenever the last one is in force.
+    FullReplan,
+    /// The planner of the core.
+    Planned,
+}
+
+impl Policy {
+    /// All policies.
+    pub const ALL: [Self; 3] = [Self::Static, Self::FullReplan, Self::Planned];
+
+    /// Name in the results.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Static => "static",
+            Self::FullReplan => "full_replan",
+            Self::Planned => "planned",
+        }
+    }
+}
+
+/// What a run gave.
+pub struct Outcome {
+    /// Slowest over mean rank time, by step.
+    pub skew: Vec<f64>,
+    /// Time over the bound, over all steps after the straggler's start or from the first.
+    pub over_bound: f64,
+    /// Weights loaded.
+    pub loads: usize,
+    /// Steps after the jump until the skew stayed low; none if it didn't.
+    pub recovery_steps: Option<usize>,
+    /// Switches of the map.
+    pub switches: usize,
+}
+
+/// A switch under way.
+struct Switch {
+    layers: Vec<LayerMap>,
+    loading_until: Vec<usize>,
+    at: usize,
+}
+
+struct Group {
+    policy: Policy,
+    map: ExpertMap,
+    slots: usize,
+    planner: Planner,
+    popularity: Vec<Popularity>,
+    switch: Option<Switch>,
+    loads: usize,
+    switches: usize,
+}
+
+/// Runs a policy on the trace of a seed.
+pub fn run(
+    policy: Policy,
+    seed: u64,
+    ranks: usize,
+    tokens_per_rank: usize,
+    straggler: bool,
+) -> Outcome {
+    let mut trace = Trace::new(seed, ranks, tokens_per_rank);
+    let slots = EXPERTS / ranks * 9 / 8;
+    let mut group = Group::new(policy, ranks, slots, &trace.step());
+    let mut window = vec![vec![0.0; EXPERTS]; LAYERS];
+    let mut work = vec![(0.0, 0.0); ranks];
+    let mut reported: Option<(Vec<Vec<u64>>, Vec<(u64, Duration)>)> = None;
+    let (mut skew, mut time, mut least) = (Vec::new(), 0.0, 0.0);
+    for step in 0..STEPS {
+        if step == JUMP_AT {
+            trace.jump();
+        }
+        let mut speeds = vec![1.0; ranks];
+        if straggler && step >= STRAGGLER_AT {
+            speeds[0] = 0.5;
+        }
+        let counts = trace.step();
+        group.advance(step);
+        let present = group.loading_speeds(step, &speeds);
+        let (mut slowest, mut mean) = (0.0, 0.0);
+        for (layer, counts) in counts.iter().enumerate() {
+            let loads = rank_loads(&group.map.layers[layer], counts);
+            let times = || loads.iter().zip(&present).map(|(l, s)| l / s);
+            slowest += times().fold(0.0, f64::max);
+            mean += times().sum::<f64>() / ranks as f64;
+            for (rank, (load, rank_time)) in loads.iter().zip(times()).enumerate() {
+                work[rank].0 += load;
+                work[rank].1 += rank_time;
+            }
+            for (sum, count) in window[layer].iter_mut().zip(counts) {
+                *sum += count;
+            }
+            if !straggler || step >= STRAGGLER_AT {
+                least += bound(counts, &speeds, slots * ranks);
+            }
+        }
+        skew.push(slowest / mean);
+        if !straggler || step >= STRAGGLER_AT {
+            time += slowest;
+        }
+        if (step + 1) % WINDOW == 0 {
+            let counts = window.iter().map(|l| l.iter().map(|c| *c as u64).collect());
+            let speeds = work
+                .iter()
+                .map(|(l, t)| (*l as u64, Duration::from_secs_f64(t / 1e6)));
+            let present = (counts.collect(), speeds.collect());
+            if let Some((counts, speeds)) = reported.replace(present) {
+                group.plan(step, &counts, &speeds);
+            }
+            window = vec![vec![0.0; EXPERTS]; LAYERS];
+            work = vec![(0.0, 0.0); ranks];
+        }
+    }
+    Outcome {
+        recovery_steps: recovery(&skew),
+        skew,
+        over_bound: time / least,
+        loads: group.loads,
+        switches: group.switches,
+    }
+}
+
+impl Group {
+    fn new(policy: Policy, ranks: usize, slots: usize, first: &[Vec<f64>]) -> Self {
+        let speeds = vec![1.0; ranks];
+        let mut map = ExpertMap::first(ranks as u32, LAYERS as u32, EXPERTS as u32);
+        for (layer, counts) in map.layers.iter_mut().zip(first) {
+            let sum: f64 = counts.iter().sum();
+            let shares: Vec<f64> = counts.iter().map(|c| c / sum).collect();
+            if let Some(planned) = full_layer(&shares, &speeds, slots) {
+                *layer = planned;
+            }
+        }
+        let load_time = STEP * STEPS_PER_LOAD as u32;
+        let settings = PlannerSettings {
+            slots_per_rank: slots as u32,
+            staging_per_rank: STAGING,
+            // Time between two looks at a drift that undoes a plan in about a minute.
+            horizon: Duration::from_secs(30),
+            load_cost: load_time.mul_f64(LOAD_SLOWDOWN),
+            ..PlannerSettings::default()
+        };
+        Self {
+            policy,
+            map,
+            slots,
+            planner: Planner::new(settings, ranks as u32),
+            popularity: vec![Popularity::default(); LAYERS],
+            switch: None,
+            loads: 0,
+            switches: 0,
+        }
+    }
+
+    fn advance(&mut self, step: usize) {
+        if let Some(switch) = self.switch.take_if(|s| step >= s.at) {
+            self.map.layers = switch.layers;
+            self.switches += 1;
+        }
+    }
+
+    fn loading_speeds(&self, step: usize, speeds: &[f64]) -> Vec<f64> {
+        let loading = |rank: usize| {
+            let until = self.switch.as_ref().map(|s| s.loading_until[rank]);
+            until.is_some_and(|until| step < until)
+        };
+        let speeds = speeds.iter().enumerate();
+        speeds
+            .map(|(r, s)| {
+                if loading(r) {
+                    s * (1.0 - LOAD_SLOWDOWN)
+                } else {
+                    *s
+                }
+            })
+            .collect()
+    }
+
+    fn plan(&mut self, step: usize, counts: &[Vec<u64>], work: &[(u64, Duration)]) {
+        self.planner.observe(counts);
+        self.planner.observe_speed(work);
+        for (popularity, counts) in self.popularity.iter_mut().zip(counts) {
+            popularity.observe(counts);
+        }
+        if self.switch.is_some() {
+            return;
+        }
+        let layers = match self.policy {
+            Policy::Static => None,
+            Policy::FullReplan => self.full_replan(),
+            Policy::Planned => self.planner.plan(&self.map).map(|p| p.layers),
+        };
+        if let Some(layers) = layers {
+            self.start_switch(step, layers);
+        }
+    }
+
+    fn full_replan(&self) -> Option<Vec<LayerMap>> {
+        let speeds = self.planner.speeds().values();
+        let layer = |p: &Popularity| full_layer(&p.expected(1.5), speeds, self.slots);
+        self.popularity.iter().map(layer).collect()
+    }
+
+    fn start_switch(&mut self, step: usize, layers: Vec<LayerMap>) {
+        let ranks = self.map.layers[0].ranks.len();
+        let mut loading_until = vec![step; ranks];
+        for (new, old) in layers.iter().zip(&self.map.layers) {
+            for (rank, slots) in new.ranks.iter().enumerate() {
+                let loads = slots.iter().filter(|p| !old.holds(rank as u32, p.expert));
+                let loads = loads.count();
+                self.loads += loads;
+                loading_until[rank] += loads * STEPS_PER_LOAD;
+            }
+        }
+        let loaded = loading_until.iter().copied().max().unwrap_or(step);
+        self.switch = Some(Switch {
+            layers,
+            loading_until,
+            at: loaded + SWITCH_MARGIN,
+        });
+    }
+}
+
+/// Tokens that each rank processes. Tokens are dealt to copies by their shares.
+fn rank_loads(map: &LayerMap, counts: &[f64]) -> Vec<f64> {
+    let load = |(expert, share): (u32, u32)| {
+        counts[expert as usize] * f64::from(share) / f64::from(WHOLE_SHARE)
+    };
+    map.ranks
+        .iter()
+        .map(|slots| slots.iter().map(|p| load((p.expert, p.share))).sum())
+        .collect()
+}
+
+fn recovery(skew: &[f64]) -> Option<usize> {
+    let after = &skew[JUMP_AT..];
+    let low = |w: &[f64]| w.iter().all(|s| *s < RECOVERED_SKEW);
+    after.windows(RECOVERED_STEPS).position(low)
+}
