--- /dev/null
+++ b/crates/core/benches/plan.rs
@@ -0,0 +1,59 @@
+//! Time of planning an expert map against layers and experts, with 32 ranks.
+
+use std::hint::black_box;
+
+use criterion::{BenchmarkId, Criterion};
+use eelgrasshold_core::group::map::ExpertMap;
+use eelgrasshold_core::group::planner::{Planner, PlannerSettings};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const RANKS: u32 = 32;
+
+/// A group whose map was planned for a heavy tail that has drifted since.
+fn drifted(layers: u32, experts: u32) -> (Planner, ExpertMap) {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let settings = PlannerSettings {
+        slots_per_rank: experts / RANKS + 1,
+        ..PlannerSettings::default()
+    };
+    let mut planner = Planner::new(settings, RANKS);
+    let mut map = ExpertMap::first(RANKS, layers, experts);
+    let tail = |i: u32| 1e6 * f64::from(i + 1).powf(-0.8);
+    let mut counts: Vec<Vec<f64>> = (0..layers)
+        .map(|l| (0..experts).map(|e| tail((e * 7 + l) % experts)).collect())
+        .collect();
+    for _ in 0..10 {
+        for count in counts.iter_mut().flatten() {
+            *count *= rng.random_range(0.95..1.05);
+        }
+        let observed = counts.iter().map(|l| l.iter().map(|c| *c as u64).collect());
+        planner.observe(&observed.collect::<Vec<_>>());
+        if let Some(plan) = planner.plan(&map) {
+            map.layers = plan.layers;
+        }
+    }
+    for count in counts.iter_mut().flatten() {
+        *count *= rng.random_range(0.9..1.1);
+    }
+    let observed = counts.iter().map(|l| l.iter().map(|c| *c as u64).collect());
+    planner.observe(&observed.collect::<Vec<_>>());
+    (planner, map)
+}
+
+fn plan(c: &mut Criterion) {
+    let mut group = c.benchmark_group("plan");
+    group.sample_size(10);
+    for (layers, experts) in [(15, 256), (29, 256), (58, 256), (58, 64), (58, 128)] {
+        let (planner, map) = drifted(layers, experts);
+        let id = BenchmarkId::from_parameter(format!("{layers}_layers_{experts}_experts"));
+        group.bench_function(id, |b| b.iter(|| planner.plan(black_box(&map))));
+    }
+    group.finish();
+}
+
+fn main() {
+    let mut criterion = Criterion::default().configure_from_args();
+    plan(&mut criterion);
+    criterion.final_summary();
+}
--- a/crates/core/src/group/coordinator/machine.rs
+++ b/crates/core/src/group/coordinator/machine.rs
@@ -2,12 +2,14 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::measured::Measured;
 use super::{CoordinatorSettings, Input, Output, Timer};
 use crate::event::{Event, EventKind};
 use crate::group::lease::Lease;
 use crate::group::map::{
     Attempt, ExpertMap, FenceNumber, LayerMap, MapChange, MapId, RankId, Step,
 };
+use crate::group::planner::Planner;
 use crate::group::switch::{Envelope, Message, RankReport, Refuse, Sender, View};
 use crate::platform::{CallId, Reply};
 use crate::types::{Incarnation, Now};
@@ -52,6 +54,7 @@
 struct Term {
     number: FenceNumber,
     reports: BTreeMap<RankId, RankReport>,
+    measured: Measured,
     map: Option<ExpertMap>,
     running: Option<Running>,
     next_poll: Now,
@@ -66,6 +69,7 @@
 ///     CoordinatorSettings, GroupPlanner, Input, Output,
 /// };
 /// use eelgrasshold_core::group::lease::{LeaseSettings, lease_key};
+/// use eelgrasshold_core::group::planner::PlannerSettings;
 ///
 /// let mut planner = GroupPlanner::new(CoordinatorSettings {
 ///     group: "drafts".into(),
@@ -84,6 +88,7 @@
 ///     prepare_limit: Duration::from_secs(120),
 ///     propose_limit: Duration::from_secs(5),
 ///     margin_steps: 64,
+///     planner: PlannerSettings::default(),
 /// });
 /// let out = planner.handle(Duration::ZERO, Input::Start);
 /// // It looks at the lease first.
@@ -98,6 +103,7 @@
     sequence: u64,
     ended: Option<Ended>,
     target: Option<Vec<LayerMap>>,
+    planner: Planner,
     margin_steps: u64,
 }
 
@@ -108,6 +114,7 @@
         Self {
             lease: Lease::new(settings.lease.clone()),
             margin_steps: settings.margin_steps.max(1),
+            planner: Planner::new(settings.planner.clone(), settings.ranks),
             settings,
             term: None,
             sequence: 0,
@@ -169,6 +176,8 @@
             ..Term::default()
         });
         if let Some(number) = held {
+            // What was measured under an earlier term is too old to plan with.
+            self.planner = Planner::new(self.settings.planner.clone(), self.settings.ranks);
             self.event(EventKind::LeaseAcquired, format!("number {number}"), out);
         }
     }
@@ -221,6 +230,7 @@
         if !report.settled && term.running.is_none() {
             return self.send_ended(from, out);
         }
+        term.measured.add(from, &report);
         term.reports.insert(from, report);
         self.plan_if_complete(now, out);
     }
@@ -255,7 +265,12 @@
             return;
         }
         term.next_poll = now + self.settings.poll_every;
-        let Some(target) = self.target.take() else {
+        if let Some((counts, work)) = term.measured.take(map) {
+            self.planner.observe(&counts);
+            self.planner.observe_speed(&work);
+        }
+        let planned = || self.planner.plan(map).map(|p| p.layers);
+        let Some(target) = self.target.take().or_else(planned) else {
             return;
         };
         let change = map.change_to(&target);
--- /dev/null
+++ b/crates/core/src/group/coordinator/measured.rs
@@ -0,0 +1,69 @@
+//! Measurements of the ranks, put together for the planner.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::group::map::{ExpertMap, MapId, RankId};
+use crate::group::switch::RankReport;
+
+/// Tokens of each expert by layer, and each rank's tokens and busy time.
+pub(super) type Window = (Vec<Vec<u64>>, Vec<(u64, Duration)>);
+
+/// What ranks measured under one map since it was last used.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Measured {
+    map: MapId,
+    ranks: BTreeMap<RankId, RankReport>,
+}
+
+impl Measured {
+    /// Adds a rank's report. A report under another map starts anew.
+    pub fn add(&mut self, rank: RankId, report: &RankReport) {
+        if report.map != self.map {
+            self.map = report.map;
+            self.ranks.clear();
+        }
+        if report.tokens.is_empty() {
+            return;
+        }
+        match self.ranks.get_mut(&rank) {
+            Some(sum) => sum.add(report),
+            None => {
+                self.ranks.insert(rank, report.clone());
+            }
+        }
+    }
+
+    /// What was measured, which is then forgotten. None until every rank of the map has measured something.
+    pub fn take(&mut self, map: &ExpertMap) -> Option<Window> {
+        let ranks = map.layers.first()?.ranks.len();
+        if self.map != map.id || self.ranks.len() < ranks {
+            return None;
+        }
+        let mut counts: Vec<Vec<u64>> = Vec::with_capacity(map.layers.len());
+        for layer in &map.layers {
+            let slots = layer.ranks.iter().flatten();
+            let experts = slots.map(|p| p.expert as usize + 1).max().unwrap_or(0);
+            counts.push(vec![0; experts]);
+        }
+        let mut work = Vec::with_capacity(ranks);
+        for (rank, report) in std::mem::take(&mut self.ranks) {
+            let mut all = 0;
+            for (layer, tokens) in (report.first_layer as usize..).zip(&report.tokens) {
+                let Some(slots) = map
+                    .layers
+                    .get(layer)
+                    .and_then(|l| l.ranks.get(rank as usize))
+                else {
+                    continue;
+                };
+                for (placed, tokens) in slots.iter().zip(tokens) {
+                    counts[layer][placed.expert as usize] += u64::from(*tokens);
+                    all += u64::from(*tokens);
+                }
+            }
+            work.push((all, report.busy));
+        }
+        Some((counts, work))
+    }
+}
--- a/crates/core/src/group/coordinator/mod.rs
+++ b/crates/core/src/group/coordinator/mod.rs
@@ -6,6 +6,7 @@
 //! input, before any message is put out.
 
 mod machine;
+mod measured;
 
 #[cfg(test)]
 mod tests;
@@ -16,6 +17,7 @@
 
 use super::lease::LeaseSettings;
 use super::map::{LayerMap, RankId};
+use super::planner::PlannerSettings;
 use super::switch::Envelope;
 use crate::event::Event;
 use crate::platform::{Call, CallId, Reply};
@@ -44,6 +46,8 @@
     pub propose_limit: Duration,
     /// Steps between the latest known step and the switch step.
     pub margin_steps: u64,
+    /// How maps are planned.
+    pub planner: PlannerSettings,
 }
 
 /// What the planner is told.
--- a/crates/core/src/group/coordinator/tests.rs
+++ b/crates/core/src/group/coordinator/tests.rs
@@ -28,6 +28,10 @@
         prepare_limit: ms(5_000),
         propose_limit: ms(1_000),
         margin_steps: 8,
+        planner: PlannerSettings {
+            slots_per_rank: 3,
+            ..PlannerSettings::default()
+        },
     })
 }
 
@@ -188,3 +192,26 @@
     let number = harness.planner.holds_lease(harness.now);
     assert!(number.is_some_and(|n| n > 9), "{number:?}");
 }
+
+// Guards against measurements that never reach the planner, or are read under another map.
+#[test]
+fn measured_load_leads_to_a_plan() {
+    let mut harness = Harness::new();
+    harness.ticks(15);
+    let mut report = |rank: u32, version: u64, tokens: &[u32]| {
+        let mut report = RankReport {
+            content: Some(ExpertMap::first(2, 1, 4)),
+            settled: true,
+            tokens: vec![tokens.to_vec()],
+            busy: ms(u64::from(tokens.iter().sum::<u32>())),
+            ..RankReport::default()
+        };
+        report.map.version = version;
+        harness.receive(rank, Message::Report(report));
+        harness.attempts().len()
+    };
+    assert_eq!(report(0, 0, &[700, 100]), 0);
+    assert_eq!(report(1, 9, &[100, 100]), 0, "another map");
+    assert_eq!(report(1, 0, &[100, 100]), 0, "rank 0 hasn't measured since");
+    assert_eq!(report(0, 0, &[700, 100]), 1);
+}
--- a/crates/core/src/group/mod.rs
+++ b/crates/core/src/group/mod.rs
@@ -9,6 +9,7 @@
 pub mod fence;
 pub mod lease;
 pub mod map;
+pub mod placement;
 pub mod planner;
 pub mod popularity;
 pub mod switch;
--- /dev/null
+++ b/crates/core/src/group/placement/tests.rs
@@ -0,0 +1,186 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::*;
+
+fn duty(service: &str, role: Role) -> Duty {
+    Duty {
+        service: service.into(),
+        role,
+    }
+}
+
+fn need(upstreams: f64, floor: u32, version: u64) -> Need {
+    Need {
+        upstreams,
+        floor,
+        version,
+    }
+}
+
+fn fleet(counts: &[(&str, Role, usize)]) -> Upstreams {
+    let mut upstreams = Upstreams::new();
+    for (service, role, count) in counts {
+        for i in 0..*count {
+            let present = Present {
+                duty: duty(service, *role),
+                version: 1,
+                ready: true,
+                changing: false,
+            };
+            upstreams.insert(format!("{service}-{role:?}-{i}"), present);
+        }
+    }
+    upstreams
+}
+
+fn s(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+/// Starts changes: the upstream serves nothing until it is done.
+fn begin(upstreams: &mut Upstreams, changes: &[Change]) {
+    for change in changes {
+        let present = upstreams.get_mut(&change.host).expect("a host");
+        *present = Present {
+            duty: change.duty.clone(),
+            version: change.version,
+            ready: false,
+            changing: true,
+        };
+    }
+}
+
+fn finish(upstreams: &mut Upstreams) {
+    for present in upstreams.values_mut().filter(|p| p.changing) {
+        present.ready = true;
+        present.changing = false;
+    }
+}
+
+fn ready(upstreams: &Upstreams, of: &Duty) -> usize {
+    upstreams
+        .values()
+        .filter(|p| p.ready && p.duty == *of)
+        .count()
+}
+
+// Guards against a service below its floor, and against more changes at once than allowed.
+#[test]
+fn floor_and_churn_hold_through_a_shift_of_demand() {
+    let (a, b) = (duty("a", Role::Both), duty("b", Role::Both));
+    let needs = Needs::from([(a.clone(), need(0.2, 3, 1)), (b.clone(), need(30.0, 1, 1))]);
+    let mut upstreams = fleet(&[("a", Role::Both, 30), ("b", Role::Both, 10)]);
+    let mut placement = Placement::new(PlacementSettings::default());
+    for round in 0..60 {
+        let changes = placement.plan(s(round * 20), &needs, &upstreams);
+        begin(&mut upstreams, &changes);
+        let changing = upstreams.values().filter(|p| p.changing).count();
+        assert!(changing <= 2, "{changing} of 40 change at once");
+        assert!(ready(&upstreams, &a) >= 3);
+        finish(&mut upstreams);
+    }
+    assert_eq!(ready(&upstreams, &b), 30);
+}
+
+// Guards against churn: demand that swings for less than the hold changes nothing.
+#[test]
+fn short_lack_changes_nothing() {
+    let (a, b) = (duty("a", Role::Both), duty("b", Role::Both));
+    let upstreams = fleet(&[("a", Role::Both, 5), ("b", Role::Both, 5)]);
+    let mut placement = Placement::new(PlacementSettings::default());
+    for round in 0..20 {
+        let high = if round % 2 == 0 { 6.0 } else { 2.0 };
+        let low = 8.0 - high;
+        let needs = Needs::from([(a.clone(), need(high, 1, 1)), (b.clone(), need(low, 1, 1))]);
+        let changes = placement.plan(s(round * 20), &needs, &upstreams);
+        assert!(changes.is_empty(), "{changes:?}");
+    }
+}
+
+// Guards against two duties that hand an upstream back and forth.
+#[test]
+fn balanced_needs_settle() {
+    let (a, b) = (duty("a", Role::Both), duty("b", Role::Both));
+    let needs = Needs::from([(a, need(4.9, 1, 1)), (b, need(5.2, 1, 1))]);
+    let mut upstreams = fleet(&[("a", Role::Both, 5), ("b", Role::Both, 5)]);
+    let mut placement = Placement::new(PlacementSettings::default());
+    for round in 0..20 {
+        let changes = placement.plan(s(round * 60), &needs, &upstreams);
+        assert!(changes.is_empty(), "{changes:?}");
+        finish(&mut upstreams);
+    }
+}
+
+// Guards against loading another model where a change of role would do.
+#[test]
+fn change_of_role_comes_before_change_of_model() {
+    let decode = duty("a", Role::Decode);
+    let needs = Needs::from([
+        (duty("a", Role::Prefill), need(1.0, 1, 1)),
+        (decode.clone(), need(3.0, 1, 1)),
+        (duty("b", Role::Both), need(1.0, 1, 1)),
+    ]);
+    let upstreams = fleet(&[
+        ("a", Role::Prefill, 3),
+        ("a", Role::Decode, 2),
+        ("b", Role::Both, 9),
+    ]);
+    let mut placement = Placement::new(PlacementSettings::default());
+    placement.plan(s(0), &needs, &upstreams);
+    let changes = placement.plan(s(60), &needs, &upstreams);
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].duty, decode);
+    assert!(changes[0].host.starts_with("a-Prefill"), "{changes:?}");
+}
+
+// Guards against a rollout of a version that takes too many upstreams away at once.
+#[test]
+fn new_version_keeps_the_floor_and_the_need() {
+    let a = duty("a", Role::Both);
+    let needs = Needs::from([(a.clone(), need(3.0, 2, 2))]);
+    let mut upstreams = fleet(&[("a", Role::Both, 4)]);
+    let mut placement = Placement::new(PlacementSettings::default());
+    for round in 0..4 {
+        let changes = placement.plan(s(round), &needs, &upstreams);
+        begin(&mut upstreams, &changes);
+        assert_eq!(ready(&upstreams, &a), 3, "one at a time");
+        finish(&mut upstreams);
+    }
+    assert!(upstreams.values().all(|p| p.version == 2));
+}
+
+// Guards against adapters that push each other out for a small difference in demand, and
+// against one that is wanted but never loaded.
+#[test]
+fn adapter_gives_way_only_to_a_much_wanted_one() {
+    let host = AdapterHost {
+        loaded: BTreeSet::from(["x".to_owned()]),
+        slots: 1,
+    };
+    let hosts = BTreeMap::from([("h".to_owned(), host)]);
+    let demand = |y| BTreeMap::from([("x".to_owned(), 0.5), ("y".to_owned(), y)]);
+    assert!(plan_adapters(&demand(0.6), &hosts, 4).is_empty());
+    let changes = plan_adapters(&demand(0.9), &hosts, 4);
+    let wanted = AdapterChange {
+        host: "h".into(),
+        load: "y".into(),
+        evict: Some("x".into()),
+    };
+    assert_eq!(changes, vec![wanted]);
+}
+
+// Guards against a popular adapter with one copy while slots are empty.
+#[test]
+fn popular_adapter_gets_a_copy_for_each_upstreams_worth() {
+    let host = || AdapterHost {
+        loaded: BTreeSet::new(),
+        slots: 2,
+    };
+    let hosts = BTreeMap::from([("h".to_owned(), host()), ("i".to_owned(), host())]);
+    let demand = BTreeMap::from([("x".to_owned(), 1.7), ("y".to_owned(), 0.1)]);
+    let changes = plan_adapters(&demand, &hosts, 10);
+    let copies = |a: &str| changes.iter().filter(|c| c.load == a).count();
+    assert_eq!((copies("x"), copies("y")), (2, 1));
+    assert!(plan_adapters(&demand, &hosts, 1).len() == 1, "bounded");
+}
--- a/crates/core/src/group/switch/messages.rs
+++ b/crates/core/src/group/switch/messages.rs
@@ -184,3 +184,23 @@
     /// Time that the rank was busy with experts.
     pub busy: Duration,
 }
+
+impl RankReport {
+    /// Adds the measurements of a later report with the same slots; one with other slots
+    /// takes their place.
+    pub fn add(&mut self, later: &Self) {
+        let shape = |r: &Self| r.tokens.iter().map(Vec::len).collect::<Vec<_>>();
+        if shape(self) != shape(later) || self.first_layer != later.first_layer {
+            self.tokens.clone_from(&later.tokens);
+            self.first_layer = later.first_layer;
+            self.busy = later.busy;
+            return;
+        }
+        for (sum, new) in self.tokens.iter_mut().zip(&later.tokens) {
+            for (a, b) in sum.iter_mut().zip(new) {
+                *a = a.saturating_add(*b);
+            }
+        }
+        self.busy = self.busy.saturating_add(later.busy);
+    }
+}
--- a/crates/core/src/group/switch/rank.rs
+++ b/crates/core/src/group/switch/rank.rs
@@ -495,24 +495,16 @@
             EngineEvent::Switched(attempt) => self.switched(attempt, out),
             EngineEvent::Installed => self.installed(out),
             EngineEvent::FenceRefused { highest } => self.fence.learn(highest),
-            EngineEvent::Measured(report) => self.measure(report),
+            EngineEvent::Measured(report) => self.measure(&report),
         }
     }
 
-    fn measure(&mut self, report: RankReport) {
+    /// Adds measurements of the present map; slots of another map mean other experts.
+    fn measure(&mut self, report: &RankReport) {
         self.step = self.step.max(report.step);
-        let busy = self.measured.busy + report.busy;
-        if self.measured.tokens.len() == report.tokens.len() {
-            let pairs = self.measured.tokens.iter_mut().zip(&report.tokens);
-            for (sum, new) in pairs.filter(|(a, b)| a.len() == b.len()) {
-                for (a, b) in sum.iter_mut().zip(new) {
-                    *a = a.saturating_add(*b);
-                }
-            }
-        } else {
-            self.measured = report;
+        if Some(report.map) == self.map_id() {
+            self.measured.add(report);
         }
-        self.measured.busy = busy;
     }
 
     fn loaded(&mut self, weight: Weight, out: &mut Vec<Output>) {
@@ -577,6 +569,7 @@
             .as_ref()
             .map(|m| m.changed(armed.id, &armed.change));
         let detail = format!("version {} from step {}", armed.id.version, armed.step);
+        self.measured = RankReport::default();
         self.floor = self.floor.max(attempt);
         self.phase = Phase::Idle;
         self.event(EventKind::MapSwitched, detail, out);
--- a/crates/core/tests/group_fuzz.rs
+++ b/crates/core/tests/group_fuzz.rs
@@ -52,6 +52,8 @@
     Pause(u32, u64),
     /// A rank's process can't be reached for some milliseconds.
     CutOff(u32, u64),
+    /// A rank's process can't reach the platform for some milliseconds, while others can.
+    CutFromPlatform(u32, u64),
     /// An engine is slow for some milliseconds.
     Stall(u32, u64),
     /// The platform is down for some milliseconds.
@@ -88,6 +90,7 @@
             2 => (rank(), 50_u64..1_500).prop_map(|(r, ms)| Fault::Replace(r, ms)),
             3 => (rank(), 50_u64..4_000).prop_map(|(r, ms)| Fault::Pause(r, ms)),
             2 => (rank(), 50_u64..3_000).prop_map(|(r, ms)| Fault::CutOff(r, ms)),
+            2 => (rank(), 500_u64..4_000).prop_map(|(r, ms)| Fault::CutFromPlatform(r, ms)),
             2 => (rank(), 50_u64..1_000).prop_map(|(r, ms)| Fault::Stall(r, ms)),
             2 => (100_u64..4_000).prop_map(Fault::PlatformDown),
             2 => (100_u64..3_000).prop_map(Fault::LoseAnswers),
@@ -121,6 +124,7 @@
             Fault::Replace(rank, ms) => world.replace(rank, ms),
             Fault::Pause(rank, ms) => world.pause(rank, ms),
             Fault::CutOff(rank, ms) => world.cut_off(rank, ms),
+            Fault::CutFromPlatform(rank, ms) => world.cut_from_platform(rank, ms),
             Fault::Stall(rank, ms) => world.stall(rank, ms),
             Fault::PlatformDown(ms) => world.platform_down(ms),
             Fault::LoseAnswers(ms) => world.lose_answers(ms),
--- a/crates/core/tests/group_fuzz/world.rs
+++ b/crates/core/tests/group_fuzz/world.rs
@@ -10,6 +10,7 @@
 use eelgrasshold_core::group::map::{
     ExpertMap, LayerMap, Placed, RankId, Step, WHOLE_SHARE, Weight,
 };
+use eelgrasshold_core::group::planner::PlannerSettings;
 use eelgrasshold_core::group::switch::{
     self, EngineEvent, Envelope, GroupRank, Order, RankSettings,
 };
@@ -91,6 +92,7 @@
     said: VecDeque<(u64, EngineEvent)>,
     paused_until: Duration,
     cut_until: Duration,
+    cut_from_platform_until: Duration,
     stalled_until: Duration,
     starts: u32,
 }
@@ -126,6 +128,7 @@
             said: VecDeque::new(),
             paused_until: Duration::ZERO,
             cut_until: Duration::ZERO,
+            cut_from_platform_until: Duration::ZERO,
             stalled_until: Duration::ZERO,
             starts: 0,
         };
@@ -206,6 +209,10 @@
         self.hosts[rank as usize].cut_until = self.now + ms(millis);
     }
 
+    pub fn cut_from_platform(&mut self, rank: RankId, millis: u64) {
+        self.hosts[rank as usize].cut_from_platform_until = self.now + ms(millis);
+    }
+
     pub fn stall(&mut self, rank: RankId, millis: u64) {
         self.hosts[rank as usize].stalled_until = self.now + ms(millis);
     }
@@ -230,6 +237,7 @@
         for host in &mut self.hosts {
             host.paused_until = self.now;
             host.cut_until = self.now;
+            host.cut_from_platform_until = self.now;
             host.stalled_until = self.now;
         }
     }
@@ -389,6 +397,7 @@
                 prepare_limit: ms(3_000),
                 propose_limit: ms(1_000),
                 margin_steps: 15,
+                planner: PlannerSettings::default(),
             }),
             share: LoadShare::new(ShareSettings {
                 member: rank,
@@ -560,7 +569,8 @@
     }
 
     fn call(&mut self, rank: RankId, life: u64, part: Part, id: CallId, call: Call) {
-        let down = self.platform_down_until > self.now;
+        let cut = self.hosts[rank as usize].cut_from_platform_until > self.now;
+        let down = cut || self.platform_down_until > self.now;
         let lost = self.lose_until > self.now && self.rng.random_bool(0.5);
         let reply = match (down, lost) {
             (true, _) if self.rng.random_bool(0.5) => Reply::Unavailable,
--- a/crates/standins/examples/experiment/skew/mod.rs
+++ b/crates/standins/examples/experiment/skew/mod.rs
@@ -5,15 +5,20 @@
 //! All policies start from the same map, which is planned from the first step's
 //! counts, with spare slots of 1/8. Reports are 20 steps long and one report late.
 //! `skew_over_bound` is against the bound in [`bound::bound`], computed for each
-//! step from the counts of that very step.
+//! step from the counts of that very step. `skew_over_bound_settled` leaves out
+//! the 100 steps from the jump on, which no report can have told of in advance.
+//! `switch_held_steps` counts steps that the group lost in one switch, see
+//! [`switching`].
 
 mod bound;
 mod model;
 mod plan_time;
+mod switching;
 mod trace;
 
 use crate::report::Row;
 use model::{Outcome, Policy};
+use switching::Fault;
 
 const TOKENS_PER_RANK: usize = 512;
 
@@ -40,6 +45,12 @@
             ));
         }
     }
+    for fault in Fault::ALL {
+        let (lost, switched) = switching::lost_steps(fault, 32);
+        rows.push(row(fault.name(), "switch_held_steps", 32, lost as f64));
+        let switched = f64::from(u8::from(switched));
+        rows.push(row(fault.name(), "switch_took_place", 32, switched));
+    }
     for tokens in [128, 256, 1_024] {
         let outcome = model::run(Policy::Planned, seed, 32, tokens, false);
         let metric = "step_skew_by_tokens";
@@ -69,6 +80,7 @@
     push("step_skew", mean(&outcome.skew));
     push("step_skew_p99", p99(&outcome.skew));
     push("skew_over_bound", outcome.over_bound);
+    push("skew_over_bound_settled", outcome.over_bound_settled);
     let ratio = outcome.loads as f64 / full_loads.max(1) as f64;
     push("moved_bytes_ratio", ratio);
     let recovery = outcome.recovery_steps.map_or(f64::INFINITY, |s| s as f64);
--- a/crates/standins/examples/experiment/skew/model.rs
+++ b/crates/standins/examples/experiment/skew/model.rs
@@ -13,6 +13,8 @@
 pub const STEPS: usize = 2_000;
 /// Step of the jump.
 const JUMP_AT: usize = 1_000;
+/// Steps from the jump on that the settled figure leaves out.
+const UNSETTLED_STEPS: usize = 100;
 /// Steps whose counts are reported together: with 58 layers, a report each half second is
 /// 2 KB a second. It is used one window later.
 const WINDOW: usize = 20;
@@ -63,6 +65,8 @@
     pub skew: Vec<f64>,
     /// Time over the bound, over all steps after the straggler's start or from the first.
     pub over_bound: f64,
+    /// The same, without the steps in which a jump can't be known yet.
+    pub over_bound_settled: f64,
     /// Weights loaded.
     pub loads: usize,
     /// Steps after the jump until the skew stayed low; none if it didn't.
@@ -71,6 +75,9 @@
     pub switches: usize,
 }
 
+/// Tokens of each expert by layer, and each rank's tokens and busy time.
+type Report = (Vec<Vec<u64>>, Vec<(u64, Duration)>);
+
 /// A switch under way.
 struct Switch {
     layers: Vec<LayerMap>,
@@ -102,8 +109,9 @@
     let mut group = Group::new(policy, ranks, slots, &trace.step());
     let mut window = vec![vec![0.0; EXPERTS]; LAYERS];
     let mut work = vec![(0.0, 0.0); ranks];
-    let mut reported: Option<(Vec<Vec<u64>>, Vec<(u64, Duration)>)> = None;
+    let mut reported: Option<Report> = None;
     let (mut skew, mut time, mut least) = (Vec::new(), 0.0, 0.0);
+    let (mut settled_time, mut settled_least) = (0.0, 0.0);
     for step in 0..STEPS {
         if step == JUMP_AT {
             trace.jump();
@@ -115,7 +123,7 @@
         let counts = trace.step();
         group.advance(step);
         let present = group.loading_speeds(step, &speeds);
-        let (mut slowest, mut mean) = (0.0, 0.0);
+        let (mut slowest, mut mean, mut step_least) = (0.0, 0.0, 0.0);
         for (layer, counts) in counts.iter().enumerate() {
             let loads = rank_loads(&group.map.layers[layer], counts);
             let times = || loads.iter().zip(&present).map(|(l, s)| l / s);
@@ -128,13 +136,16 @@
             for (sum, count) in window[layer].iter_mut().zip(counts) {
                 *sum += count;
             }
-            if !straggler || step >= STRAGGLER_AT {
-                least += bound(counts, &speeds, slots * ranks);
-            }
+            step_least += bound(counts, &speeds, slots * ranks);
         }
         skew.push(slowest / mean);
         if !straggler || step >= STRAGGLER_AT {
             time += slowest;
+            least += step_least;
+            if !(JUMP_AT..JUMP_AT + UNSETTLED_STEPS).contains(&step) {
+                settled_time += slowest;
+                settled_least += step_least;
+            }
         }
         if (step + 1) % WINDOW == 0 {
             let counts = window.iter().map(|l| l.iter().map(|c| *c as u64).collect());
@@ -153,6 +164,7 @@
         recovery_steps: recovery(&skew),
         skew,
         over_bound: time / least,
+        over_bound_settled: settled_time / settled_least,
         loads: group.loads,
         switches: group.switches,
     }
