--- a/crates/standins/examples/experiment/main.rs
+++ b/crates/standins/examples/experiment/main.rs
@@ -4,6 +4,7 @@
 mod load;
 mod report;
 mod retries;
+mod skew;
 mod world;
 
 use clap::{Arg, ArgAction, Command, value_parser};
@@ -24,6 +25,11 @@
         "attempts for each request while upstreams fail",
         retries::run,
     ),
+    (
+        "skew",
+        "step-time skew across ranks, and the cost of rebalancing",
+        skew::run,
+    ),
 ];
 
 fn command() -> Command {
