Judge fair shares by the slots a team took, not by the queue's order

A trace showed small teams refused for a predicted wait over 500 ms while large teams took each slot as it was freed: queues are short, so virtual times of waiting work don't show who holds the slots. Also the time to the next free slot was overestimated, as it came from the mean of the tokens to come, which heavy tails dominate.

Teams now have a usage with a half-life of 15 s; those within the average go first and may wait four times as long. The next free slot comes from the rate at which answers of that age end. Learned factors on waits fade, so that a team that is bounced for them comes back.

--- a/crates/core/src/serving/queue/admission.rs
+++ b/crates/core/src/serving/queue/admission.rs
@@ -9,6 +9,9 @@
 /// and work that is dropped late costs its caller more than an early refusal.
 const WAIT_MARGIN: f64 = 1.25;
 
+/// Factor on the longest wait of a team within its share.
+const WITHIN_SHARE: u32 = 4;
+
 /// Expected tokens of a request's whole answer that are still to come.
 #[must_use]
 pub fn expected_tokens(lengths: &Lengths, request: &Request) -> f64 {
@@ -34,6 +37,7 @@
 /// Predicted time until a new item would start; zero before the pace is known.
 #[must_use]
 pub fn predicted_wait(
+    now: Now,
     policy: &Policy,
     queue: &FairQueue,
     levels: &Levels,
@@ -41,7 +45,7 @@
     item: &Item,
 ) -> Duration {
     let with_long = item.long || levels.slot_for_long(policy).is_some();
-    let before = queue.cost_before(policy, item, with_long);
+    let before = queue.cost_before(now, item, with_long);
     wait_for_slot(policy, levels, lengths, item.long, before)
 }
 
@@ -70,16 +74,22 @@
     next_end + pace.mul_f64(before / slots as f64)
 }
 
-/// Whether work may be queued: its wait is short enough and its deadline can be met.
+/// Whether work may be queued: its wait is short enough and its deadline can be met. A team
+/// within its share may wait longer, since no team above its share shall get the slot instead.
 #[must_use]
-pub fn admits(policy: &Policy, wait: Duration, run: Duration, item: &Item) -> bool {
-    let time_left = item.request.deadline;
-    let longest = if item.long {
-        policy.max_wait().max(run / 2)
-    } else {
-        policy.max_wait()
+pub fn admits(
+    policy: &Policy,
+    wait: Duration,
+    run: Duration,
+    item: &Item,
+    within_share: bool,
+) -> bool {
+    let longest = match (item.long, within_share) {
+        (true, _) => policy.max_wait().max(run / 2),
+        (false, true) => policy.max_wait() * WITHIN_SHARE,
+        (false, false) => policy.max_wait(),
     };
-    wait <= longest && wait.mul_f64(WAIT_MARGIN) + run <= time_left
+    wait <= longest && wait.mul_f64(WAIT_MARGIN) + run <= item.request.deadline
 }
 
 /// Latest start that is expected to meet a deadline.
@@ -96,7 +106,7 @@
         .map(|r| {
             let q = &r.request;
             let produced = q.resume_from + r.produced;
-            1.0 / lengths.remaining(&q.service, &q.team, produced, q.max_tokens.max(1))
+            lengths.end_rate(&q.service, &q.team, produced, q.max_tokens)
         })
         .sum();
     if rate > 0.0 { 1.0 / rate } else { 0.0 }
--- a/crates/core/src/serving/queue/fair.rs
+++ b/crates/core/src/serving/queue/fair.rs
@@ -1,15 +1,29 @@
 //! Waiting work of all teams, picked by weighted fair shares.
 //!
-//! Start-time fair queueing over expected tokens: each team has a virtual time
-//! that advances by the cost of its started work over its weight, and the team
-//! that is furthest behind goes first. A team that was idle starts at the
-//! present virtual time, so unused share is lent out and never saved up.
+//! Each team has a usage: the tokens that its started work needs, which count
+//! half after a while. A team whose usage over its weight is at most the average
+//! is within its share; such teams go first, by arrival. Of the others the one
+//! that is least above goes first, so unused share is lent out.
+//!
+//! The order of a queue alone gives no fair shares here: queues are short, since
+//! work that would wait long is bounced, so a small team often finds nothing
+//! waiting and all slots taken by a large one. Usage remembers who took them.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::{Item, Policy};
 use crate::types::{AttemptId, Now, Priority, TeamId};
 
+/// Time in which a team's usage loses half its weight: long enough to hold
+/// several requests of a small team, and short enough that a team that comes
+/// back has no more than some seconds of the upstream in advance.
+const USAGE_HALF_LIFE_S: f64 = 15.0;
+/// Usage over the average that a correction may lead to. One very long answer
+/// must not shut a team out for minutes.
+const MAX_CORRECTED: f64 = 2.0;
+/// Usage below which an idle team is forgotten, in tokens.
+const FORGOTTEN_TOKENS: f64 = 1.0;
+
 /// Order within a lane: priority, then arrival.
 type Place = (Priority, u64);
 
@@ -48,7 +62,9 @@
 #[derive(Clone, Debug)]
 struct Team {
     weight: f64,
-    virtual_time: f64,
+    /// Tokens of started work at the time `used_at`.
+    usage: f64,
+    used_at: Now,
     short: Lane,
     long: Lane,
 }
@@ -58,6 +74,59 @@
         self.short.items.is_empty() && self.long.items.is_empty()
     }
 
+    fn lane(&self, long: bool) -> &Lane {
+        if long { &self.long } else { &self.short }
+    }
+
+    fn lane_mut(&mut self, long: bool) -> &mut Lane {
+        if long {
+            &mut self.long
+        } else {
+            &mut self.short
+        }
+    }
+
+    /// Whether the next item is a long one; none if there is none that may start.
+    fn next_lane(&self, now: Now, policy: &Policy, with_long: bool) -> Option<bool> {
+        let overdue = |i: &Item| now.saturating_sub(i.arrived) > policy.max_wait();
+        match (self.short.head(), self.long.head()) {
+            (None, None) => None,
+            (Some(_), Some((_, long))) if with_long => Some(overdue(long)),
+            (Some(_), _) => Some(false),
+            (None, Some(_)) => with_long.then_some(true),
+        }
+    }
+
+    fn usage(&self, now: Now) -> f64 {
+        let age = now.saturating_sub(self.used_at);
+        self.usage * (-age.as_secs_f64() / USAGE_HALF_LIFE_S).exp2()
+    }
+
+    fn add_usage(&mut self, now: Now, tokens: f64) {
+        self.usage = (self.usage(now) + tokens).max(0.0);
+        self.used_at = now;
+    }
+
+    /// Usage over weight, as far as it is above the average after `more` tokens.
+    fn excess(&self, now: Now, average: f64, more: f64) -> f64 {
+        ((self.usage(now) + more) / self.weight - average).max(0.0)
+    }
+
+    /// Tokens that the team may still start within its share.
+    fn share_left(&self, now: Now, average: f64) -> f64 {
+        (average * self.weight - self.usage(now)).max(0.0)
+    }
+
+    /// Cost of the waiting items that go before a place; long ones only before a long item.
+    fn cost_before(&self, place: Place, long: bool) -> f64 {
+        let short = self.short.cost_before(place);
+        if long {
+            short + self.long.cost_before(place)
+        } else {
+            short
+        }
+    }
+
     fn waiting_cost(&self, with_long: bool) -> f64 {
         self.short.cost + if with_long { self.long.cost } else { 0.0 }
     }
@@ -79,7 +148,6 @@
     places: BTreeMap<AttemptId, Whereabouts>,
     /// Latest time at which each item may start, earliest first.
     latest_starts: BTreeSet<(Now, AttemptId)>,
-    virtual_time: f64,
     arrivals: u64,
 }
 
@@ -121,37 +189,28 @@
         };
         self.places.insert(item.attempt, whereabouts);
         self.latest_starts.insert((item.latest_start, item.attempt));
-        let team = self.team(policy, id);
-        let lane = if item.long {
-            &mut team.long
-        } else {
-            &mut team.short
-        };
-        lane.push(place, item);
+        self.team(policy, id).lane_mut(item.long).push(place, item);
     }
 
-    /// Takes the next item of the team that is furthest behind; long items only if `with_long`.
+    /// Takes the next item by the teams' shares; long items only if `with_long`.
     pub fn pop(&mut self, now: Now, policy: &Policy, with_long: bool) -> Option<Item> {
-        let eligible = |t: &&Team| !t.short.items.is_empty() || (with_long && !t.is_idle());
-        let team = self
+        let average = self.average(now);
+        let urgency = |t: &Team| {
+            let lane = t.next_lane(now, policy, with_long)?;
+            let ((_, arrival), _) = t.lane(lane).head()?;
+            Some((t.excess(now, average, 0.0), arrival, lane))
+        };
+        let (_, _, lane, team) = self
             .teams
             .values_mut()
-            .filter(|t| eligible(&&**t))
-            .min_by(|a, b| a.virtual_time.total_cmp(&b.virtual_time))?;
-        let overdue = |i: &Item| now.saturating_sub(i.arrived) > policy.max_wait();
-        let long_first = with_long
-            && (team.short.items.is_empty() || team.long.head().is_some_and(|(_, i)| overdue(i)));
-        let lane = if long_first {
-            &mut team.long
-        } else {
-            &mut team.short
-        };
+            .filter_map(|t| urgency(t).map(|(excess, arrival, lane)| (excess, arrival, lane, t)))
+            .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))?;
+        let lane = team.lane_mut(lane);
         let (place, _) = lane.head()?;
         let item = lane.remove(place)?;
-        self.virtual_time = self.virtual_time.max(team.virtual_time);
-        team.virtual_time += item.cost() / team.weight;
+        team.add_usage(now, item.cost());
         self.forget_place(item.attempt);
-        self.forget_idle_teams();
+        self.forget_idle_teams(now);
         Some(item)
     }
 
@@ -184,39 +243,47 @@
         self.latest_starts.first().map(|(at, _)| *at)
     }
 
-    /// Corrects a team's share by the tokens that its work needed beyond what was expected.
-    pub fn correct(&mut self, policy: &Policy, team: &TeamId, tokens: f64) {
+    /// Corrects a team's usage by the tokens that its work needed beyond what was expected.
+    pub fn correct(&mut self, now: Now, policy: &Policy, team: &TeamId, tokens: f64) {
+        let average = self.average(now);
         let team = self.team(policy, team.clone());
-        team.virtual_time += tokens / team.weight;
-        self.forget_idle_teams();
+        let most = average * team.weight * MAX_CORRECTED - team.usage(now);
+        team.add_usage(now, tokens.min(most.max(0.0)));
+        self.forget_idle_teams(now);
+    }
+
+    /// Whether a team stays within its share if one more item of it starts.
+    #[must_use]
+    pub fn within_share(&self, now: Now, policy: &Policy, item: &Item) -> bool {
+        let id = &item.request.team;
+        let usage = self.teams.get(id).map_or(0.0, |t| t.usage(now));
+        usage / policy.weight(id) <= self.average(now)
     }
 
     /// Expected cost of what starts before a new item of a team, in tokens.
     #[must_use]
-    pub fn cost_before(&self, policy: &Policy, item: &Item, with_long: bool) -> f64 {
+    pub fn cost_before(&self, now: Now, item: &Item, with_long: bool) -> f64 {
         let id = &item.request.team;
-        let place = (item.request.priority, self.arrivals);
-        let (begin, own) = self.teams.get(id).map_or((0.0, 0.0), |t| {
-            let short = t.short.cost_before(place);
-            let long = t.long.cost_before(place);
-            (t.virtual_time, if item.long { short + long } else { short })
+        let average = self.average(now);
+        let (own, excess) = self.teams.get(id).map_or((0.0, 0.0), |t| {
+            let own = t.cost_before((item.request.priority, self.arrivals), item.long);
+            (own, t.excess(now, average, own))
         });
-        let tag = begin.max(self.virtual_time) + own / policy.weight(id);
         let before = |t: &Team| {
-            let share = (tag - t.virtual_time.max(self.virtual_time)) * t.weight;
+            let above = (excess - t.excess(now, average, 0.0)) * t.weight;
+            let share = above + t.share_left(now, average);
             share.clamp(0.0, t.waiting_cost(with_long))
         };
         let others = self.teams.iter().filter(|(other, _)| *other != id);
         own + others.map(|(_, t)| before(t)).sum::<f64>()
     }
 
-    /// Expected cost of what starts before a new item of a team that has nothing waiting.
+    /// Expected cost of what starts before a new short item of a team that has nothing waiting.
     #[must_use]
-    pub fn cost_before_newcomer(&self) -> f64 {
-        // It goes first but for teams that are just as far behind.
-        let behind = |t: &&Team| t.virtual_time <= self.virtual_time;
-        let first_cost = |t: &Team| t.short.head().map_or(0.0, |(_, i)| i.cost());
-        self.teams.values().filter(behind).map(first_cost).sum()
+    pub fn cost_before_newcomer(&self, now: Now) -> f64 {
+        let average = self.average(now);
+        let share = |t: &Team| t.share_left(now, average).min(t.waiting_cost(false));
+        self.teams.values().map(share).sum()
     }
 
     /// Takes everything that waits.
@@ -232,17 +299,22 @@
         let weight = policy.weight(&id);
         let team = self.teams.entry(id).or_insert_with(|| Team {
             weight,
-            virtual_time: self.virtual_time,
+            usage: 0.0,
+            used_at: Now::ZERO,
             short: Lane::default(),
             long: Lane::default(),
         });
         team.weight = weight;
-        if team.is_idle() {
-            team.virtual_time = team.virtual_time.max(self.virtual_time);
-        }
         team
     }
 
+    /// Average usage over weight of the teams that have any usage or work.
+    fn average(&self, now: Now) -> f64 {
+        let weights: f64 = self.teams.values().map(|t| t.weight).sum();
+        let usage: f64 = self.teams.values().map(|t| t.usage(now)).sum();
+        if weights > 0.0 { usage / weights } else { 0.0 }
+    }
+
     fn forget_place(&mut self, attempt: AttemptId) -> Option<Whereabouts> {
         let whereabouts = self.places.remove(&attempt)?;
         self.latest_starts
@@ -250,10 +322,8 @@
         Some(whereabouts)
     }
 
-    /// Teams without work that have no share to make up for need no record.
-    fn forget_idle_teams(&mut self) {
-        let now = self.virtual_time;
+    fn forget_idle_teams(&mut self, now: Now) {
         self.teams
-            .retain(|_, t| !t.is_idle() || t.virtual_time > now);
+            .retain(|_, t| !t.is_idle() || t.usage(now) >= FORGOTTEN_TOKENS);
     }
 }
--- a/crates/core/src/serving/queue/lengths.rs
+++ b/crates/core/src/serving/queue/lengths.rs
@@ -13,6 +13,8 @@
 const HALF_LIFE_ANSWERS: f32 = 128.0;
 /// Answers of a team below which the lengths of the whole service are used.
 const ENOUGH_ANSWERS: f32 = 8.0;
+/// Tokens over which an answer's end is judged, at least.
+const END_WINDOW_TOKENS: f64 = 32.0;
 /// Expected length before any answer was seen.
 const UNKNOWN_TOKENS: f64 = 256.0;
 
@@ -54,6 +56,17 @@
     }
 }
 
+impl Histogram {
+    /// Answers longer than `tokens`, with those of a bucket spread evenly over it.
+    fn longer_than(&self, tokens: f64) -> f64 {
+        let above = |(bucket, count): (usize, &f32)| {
+            let low = (1_u64 << bucket) as f64;
+            f64::from(*count) * ((2.0 * low - tokens) / low).clamp(0.0, 1.0)
+        };
+        self.counts.iter().enumerate().map(above).sum()
+    }
+}
+
 /// Learned lengths of answers per team and service.
 #[derive(Clone, Debug, Default)]
 pub struct Lengths {
@@ -83,10 +96,7 @@
     ) -> f64 {
         let produced = f64::from(produced);
         let most = f64::from(max_tokens);
-        let own = self.teams.get(service).and_then(|t| t.get(team));
-        let known = own
-            .filter(|h| h.total >= ENOUGH_ANSWERS)
-            .or_else(|| self.services.get(service));
+        let known = self.known(service, team);
         // Answers longer than all known ones are as likely to double as not.
         let unknown = UNKNOWN_TOKENS.max(produced);
         let expected = known
@@ -94,4 +104,32 @@
             .unwrap_or(unknown);
         expected.min(most - produced).max(1.0)
     }
+
+    /// Probability that an answer ends with its next token, after `produced`. Heavy tails make
+    /// this much larger for young answers than the mean of the tokens to come suggests.
+    #[must_use]
+    pub fn end_rate(
+        &self,
+        service: &ServiceId,
+        team: &TeamId,
+        produced: u32,
+        max_tokens: u32,
+    ) -> f64 {
+        let latest = 1.0 / f64::from(max_tokens.saturating_sub(produced).max(1));
+        let produced = f64::from(produced);
+        let window = (produced / 2.0).max(END_WINDOW_TOKENS);
+        let rate = self.known(service, team).and_then(|h| {
+            let now = h.longer_than(produced);
+            let then = h.longer_than(produced + window);
+            (now > 0.0).then(|| (1.0 - then / now) / window)
+        });
+        let unknown = 1.0 / UNKNOWN_TOKENS.max(produced);
+        rate.unwrap_or(unknown).max(latest).min(1.0)
+    }
+
+    fn known(&self, service: &ServiceId, team: &TeamId) -> Option<&Histogram> {
+        let own = self.teams.get(service).and_then(|t| t.get(team));
+        own.filter(|h| h.total >= ENOUGH_ANSWERS)
+            .or_else(|| self.services.get(service))
+    }
 }
--- a/crates/core/src/upstream/machine.rs
+++ b/crates/core/src/upstream/machine.rs
@@ -23,6 +23,8 @@
     levels: Levels,
     lengths: Lengths,
     waits: Waits,
+    /// Time of the last input.
+    now: Now,
     leaving: bool,
     engine_up: bool,
     expire_at: Option<Now>,
@@ -45,6 +47,7 @@
             levels: Levels::default(),
             lengths: Lengths::default(),
             waits: Waits::default(),
+            now: Now::ZERO,
             leaving: false,
             engine_up: true,
             expire_at: None,
@@ -67,13 +70,14 @@
     /// Takes an input at the time `now` and returns what the driver shall do.
     pub fn handle(&mut self, now: Now, input: Input) -> Vec<Output> {
         let mut out = Vec::new();
+        self.now = now;
         match input {
             Input::Work {
                 attempt,
                 request,
                 age,
             } => self.accept(now, attempt, request, age, &mut out),
-            Input::Cancel(attempt) => self.cancel(attempt, &mut out),
+            Input::Cancel(attempt) => self.cancel(now, attempt, &mut out),
             Input::Engine(attempt, EngineEvent::Tokens(tokens)) => {
                 if !self.levels.produce(now, &self.policy, attempt, tokens) {
                     return out;
@@ -84,7 +88,7 @@
                 self.finished(now, attempt, &mut out);
             }
             Input::Engine(attempt, EngineEvent::Failed(run)) => {
-                self.failed(attempt, run, &mut out);
+                self.failed(now, attempt, run, &mut out);
             }
             Input::EngineDown => self.engine_down(&mut out),
             Input::EngineUp => self.engine_up = true,
@@ -117,8 +121,8 @@
         out: &mut Vec<Output>,
     ) {
         let mut item = self.item(now, attempt, request);
-        item.predicted_wait = self.predicted_wait(&item);
-        if let Some(reason) = self.reason_to_bounce(&item, age) {
+        item.predicted_wait = self.predicted_wait(now, &item);
+        if let Some(reason) = self.reason_to_bounce(now, &item, age) {
             out.push(self.bounce(&item, reason));
             out.push(about(EventKind::WorkBounced, attempt, &item.request));
             return;
@@ -141,7 +145,7 @@
         }
     }
 
-    fn reason_to_bounce(&self, item: &Item, age: Duration) -> Option<Bounce> {
+    fn reason_to_bounce(&self, now: Now, item: &Item, age: Duration) -> Option<Bounce> {
         let attempt = item.attempt;
         let seen = self.levels.contains(attempt) || self.queue.contains(attempt);
         if seen || age > MAX_DISPATCH_AGE {
@@ -156,12 +160,15 @@
         if self.queue.len() >= self.policy.max_queued() {
             return Some(Bounce::QueueFull);
         }
-        let wait = self.waits.correct(&item.request.team, item.predicted_wait);
         let run = admission::expected_run(&self.levels, item.expected_tokens);
-        (!admission::admits(&self.policy, wait, run, item)).then_some(Bounce::Deadline)
+        let team = &item.request.team;
+        let wait = self.waits.correct(now, team, item.predicted_wait);
+        let within_share = self.queue.within_share(now, &self.policy, item);
+        let admitted = admission::admits(&self.policy, wait, run, item, within_share);
+        (!admitted).then_some(Bounce::Deadline)
     }
 
-    fn predicted_wait(&self, item: &Item) -> Duration {
+    fn predicted_wait(&self, now: Now, item: &Item) -> Duration {
         let Self {
             policy,
             queue,
@@ -169,7 +176,7 @@
             lengths,
             ..
         } = self;
-        admission::predicted_wait(policy, queue, levels, lengths, item)
+        admission::predicted_wait(now, policy, queue, levels, lengths, item)
     }
 
     fn bounce(&self, item: &Item, reason: Bounce) -> Output {
@@ -180,14 +187,14 @@
         }
     }
 
-    fn cancel(&mut self, attempt: AttemptId, out: &mut Vec<Output>) {
+    fn cancel(&mut self, now: Now, attempt: AttemptId, out: &mut Vec<Output>) {
         if let Some(item) = self.queue.remove(attempt) {
             out.push(about(EventKind::WorkCancelled, attempt, &item.request));
         }
         if let Some(running) = self.levels.remove(attempt) {
             out.push(Output::Stop(attempt));
             out.push(about(EventKind::WorkCancelled, attempt, &running.request));
-            self.settle(&running);
+            self.settle(now, &running);
         }
     }
 
@@ -201,20 +208,20 @@
             self.lengths.learn(&request.service, &request.team, tokens);
         }
         out.push(about(EventKind::WorkFinished, attempt, request));
-        self.settle(&running);
+        self.settle(now, &running);
     }
 
-    fn failed(&mut self, attempt: AttemptId, run: Run, out: &mut Vec<Output>) {
+    fn failed(&mut self, now: Now, attempt: AttemptId, run: Run, out: &mut Vec<Output>) {
         let Some(running) = self.levels.remove(attempt) else {
             return;
         };
         out.push(Output::Fail { attempt, run });
         out.push(about(EventKind::WorkFailed, attempt, &running.request));
-        self.settle(&running);
+        self.settle(now, &running);
     }
 
     /// Charges the team for what its work needed instead of what was expected.
-    fn settle(&mut self, running: &Running) {
+    fn settle(&mut self, now: Now, running: &Running) {
         let request = &running.request;
         let used = if request.max_tokens == 0 {
             1.0
@@ -222,7 +229,7 @@
             f64::from(running.produced)
         };
         self.queue
-            .correct(&self.policy, &request.team, used - running.charged);
+            .correct(now, &self.policy, &request.team, used - running.charged);
     }
 
     fn engine_down(&mut self, out: &mut Vec<Output>) {
@@ -272,7 +279,7 @@
     fn learn_wait(&mut self, now: Now, item: &Item) {
         let waited = now.saturating_sub(item.arrived);
         self.waits
-            .learn(&item.request.team, item.predicted_wait, waited);
+            .learn(now, &item.request.team, item.predicted_wait, waited);
     }
 
     fn assign_levels(&mut self, now: Now, out: &mut Vec<Output>) {
@@ -300,7 +307,7 @@
 
     /// Predicted wait of a short request of a team that has nothing waiting.
     fn wait_of_newcomer(&self) -> Duration {
-        let before = self.queue.cost_before_newcomer();
+        let before = self.queue.cost_before_newcomer(self.now);
         admission::wait_for_slot(&self.policy, &self.levels, &self.lengths, false, before)
     }
 }
