Enforce team limits across entry hosts without a coordinator

A team's requests_per_s was not enforced.

Each team has an accountant, an entry host by rendezvous hashing, that divides the limit among the hosts that report demand each 500 ms. Shares are valid for 2 s and never add up to more than the limit while the accountant stays; a host without a share admits limit / N. PeerMessage and Output no longer derive Eq, as shares are fractions.

Adds the experiment blocking.

--- /dev/null
+++ b/crates/core/src/entry/limiting.rs
@@ -0,0 +1,134 @@
+//! Team limits: this host's part of each, and the limits that it accounts for.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::machine::Entry;
+use super::{Output, PeerMessage};
+use crate::event::{Event, EventKind};
+use crate::serving::limits::{self, Accountant, Demand, Meter, Share};
+use crate::types::{HostId, Now, Refusal, RefusalKind, Request, TeamId};
+
+/// Time for which the largest number of entry hosts seen counts. Regions may lose contact for
+/// an hour, and a host that sees few others must not take their parts of the limits.
+const HOSTS_REMEMBERED: Duration = Duration::from_secs(2 * 3_600);
+
+/// State of team limits at one entry host.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Limiting {
+    meters: BTreeMap<TeamId, Meter>,
+    accountant: Accountant,
+    /// Largest number of entry hosts seen, and when.
+    hosts: (usize, Now),
+}
+
+impl Limiting {
+    pub(super) fn set_hosts(&mut self, now: Now, hosts: &[HostId]) {
+        self.accountant.hosts_changed(now, hosts);
+        if hosts.len() >= self.hosts.0 || now >= self.hosts.1 + HOSTS_REMEMBERED {
+            self.hosts = (hosts.len(), now);
+        }
+    }
+}
+
+impl Entry {
+    /// Refuses a request of a team that is above this host's share of its limit.
+    pub(super) fn above_limit(
+        &mut self,
+        now: Now,
+        request: &Request,
+        out: &mut Vec<Output>,
+    ) -> Option<Refusal> {
+        let team = &request.team;
+        let limit_per_s = self.limit_of(team)?;
+        let chance = self.rng.random();
+        let Limiting { meters, hosts, .. } = &mut self.limiting;
+        let is_new = !meters.contains_key(team);
+        let meter = meters
+            .entry(team.clone())
+            .or_insert_with(|| Meter::new(now, limit_per_s, hosts.0, chance));
+        let admitted = meter.admit(now);
+        let retry_after = meter.retry_after(now);
+        if is_new {
+            self.report_demands(now, out);
+        }
+        if admitted {
+            return None;
+        }
+        let detail = format!("team `{team}` is above its limit of {limit_per_s} requests a second");
+        let refusal = Refusal::not_run(RefusalKind::TeamLimit, detail);
+        Some(refusal.with_retry_after(retry_after))
+    }
+
+    /// Reports demands that are due and forgets what is idle.
+    pub(super) fn tick_limits(&mut self, now: Now, out: &mut Vec<Output>) {
+        self.limiting.accountant.forget(now);
+        self.limiting.meters.retain(|_, meter| !meter.is_idle(now));
+        let teams: Vec<_> = self.limiting.meters.keys().cloned().collect();
+        for team in teams {
+            let limit_per_s = self.limit_of(&team);
+            let Limiting { meters, hosts, .. } = &mut self.limiting;
+            match (limit_per_s, meters.get_mut(&team)) {
+                (Some(limit), Some(meter)) => {
+                    meter.set_limit(limit, hosts.0);
+                    if meter.note_cut_off(now) {
+                        let event = Event::new(EventKind::TeamShareExpired, team.as_str());
+                        out.push(Output::Event(event));
+                    }
+                }
+                _ => {
+                    meters.remove(&team);
+                }
+            }
+        }
+        self.report_demands(now, out);
+    }
+
+    fn report_demands(&mut self, now: Now, out: &mut Vec<Output>) {
+        let mut demands: BTreeMap<HostId, Vec<Demand>> = BTreeMap::new();
+        for (team, meter) in &mut self.limiting.meters {
+            let Some(accountant) = limits::accountant_of(team, &self.live_hosts) else {
+                continue;
+            };
+            if let Some(demand) = meter.report(now, team) {
+                demands.entry(accountant.clone()).or_default().push(demand);
+            }
+        }
+        for (to, demands) in demands {
+            if to == self.host {
+                let shares = self.account(now, &to, &demands);
+                self.take_shares(now, &shares);
+            } else {
+                let message = PeerMessage::Demands(demands);
+                out.push(Output::Send { to, message });
+            }
+        }
+    }
+
+    /// Divides limits, as the accountant of teams.
+    pub(super) fn account(&mut self, now: Now, from: &HostId, demands: &[Demand]) -> Vec<Share> {
+        let hosts = self.limiting.hosts.0;
+        let mut shares = Vec::with_capacity(demands.len());
+        for demand in demands {
+            if let Some(limit) = self.limit_of(&demand.team) {
+                let accountant = &mut self.limiting.accountant;
+                shares.push(accountant.report(now, from, demand, limit, hosts));
+            }
+        }
+        shares
+    }
+
+    pub(super) fn take_shares(&mut self, now: Now, shares: &[Share]) {
+        for share in shares {
+            if let Some(meter) = self.limiting.meters.get_mut(&share.team) {
+                meter.set_share(now, share);
+            }
+        }
+    }
+
+    fn limit_of(&self, team: &TeamId) -> Option<f64> {
+        self.cfg.as_ref()?.teams.get(team)?.requests_per_s
+    }
+}
--- a/crates/core/src/entry/machine.rs
+++ b/crates/core/src/entry/machine.rs
@@ -9,6 +9,7 @@
 
 use super::claiming::Claiming;
 use super::held::{Attempt, Held};
+use super::limiting::Limiting;
 use super::{Input, Output, PeerMessage, Timer, UpstreamInfo};
 use crate::config::Config;
 use crate::event::{Event, EventKind};
@@ -52,6 +53,7 @@
     pub(super) health: Health,
     pub(super) suspects: Suspects,
     pub(super) sharing: Sharing,
+    pub(super) limiting: Limiting,
     draining: bool,
     pub(super) dropped_chunks: u64,
     last_input: Option<Now>,
@@ -82,6 +84,7 @@
             health: Health::default(),
             suspects: Suspects::default(),
             sharing: Sharing::default(),
+            limiting: Limiting::default(),
             draining: false,
             dropped_chunks: 0,
             last_input: None,
@@ -172,6 +175,7 @@
         self.health.tick(now);
         self.suspects.forget(now);
         self.claiming.forget(now);
+        self.tick_limits(now, out);
         out.push(Output::SetTimer {
             at: now + TICK,
             timer: Timer::Tick,
@@ -205,6 +209,7 @@
     fn set_entry_hosts(&mut self, now: Now, list: Vec<HostId>, out: &mut Vec<Output>) {
         self.claiming.set_owners(&list, &self.host);
         self.sharing.retain_hosts(&list);
+        self.limiting.set_hosts(now, &list);
         self.live_hosts = list;
         self.list_peers();
         self.end_shares(now, out);
@@ -228,6 +233,11 @@
                 }
             }
             PeerMessage::Suspects(suspects) => self.learn_suspects(now, from, suspects, out),
+            PeerMessage::Demands(demands) => {
+                let message = PeerMessage::Shares(self.account(now, &from, &demands));
+                out.push(Output::Send { to: from, message });
+            }
+            PeerMessage::Shares(shares) => self.take_shares(now, &shares),
             PeerMessage::SuspectsSeen(suspects) => {
                 self.sharing.acknowledge(&from, &suspects);
                 self.end_shares(now, out);
@@ -236,8 +246,11 @@
     }
 
     fn admit(&mut self, now: Now, handle: RequestHandle, request: Request, out: &mut Vec<Output>) {
-        let refusal = self.reason_to_refuse(&request);
-        if let Some(refusal) = refusal.or_else(|| self.out_of_reach(now, &request)) {
+        let refusal = self
+            .reason_to_refuse(&request)
+            .or_else(|| self.out_of_reach(now, &request))
+            .or_else(|| self.above_limit(now, &request, out));
+        if let Some(refusal) = refusal {
             push_refusal(handle, &request, refusal, out);
             return;
         }
--- a/crates/core/src/entry/message.rs
+++ b/crates/core/src/entry/message.rs
@@ -3,10 +3,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::serving::claims::{Claim, ClaimResult, Nonce};
+use crate::serving::limits::{Demand, Share};
 use crate::serving::suspects::Suspect;
 
 /// What one entry host tells another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum PeerMessage {
     /// Write these claims, as the owner of their shards.
@@ -19,4 +20,8 @@
     Suspects(Vec<Suspect>),
     /// Acknowledges suspects.
     SuspectsSeen(Vec<Suspect>),
+    /// Demands of the sender, to the accountant of these teams' limits.
+    Demands(Vec<Demand>),
+    /// Shares of teams' limits, in answer to demands.
+    Shares(Vec<Share>),
 }
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -50,6 +50,7 @@
 mod claiming;
 mod ending;
 mod held;
+mod limiting;
 mod machine;
 mod message;
 mod quarantine;
@@ -174,7 +175,7 @@
 }
 
 /// What the driver shall do.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Output {
     /// Send an attempt to an upstream, stamped with the clock at the time of this decision.
     Dispatch {
--- a/crates/core/src/event/catalogue.rs
+++ b/crates/core/src/event/catalogue.rs
@@ -60,6 +60,7 @@
     SuspectNoted = 2013, "an upstream crashed while it ran a request";
     UpstreamEjected = 2014, "an upstream that is slower or fails more than its peers was ejected";
     UpstreamReturned = 2015, "an ejected upstream ended its probation";
+    TeamShareExpired = 2101, "no share of a team's limit came and the host falls back to an even part";
 
     WorkQueued = 3001, "work was queued";
     WorkStarted = 3002, "work was passed to the engine";
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod claims;
 pub mod health;
+pub mod limits;
 pub mod queue;
 mod rendezvous;
 pub mod retry;
--- a/crates/standins/examples/experiment/main.rs
+++ b/crates/standins/examples/experiment/main.rs
@@ -1,5 +1,6 @@
 //! Measures the decisions of the core in virtual time against baselines.
 
+mod blocking;
 mod crest;
 mod load;
 mod report;
@@ -19,6 +20,11 @@
         "quality of service at the peak of a swing in demand",
         crest::run,
     ),
+    (
+        "blocking",
+        "head-of-line blocking of short work behind long work",
+        blocking::run,
+    ),
     (
         "retries",
         "attempts for each request while upstreams fail",
