--- a/crates/core/src/entry/hosts.rs
+++ b/crates/core/src/entry/hosts.rs
@@ -80,6 +80,7 @@
             }
             self.ask_for_suspects(now, out);
         }
+        self.limiting.set_hosts(now, &list);
         self.hosts.live = list;
         self.list_peers();
         self.sharing
@@ -124,6 +125,11 @@
                     self.end_hold(now, out);
                 }
             }
+            PeerMessage::Demands(demands) => {
+                let message = PeerMessage::Shares(self.account(now, &from, &demands));
+                out.push(Output::Send { to: from, message });
+            }
+            PeerMessage::Shares(shares) => self.take_shares(now, &shares),
             PeerMessage::SuspectsSeen(suspects) => {
                 self.note_suspects(now, &suspects);
                 self.sharing.acknowledge(&from, &suspects);
--- a/crates/core/src/entry/machine.rs
+++ b/crates/core/src/entry/machine.rs
@@ -10,6 +10,7 @@
 use super::claiming::Claiming;
 use super::held::{Attempt, Held};
 use super::hosts::Hosts;
+use super::limiting::Limiting;
 use super::{Input, Output, Timer, UpstreamInfo};
 use crate::config::Config;
 use crate::event::{Event, EventKind};
@@ -58,6 +59,7 @@
     pub(super) health: Health,
     pub(super) suspects: Suspects,
     pub(super) sharing: Sharing,
+    pub(super) limiting: Limiting,
     draining: bool,
     pub(super) dropped_chunks: u64,
     last_input: Option<Now>,
@@ -92,6 +94,7 @@
             health: Health::default(),
             suspects: Suspects::default(),
             sharing: Sharing::default(),
+            limiting: Limiting::default(),
             draining: false,
             dropped_chunks: 0,
             last_input: None,
@@ -188,6 +191,7 @@
         self.suspects.forget(now);
         self.claiming.forget(now);
         self.cancelled.retain(|_, (_, at)| now < *at + REPORT_TIME);
+        self.tick_limits(now, out);
         out.push(Output::SetTimer {
             at: now + TICK,
             timer: Timer::Tick,
@@ -219,8 +223,11 @@
     }
 
     fn admit(&mut self, now: Now, handle: RequestHandle, request: Request, out: &mut Vec<Output>) {
-        let refusal = self.reason_to_refuse(&request);
-        if let Some(refusal) = refusal.or_else(|| self.out_of_reach(now, &request)) {
+        let refusal = self
+            .reason_to_refuse(&request)
+            .or_else(|| self.out_of_reach(now, &request))
+            .or_else(|| self.above_limit(now, &request, out));
+        if let Some(refusal) = refusal {
             push_refusal(handle, &request, refusal, out);
             return;
         }
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -51,6 +51,7 @@
 mod ending;
 mod held;
 mod hosts;
+mod limiting;
 mod machine;
 mod message;
 mod quarantine;
@@ -186,7 +187,7 @@
 }
 
 /// What the driver shall do.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Output {
     /// Send an attempt to an upstream, stamped with the clock at the time of this decision.
     Dispatch {
--- a/crates/standins/examples/experiment/main.rs
+++ b/crates/standins/examples/experiment/main.rs
@@ -1,10 +1,14 @@
 //! Measures the decisions of the core in virtual time against baselines.
 
+mod affinity;
+mod blocking;
 mod crest;
+mod limits;
 mod load;
 mod report;
 mod retries;
 mod skew;
+mod subset;
 mod world;
 
 use clap::{Arg, ArgAction, Command, value_parser};
@@ -20,6 +24,26 @@
         "quality of service at the peak of a swing in demand",
         crest::run,
     ),
+    (
+        "blocking",
+        "head-of-line blocking of short work behind long work",
+        blocking::run,
+    ),
+    (
+        "affinity",
+        "prefix-cache hits against the balance of load",
+        affinity::run,
+    ),
+    (
+        "limits",
+        "admitted requests of a team over its limit, at many entry hosts",
+        limits::run,
+    ),
+    (
+        "subset",
+        "coverage of upstreams by the subsets of entry hosts",
+        subset::run,
+    ),
     (
         "retries",
         "attempts for each request while upstreams fail",
--- a/crates/standins/examples/quickstart/work.rs
+++ b/crates/standins/examples/quickstart/work.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eelgrasshold_standins::caller::{Caller, Draft, PlainCall, Report};
+use eelgrasshold_standins::caller::{Caller, Draft, Outcome, PlainCall, Report};
 use eelgrasshold_standins::engine::length_marker;
 use eelgrasshold_standins::fleet::{DRAFTS, Fleet, RESERVATIONS};
+use eelgrasshold_standins::plain::Echo;
 use futures::stream::{FuturesUnordered, StreamExt};
 use http::Method;
 use rand::rngs::SmallRng;
@@ -122,12 +123,23 @@
     if item.repeated {
         // The same key through another entry host, as a caller does that lost its answer.
         let again = caller(item, seed, "b", entries);
-        let report = again.call(&format!("{id}-again"), &reservation(item)).await;
+        let mut call = reservation(item);
+        // A kept answer echoes the request id of the first call.
+        call.checks_echo = false;
+        let mut report = again.call(&format!("{id}-again"), &call).await;
+        if report.outcome == Outcome::Whole && !echoes(&report, &call) {
+            report.outcome = Outcome::Wrong("the answer belongs to another key".to_owned());
+        }
         reports.push((item.kind, report));
     }
     reports
 }
 
+fn echoes(report: &Report, call: &PlainCall) -> bool {
+    let echo: Option<Echo> = serde_json::from_slice(&report.body).ok();
+    echo.is_some_and(|echo| Some(echo.idempotency_key) == call.idempotency_key)
+}
+
 fn caller(item: &Item, seed: u64, suffix: &str, entries: &[String]) -> Caller {
     let seed = seed
         .wrapping_mul(1_000_003)
