--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -10,7 +10,7 @@
 use eelgrasshold_net::host::{EntryHost, UpstreamHost};
 use eelgrasshold_net::platform::{Platform as PlatformClient, publish_config, read_config};
 
-pub use builder::FleetBuilder;
+pub use builder::{FleetBuilder, sample_config};
 pub use start::FleetError;
 
 use crate::engine::ModelEngine;
