Measure real daemons on loopback

Starting a daemon as a process moves into the stand-ins, where the tests of stops and kills use it too.

--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -61,10 +61,10 @@
 // Guards against a planned stop of an entry host that cuts open streams.
 #[tokio::test(flavor = "multi_thread")]
 async fn terminated_entry_host_cuts_no_stream() {
-    let mut processes = Processes::start("entry-term").await;
+    let mut processes = Processes::start().await;
     let caller = caller(&processes, "entry-term");
     let drafts = open_streams(&processes, &caller).await;
-    processes.entries[1].signal("TERM");
+    processes.entries[1].signal("TERM").unwrap();
     for report in reports(drafts).await {
         assert_eq!(
             (&report.outcome, report.resumes),
@@ -72,16 +72,16 @@
             "{report:?}"
         );
     }
-    assert!(processes.entries[1].ended().await.success());
+    assert!(processes.entries[1].ended().await.unwrap().success());
 }
 
 // Guards against a planned stop of an upstream process that cuts running work.
 #[tokio::test(flavor = "multi_thread")]
 async fn terminated_upstream_process_cuts_no_stream() {
-    let mut processes = Processes::start("upstream-term").await;
+    let mut processes = Processes::start().await;
     let caller = caller(&processes, "upstream-term");
     let drafts = open_streams(&processes, &caller).await;
-    processes.upstreams[0].signal("TERM");
+    processes.upstreams[0].signal("TERM").unwrap();
     for report in reports(drafts).await {
         assert_eq!(
             (&report.outcome, report.resumes),
@@ -89,16 +89,16 @@
             "{report:?}"
         );
     }
-    assert!(processes.upstreams[0].ended().await.success());
+    assert!(processes.upstreams[0].ended().await.unwrap().success());
 }
 
 // Guards against an answer that is lost, doubled or cut when an upstream process dies.
 #[tokio::test(flavor = "multi_thread")]
 async fn killed_upstream_process_leaves_whole_answers_or_honest_refusals() {
-    let processes = Processes::start("upstream-kill").await;
+    let processes = Processes::start().await;
     let caller = caller(&processes, "upstream-kill");
     let drafts = open_streams(&processes, &caller).await;
-    processes.upstreams[0].signal("KILL");
+    processes.upstreams[0].signal("KILL").unwrap();
     let reports = reports(drafts).await;
     for report in &reports {
         let honest = matches!(
@@ -117,10 +117,10 @@
 // Guards against a draft that can't go on through another entry host when its own dies.
 #[tokio::test(flavor = "multi_thread")]
 async fn drafts_of_a_killed_entry_host_are_resumed_through_the_other() {
-    let processes = Processes::start("entry-kill").await;
+    let processes = Processes::start().await;
     let caller = caller(&processes, "entry-kill");
     let drafts = open_streams(&processes, &caller).await;
-    processes.entries[0].signal("KILL");
+    processes.entries[0].signal("KILL").unwrap();
     let reports = reports(drafts).await;
     for report in &reports {
         assert_eq!(report.outcome, Outcome::Whole, "{report:?}");
@@ -135,7 +135,7 @@
 // entry host died.
 #[tokio::test(flavor = "multi_thread")]
 async fn reservation_runs_once_though_its_entry_host_dies() {
-    let processes = Processes::start("reserve-kill").await;
+    let processes = Processes::start().await;
     processes.plain.set_latency(Duration::from_millis(500));
     let call = PlainCall::new(RESERVATIONS, Method::POST, "/reserve", "{}").key("lot-17");
     let first = Caller::builder(vec![processes.entry_urls()[0].clone()])
@@ -154,7 +154,7 @@
                 _ = first.call("first", &call) => {}
                 () = tokio::time::sleep(Duration::from_millis(300)) => {}
             }
-            processes.entries[0].signal("KILL");
+            processes.entries[0].signal("KILL").unwrap();
         }
     );
     assert_ne!(again.outcome, Outcome::Cut);
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod model;
 pub mod plain;
 pub mod platform;
+pub mod process;
 pub mod server;
 pub mod weights;
--- /dev/null
+++ b/crates/standins/src/process/mod.rs
@@ -0,0 +1,175 @@
+//! Real daemons as processes, for tests of failures and measurements.
+
+use std::fs;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use eelgrasshold_net::admin::Status;
+use serde_json::{Value, json};
+
+use crate::client::Client;
+
+/// Pause between looks at whether a process has ended.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Looks after which a process counts as never ending.
+const LOOKS: u32 = 1_200;
+/// Makes the names of settings files differ.
+static NEXT_FILE: AtomicU64 = AtomicU64::new(0);
+
+/// What a daemon is started with.
+#[derive(Clone, Debug)]
+pub struct Launch {
+    binary: PathBuf,
+    settings: Value,
+}
+
+impl Launch {
+    /// A daemon of a role that finds the platform at a base URL.
+    #[must_use]
+    pub fn new(binary: &Path, role: &str, host: &str, platform: &str) -> Self {
+        let settings = json!({
+            "role": role,
+            "host": host,
+            "data_centre": "erie-1",
+            "platform_url": platform,
+        });
+        Self {
+            binary: binary.to_owned(),
+            settings,
+        }
+    }
+
+    /// Control addresses to join through.
+    #[must_use]
+    pub fn seeds(self, seeds: &[SocketAddr]) -> Self {
+        self.set("seeds", json!(seeds))
+    }
+
+    /// Data centre.
+    #[must_use]
+    pub fn data_centre(self, data_centre: &str) -> Self {
+        self.set("data_centre", json!(data_centre))
+    }
+
+    /// Engine or plain service of an upstream process.
+    #[must_use]
+    pub fn engine(self, address: SocketAddr, service: &str, kind: &str) -> Self {
+        self.set(
+            "engine",
+            json!({"address": address, "service": service, "kind": kind}),
+        )
+    }
+
+    fn set(mut self, key: &str, value: Value) -> Self {
+        self.settings[key] = value;
+        self
+    }
+
+    /// Starts the daemon on free ports of loopback.
+    ///
+    /// # Errors
+    ///
+    /// If there are no free ports or the process can't be started.
+    pub fn start(self) -> io::Result<Daemon> {
+        let [data, control, admin] = free_addresses()?;
+        let launch = self
+            .set("data_address", json!(data))
+            .set("control_address", json!(control))
+            .set("admin_address", json!(admin));
+        let number = NEXT_FILE.fetch_add(1, Ordering::Relaxed);
+        let name = format!("eelgrassholdd-{}-{number}.json", std::process::id());
+        let settings = std::env::temp_dir().join(name);
+        fs::write(&settings, launch.settings.to_string())?;
+        let child = Command::new(&launch.binary)
+            .arg("--settings")
+            .arg(&settings)
+            .stderr(Stdio::null())
+            .spawn()?;
+        Ok(Daemon {
+            data,
+            control,
+            admin,
+            child,
+            settings,
+        })
+    }
+}
+
+/// A daemon that ends when it is dropped.
+#[derive(Debug)]
+pub struct Daemon {
+    /// Address for callers or dispatches.
+    pub data: SocketAddr,
+    /// Address for links of other daemons.
+    pub control: SocketAddr,
+    /// Address for operators.
+    pub admin: SocketAddr,
+    child: Child,
+    settings: PathBuf,
+}
+
+impl Daemon {
+    /// Id of the process.
+    #[must_use]
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal by its name, such as `TERM`.
+    ///
+    /// # Errors
+    ///
+    /// If the signal can't be sent.
+    pub fn signal(&self, name: &str) -> io::Result<()> {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args(["-s", name, &pid]).status()?;
+        if status.success() {
+            Ok(())
+        } else {
+            Err(io::Error::other("kill failed"))
+        }
+    }
+
+    /// Waits until the process has ended; none if it does not end.
+    pub async fn ended(&mut self) -> Option<ExitStatus> {
+        for _ in 0..LOOKS {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status);
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        None
+    }
+
+    /// Its status; none if it does not answer.
+    pub async fn status(&self, client: &Client) -> Option<Status> {
+        let url = format!("http://{}/v1/status", self.admin);
+        let answer = client.get(&url).await.ok()?;
+        serde_json::from_slice(&answer.body).ok()
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        // The process and its file may be gone already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.settings);
+    }
+}
+
+/// Addresses that were free a moment ago. All are held at once, so that they differ.
+fn free_addresses() -> io::Result<[SocketAddr; 3]> {
+    let bind = || TcpListener::bind("127.0.0.1:0");
+    let listeners = [bind()?, bind()?, bind()?];
+    let [data, control, admin] = &listeners;
+    Ok([
+        data.local_addr()?,
+        control.local_addr()?,
+        admin.local_addr()?,
+    ])
+}
