Close all connections when a server is aborted

A new test kills an entry host under a caller's drafts. It was red: the host held two of eight drafts when it was aborted, and they went on to their end, because each connection is a task of its own that outlived the server's task. No test could thus see the loss of a host.

Connections now end with the future that accepts them; a graceful shutdown still lets open requests end. Further tests check through a whole fleet that a broken engine stream is resumed unseen by the caller, and that a reservation whose answer was lost is refused as unknown and runs once.

--- a/crates/net/src/http/server.rs
+++ b/crates/net/src/http/server.rs
@@ -105,7 +105,8 @@
         }
     }
 
-    /// Serves until `shutdown`, then lets open requests end.
+    /// Serves until `shutdown`, then lets open requests end. Dropping the future before its end
+    /// closes all connections.
     pub async fn run<F, R>(self, shutdown: CancellationToken, handler: F)
     where
         F: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
@@ -113,6 +114,9 @@
     {
         let builder = connection_builder(&self.limits);
         let graceful = GracefulShutdown::new();
+        // Connections are tasks of their own, which would outlive an aborted server.
+        let cut = CancellationToken::new();
+        let _cut_when_dropped = cut.clone().drop_guard();
         let slots = Arc::new(Semaphore::new(self.limits.connections));
         loop {
             let accepted = tokio::select! {
@@ -130,7 +134,7 @@
             });
             let (builder, watcher) = (builder.clone(), graceful.watcher());
             let (identity, timeout) = (self.identity.clone(), self.limits.header_timeout);
-            tokio::spawn(async move {
+            let serve = async move {
                 let handshake = server_stream(identity.as_ref(), stream);
                 match tokio::time::timeout(timeout, handshake).await {
                     Ok(Ok(stream)) => {
@@ -143,7 +147,9 @@
                     Err(_) => log::warn!("a TLS handshake took longer than {timeout:?}"),
                 }
                 drop(slot);
-            });
+            };
+            let cut = cut.clone();
+            tokio::spawn(async move { cut.run_until_cancelled(serve).await });
         }
         drop(self.listener);
         graceful.shutdown().await;
--- /dev/null
+++ b/crates/standins/tests/caller.rs
@@ -0,0 +1,106 @@
+//! The caller's contract against a whole fleet in one process.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrasshold_standins::caller::{Caller, Draft, Outcome, PlainCall};
+use eelgrasshold_standins::engine::ModelEngine;
+use eelgrasshold_standins::fleet::{DRAFTS, Fleet, FleetBuilder, RESERVATIONS};
+use eelgrasshold_standins::plain::Failure;
+use http::Method;
+
+async fn start() -> Fleet {
+    FleetBuilder::default().start().await.unwrap()
+}
+
+/// A caller that knows the first entry host.
+fn caller(fleet: &Fleet) -> Caller {
+    let first = fleet.entry_urls().into_iter().take(1).collect();
+    Caller::builder(first).team("classers").build()
+}
+
+fn draft(prompt: &str, max_tokens: u32) -> Draft {
+    Draft {
+        service: DRAFTS.into(),
+        prompt: prompt.into(),
+        max_tokens,
+    }
+}
+
+/// Guards against an engine's broken stream that reaches the caller, and
+/// against a resumption that repeats or skips tokens.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn broken_engine_stream_is_resumed_for_the_caller() {
+    let fleet = start().await;
+    let caller = caller(&fleet);
+    // Only one engine cuts, so that the second attempt is whole; drafts are sent until it got one.
+    fleet.engines[0].cut_streams(1, 3);
+    let resumed = || {
+        let runs = fleet.engines.iter().flat_map(ModelEngine::runs);
+        runs.filter(|run| run.resume_from == 3).count()
+    };
+    for n in 0..50 {
+        let report = caller.draft(&format!("cut-{n}"), &draft("lot 7", 8)).await;
+        assert_eq!(report.outcome, Outcome::Whole, "{report:?}");
+        assert_eq!((report.tokens, report.resumes), (8, 0));
+        if resumed() > 0 {
+            break;
+        }
+    }
+    assert_eq!(resumed(), 1);
+    fleet.close().await;
+}
+
+/// Guards against a non-idempotent call that runs twice after its answer was
+/// lost, and against a refusal that denies the run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lost_answer_of_a_reservation_is_unknown_and_runs_once() {
+    let fleet = start().await;
+    let caller = caller(&fleet);
+    let reserve =
+        |key: &str| PlainCall::new(RESERVATIONS, Method::POST, "/reserve", "lot 7").key(key);
+    let whole = caller.call("reserve-1", &reserve("k1")).await;
+    assert_eq!(whole.outcome, Outcome::Whole, "{whole:?}");
+
+    fleet.plains[0].fail_after(1, Failure::HangUp);
+    let lost = caller.call("reserve-2", &reserve("k2")).await;
+    assert_eq!(lost.outcome, Outcome::RefusedUnknown, "{lost:?}");
+    let again = caller.call("reserve-3", &reserve("k2")).await;
+    assert_ne!(again.outcome, Outcome::Whole, "{again:?}");
+    assert_eq!(fleet.plains[0].runs_of("k1"), 1);
+    assert_eq!(fleet.plains[0].runs_of("k2"), 1);
+    fleet.close().await;
+}
+
+/// Guards against callers that lose their drafts together with an entry host.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drafts_outlive_their_entry_host() {
+    let mut fleet = start().await;
+    let caller = Arc::new(caller(&fleet));
+    // Enough drafts that the caller's seeded choice sends some through the host that dies.
+    let running: Vec<_> = (0..8)
+        .map(|n| {
+            let caller = caller.clone();
+            let work = draft(&format!("lot {n}"), 60);
+            tokio::spawn(async move { caller.draft(&format!("long-{n}"), &work).await })
+        })
+        .collect();
+    let tokens = |fleet: &Fleet| -> u64 {
+        let counters = fleet.engines.iter().map(ModelEngine::counters);
+        counters.map(|counters| counters.tokens).sum()
+    };
+    while tokens(&fleet) < 40 {
+        assert!(running.iter().any(|draft| !draft.is_finished()));
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    fleet.entries.remove(0).abort();
+    let mut resumes = 0;
+    for draft in running {
+        let report = draft.await.unwrap();
+        assert_eq!(report.outcome, Outcome::Whole, "{report:?}");
+        assert_eq!(report.tokens, 60);
+        resumes += report.resumes;
+    }
+    assert!(resumes > 0, "no draft went through the host that died");
+    fleet.close().await;
+}
