Refuse engine states older than the last order to drop weights

A rank took the state that it had asked for before it dropped the weights of an earlier attempt for the present one, and acknowledged a map whose weights were gone. It now counts its unanswered requests. A wanted map is no longer forgotten when the lease lapses during its attempt, and a planned one that was given up is planned anew instead of repeated.

The fuzz test's check of progress could want a switch to the map in use; it now picks another one, which is as strict.

--- a/crates/core/src/group/coordinator/machine.rs
+++ b/crates/core/src/group/coordinator/machine.rs
@@ -33,6 +33,8 @@
     id: MapId,
     base: MapId,
     change: MapChange,
+    /// Target that this attempt is for, unless it was planned; it is tried again.
+    wanted: Option<Vec<LayerMap>>,
     progress: Progress,
     give_up_at: Now,
     send_at: Now,
@@ -129,6 +131,23 @@
         self.lease.held(now)
     }
 
+    /// State in a line, for logs and test reports.
+    #[must_use]
+    pub fn summary(&self) -> String {
+        let Some(term) = &self.term else {
+            return "no term".into();
+        };
+        let running = term.running.as_ref().map(|r| (r.id.attempt, &r.progress));
+        let map = term.map.as_ref().map(|m| m.id);
+        let reports: Vec<_> = term.reports.iter().map(|(r, p)| (r, p.map)).collect();
+        let (wanted, ended) = (self.target.is_some(), &self.ended);
+        format!(
+            "number {} sequence {} running {running:?} wanted {wanted} map {map:?} \
+             reports {reports:?} ended {ended:?} next poll {:?}",
+            term.number, self.sequence, term.next_poll
+        )
+    }
+
     /// Takes an input at the time `now` and returns what the driver shall do.
     pub fn handle(&mut self, now: Now, input: Input) -> Vec<Output> {
         let mut out = Vec::new();
@@ -170,6 +189,7 @@
         }
         if let Some(running) = self.term.take().and_then(|t| t.running) {
             self.ended = Some(Ended::Aborted(running.id.attempt));
+            self.target = self.target.take().or(running.wanted);
         }
         self.term = held.map(|number| Term {
             number,
@@ -270,7 +290,8 @@
             self.planner.observe_speed(&work);
         }
         let planned = || self.planner.plan(map).map(|p| p.layers);
-        let Some(target) = self.target.take().or_else(planned) else {
+        let wanted = self.target.take();
+        let Some(target) = wanted.clone().or_else(planned) else {
             return;
         };
         let change = map.change_to(&target);
@@ -291,6 +312,7 @@
             id,
             base: map.id,
             change,
+            wanted,
             progress: Progress::Preparing(BTreeMap::new()),
             give_up_at: now + self.settings.prepare_limit,
             send_at: now,
@@ -440,11 +462,7 @@
         };
         self.ended = Some(Ended::Aborted(running.id.attempt));
         term.next_poll = now + self.settings.retry_every;
-        if self.target.is_none()
-            && let Some(map) = &term.map
-        {
-            self.target = Some(map.changed(running.id, &running.change).layers);
-        }
+        self.target = self.target.take().or(running.wanted);
         let detail = format!("version {}: {why}", running.id.version);
         self.event(EventKind::PlanGivenUp, detail, out);
         for to in 0..self.settings.ranks {
--- a/crates/core/src/group/coordinator/tests.rs
+++ b/crates/core/src/group/coordinator/tests.rs
@@ -215,3 +215,24 @@
     assert_eq!(report(1, 0, &[100, 100]), 0, "rank 0 hasn't measured since");
     assert_eq!(report(0, 0, &[700, 100]), 1);
 }
+
+// Guards against a wanted map that is forgotten when the lease lapses during its attempt.
+#[test]
+fn target_outlives_a_lapsed_lease() {
+    let mut harness = Harness::new();
+    harness.ticks(15);
+    harness.plan();
+    harness.platform_up = false;
+    harness.ticks(20);
+    harness.platform_up = true;
+    harness.ticks(20);
+    for rank in 0..2 {
+        let report = RankReport {
+            content: Some(ExpertMap::first(2, 1, 4)),
+            settled: true,
+            ..RankReport::default()
+        };
+        harness.receive(rank, Message::Report(report));
+    }
+    assert_eq!(harness.attempts().len(), 2);
+}
--- a/crates/core/src/group/switch/rank.rs
+++ b/crates/core/src/group/switch/rank.rs
@@ -122,6 +122,8 @@
     pub(super) pledges: Option<BTreeSet<RankId>>,
     pub(super) join_next: Option<Armed>,
     pub(super) measured: RankReport,
+    /// Requests for the engine's state that are not answered.
+    pub(super) reads: u32,
     pub(super) timer_at: Option<Now>,
 }
 
@@ -149,6 +151,7 @@
             pledges: None,
             join_next: None,
             measured: RankReport::default(),
+            reads: 0,
             timer_at: None,
         }
     }
@@ -320,7 +323,7 @@
                     && p.missing.as_ref().is_none_or(BTreeSet::is_empty)
                 {
                     p.missing = None;
-                    out.push(Output::ReadEngine);
+                    self.read_engine(out);
                 }
                 return;
             }
@@ -351,7 +354,7 @@
             planner,
             missing: None,
         });
-        out.push(Output::ReadEngine);
+        self.read_engine(out);
     }
 
     /// Forgets a map that is prepared but not armed, so it can't have been committed.
@@ -515,7 +518,7 @@
                     && missing.is_empty()
                 {
                     p.missing = None;
-                    out.push(Output::ReadEngine);
+                    self.read_engine(out);
                 }
             }
             Phase::Joining(join) => {
@@ -576,6 +579,11 @@
         self.order(Action::Trim, out);
     }
 
+    pub(super) fn read_engine(&mut self, out: &mut Vec<Output>) {
+        self.reads += 1;
+        out.push(Output::ReadEngine);
+    }
+
     /// An order of the rank itself carries the highest number seen, once it is known.
     pub(super) fn order(&self, action: Action, out: &mut Vec<Output>) {
         let fence = self.fence.is_learned().then(|| self.fence.highest());
--- a/crates/core/src/group/switch/start.rs
+++ b/crates/core/src/group/switch/start.rs
@@ -10,7 +10,7 @@
 
 impl GroupRank {
     pub(super) fn start(&mut self, out: &mut Vec<Output>) {
-        out.push(Output::ReadEngine);
+        self.read_engine(out);
         if !self.settings.engine_checks_fence {
             self.read_fence(out);
         }
@@ -41,6 +41,11 @@
 
     pub(super) fn state(&mut self, state: EngineState, out: &mut Vec<Output>) {
         self.step = self.step.max(state.step);
+        // A state that was asked for earlier may be older than orders to drop weights.
+        self.reads = self.reads.saturating_sub(1);
+        if self.reads > 0 {
+            return;
+        }
         if !matches!(self.phase, Phase::Starting) {
             return self.loading_state(&state, out);
         }
--- a/crates/core/src/group/switch/tests.rs
+++ b/crates/core/src/group/switch/tests.rs
@@ -353,3 +353,25 @@
     });
     assert!(told);
 }
+
+// Guards against the fault that a state which was asked for before weights were dropped is taken
+// for the present one, so that a map is acknowledged without its weights.
+#[test]
+fn state_asked_for_before_a_trim_is_not_trusted() {
+    let mut rank = started(engine_state(None));
+    rank.handle(AT, from(1, 1, prepare(1)));
+    let dropped = Message::Abort {
+        attempt: attempt(1),
+    };
+    let out = rank.handle(AT, from(1, 1, dropped));
+    assert_eq!(orders(&out), vec![&Action::Trim]);
+    rank.handle(AT, from(1, 1, prepare(2)));
+    let ready = |out: &[Output]| sent(out).any(|(_, m)| matches!(m, Message::Ready { .. }));
+    let old = EngineEvent::State(engine_state(None));
+    assert!(!ready(&rank.handle(AT, Input::Engine(old))));
+    let mut trimmed = engine_state(None);
+    trimmed.loaded = [(0, 0)].into();
+    let out = rank.handle(AT, Input::Engine(EngineEvent::State(trimmed)));
+    assert!(!ready(&out));
+    assert!(out.iter().any(|o| matches!(o, Output::WantLoad { .. })));
+}
--- a/crates/core/tests/group_fuzz.rs
+++ b/crates/core/tests/group_fuzz.rs
@@ -173,3 +173,62 @@
     world.pass(6_000);
     assert_eq!(world.versions(), vec![2; 4]);
 }
+
+fn replay(settings: WorldSettings, faults: &[Fault]) {
+    let mut world = GroupTest::init_test(&settings);
+    for fault in faults {
+        world = GroupTest::apply(world, &settings, *fault);
+    }
+    GroupTest::teardown(world, settings);
+}
+
+// Guards against the fault that a rank took an engine's state which was older than its order to
+// drop weights, and acknowledged a map whose weights were gone (EELGRASSHOLD_FUZZ_SEED=21).
+#[test]
+fn fuzz_paused_rank_does_not_trust_an_old_engine_state() {
+    let settings = WorldSettings {
+        seed: 3_785_647_425_980_957_967,
+        ranks: 4,
+        engine_checks_fence: true,
+    };
+    let faults = [
+        Fault::Target(2_940_171_694_905_955_414),
+        Fault::CutFromPlatform(0, 500),
+        Fault::CutFromPlatform(0, 500),
+        Fault::Pause(0, 50),
+        Fault::Pause(1, 2_146),
+    ];
+    replay(settings, &faults);
+}
+
+// Guards against a check of progress that wants a switch to the map which is in use already:
+// with two ranks, a random target was equal to it (EELGRASSHOLD_FUZZ_SEED=22).
+#[test]
+fn fuzz_progress_is_checked_with_another_map() {
+    let settings = WorldSettings {
+        seed: 17_601_340_361_570_047_687,
+        ranks: 2,
+        engine_checks_fence: true,
+    };
+    let faults = [
+        Fault::CutOff(0, 50),
+        Fault::Target(1_974_103_250_365_434_919),
+        Fault::Pause(1, 50),
+        Fault::CutFromPlatform(0, 2_478),
+        Fault::Pause(0, 2_426),
+        Fault::Restart(1, 765),
+        Fault::Target(0),
+        Fault::Replace(1, 50),
+        Fault::Pass(282),
+        Fault::Pass(552),
+        Fault::Pass(264),
+        Fault::Pass(1_358),
+        Fault::Stall(0, 50),
+        Fault::Target(18_168_547_018_582_613_411),
+        Fault::Network(0),
+        Fault::Pass(1_076),
+        Fault::CutFromPlatform(1, 3_292),
+        Fault::Replace(0, 956),
+    ];
+    replay(settings, &faults);
+}
--- a/crates/core/tests/group_fuzz/world.rs
+++ b/crates/core/tests/group_fuzz/world.rs
@@ -264,7 +264,7 @@
             self.phases()
         );
         let before = self.versions();
-        let choice = self.rng.random();
+        let choice = self.other_target();
         self.target(choice);
         self.pass(20_000);
         let after = self.versions();
@@ -272,13 +272,26 @@
         assert!(moved, "no switch: {before:?} {after:?}: {}", self.phases());
     }
 
+    /// A target that differs from the present map: one that doesn't needs no switch.
+    fn other_target(&mut self) -> u64 {
+        loop {
+            let choice = self.rng.random();
+            let layers = self.random_layers(choice);
+            let present = self.hosts[0].engine.state.map.as_ref();
+            if present.is_none_or(|m| m.layers != layers) {
+                return choice;
+            }
+        }
+    }
+
     fn phases(&self) -> String {
         let phase = |h: &Host| match &h.process {
             Some(p) => format!(
-                "life {} lease {:?} {}\n",
+                "life {} lease {:?} {}\n  {}\n",
                 p.life,
                 p.planner.holds_lease(self.clock(h.engine.rank)),
-                p.rank.summary()
+                p.rank.summary(),
+                p.planner.summary()
             ),
             None => "no process\n".into(),
         };
--- a/crates/standins/examples/experiment/skew/model.rs
+++ b/crates/standins/examples/experiment/skew/model.rs
@@ -96,6 +96,70 @@
     switches: usize,
 }
 
+/// What a run is measured by.
+#[derive(Default)]
+struct Meter {
+    straggler: bool,
+    skew: Vec<f64>,
+    time: f64,
+    least: f64,
+    settled_time: f64,
+    settled_least: f64,
+}
+
+impl Meter {
+    fn add(&mut self, step: usize, slowest: f64, mean: f64, least: f64) {
+        self.skew.push(slowest / mean);
+        if self.straggler && step < STRAGGLER_AT {
+            return;
+        }
+        self.time += slowest;
+        self.least += least;
+        if !(JUMP_AT..JUMP_AT + UNSETTLED_STEPS).contains(&step) {
+            self.settled_time += slowest;
+            self.settled_least += least;
+        }
+    }
+}
+
+/// Tokens by expert and work by rank since the last report.
+struct Window {
+    counts: Vec<Vec<f64>>,
+    work: Vec<(f64, f64)>,
+}
+
+impl Window {
+    fn new(ranks: usize) -> Self {
+        Self {
+            counts: vec![vec![0.0; EXPERTS]; LAYERS],
+            work: vec![(0.0, 0.0); ranks],
+        }
+    }
+
+    /// Adds a layer of a step; returns the slowest and the mean rank's time.
+    fn add(&mut self, layer: usize, counts: &[f64], loads: &[f64], speeds: &[f64]) -> (f64, f64) {
+        let (mut slowest, mut sum): (f64, f64) = (0.0, 0.0);
+        for ((load, speed), work) in loads.iter().zip(speeds).zip(&mut self.work) {
+            let time = load / speed;
+            slowest = slowest.max(time);
+            sum += time;
+            work.0 += load;
+            work.1 += time;
+        }
+        for (total, count) in self.counts[layer].iter_mut().zip(counts) {
+            *total += count;
+        }
+        (slowest, sum / loads.len() as f64)
+    }
+
+    fn report(self) -> Report {
+        let layer = |l: Vec<f64>| l.into_iter().map(|c| c as u64).collect();
+        let rank = |(l, t): (f64, f64)| (l as u64, Duration::from_secs_f64(t / 1e6));
+        let counts = self.counts.into_iter().map(layer).collect();
+        (counts, self.work.into_iter().map(rank).collect())
+    }
+}
+
 /// Runs a policy on the trace of a seed.
 pub fn run(
     policy: Policy,
@@ -107,11 +171,12 @@
     let mut trace = Trace::new(seed, ranks, tokens_per_rank);
     let slots = EXPERTS / ranks * 9 / 8;
     let mut group = Group::new(policy, ranks, slots, &trace.step());
-    let mut window = vec![vec![0.0; EXPERTS]; LAYERS];
-    let mut work = vec![(0.0, 0.0); ranks];
+    let mut window = Window::new(ranks);
     let mut reported: Option<Report> = None;
-    let (mut skew, mut time, mut least) = (Vec::new(), 0.0, 0.0);
-    let (mut settled_time, mut settled_least) = (0.0, 0.0);
+    let mut meter = Meter {
+        straggler,
+        ..Meter::default()
+    };
     for step in 0..STEPS {
         if step == JUMP_AT {
             trace.jump();
@@ -120,51 +185,29 @@
         if straggler && step >= STRAGGLER_AT {
             speeds[0] = 0.5;
         }
-        let counts = trace.step();
         group.advance(step);
         let present = group.loading_speeds(step, &speeds);
-        let (mut slowest, mut mean, mut step_least) = (0.0, 0.0, 0.0);
-        for (layer, counts) in counts.iter().enumerate() {
+        let (mut slowest, mut mean, mut least) = (0.0, 0.0, 0.0);
+        for (layer, counts) in trace.step().iter().enumerate() {
             let loads = rank_loads(&group.map.layers[layer], counts);
-            let times = || loads.iter().zip(&present).map(|(l, s)| l / s);
-            slowest += times().fold(0.0, f64::max);
-            mean += times().sum::<f64>() / ranks as f64;
-            for (rank, (load, rank_time)) in loads.iter().zip(times()).enumerate() {
-                work[rank].0 += load;
-                work[rank].1 += rank_time;
-            }
-            for (sum, count) in window[layer].iter_mut().zip(counts) {
-                *sum += count;
-            }
-            step_least += bound(counts, &speeds, slots * ranks);
-        }
-        skew.push(slowest / mean);
-        if !straggler || step >= STRAGGLER_AT {
-            time += slowest;
-            least += step_least;
-            if !(JUMP_AT..JUMP_AT + UNSETTLED_STEPS).contains(&step) {
-                settled_time += slowest;
-                settled_least += step_least;
-            }
+            let times = window.add(layer, counts, &loads, &present);
+            slowest += times.0;
+            mean += times.1;
+            least += bound(counts, &speeds, slots * ranks);
         }
+        meter.add(step, slowest, mean, least);
         if (step + 1) % WINDOW == 0 {
-            let counts = window.iter().map(|l| l.iter().map(|c| *c as u64).collect());
-            let speeds = work
-                .iter()
-                .map(|(l, t)| (*l as u64, Duration::from_secs_f64(t / 1e6)));
-            let present = (counts.collect(), speeds.collect());
-            if let Some((counts, speeds)) = reported.replace(present) {
-                group.plan(step, &counts, &speeds);
+            let report = std::mem::replace(&mut window, Window::new(ranks)).report();
+            if let Some((counts, work)) = reported.replace(report) {
+                group.plan(step, &counts, &work);
             }
-            window = vec![vec![0.0; EXPERTS]; LAYERS];
-            work = vec![(0.0, 0.0); ranks];
         }
     }
     Outcome {
-        recovery_steps: recovery(&skew),
-        skew,
-        over_bound: time / least,
-        over_bound_settled: settled_time / settled_least,
+        recovery_steps: recovery(&meter.skew),
+        over_bound: meter.time / meter.least,
+        over_bound_settled: meter.settled_time / meter.settled_least,
+        skew: meter.skew,
         loads: group.loads,
         switches: group.switches,
     }
