--- a/crates/standins/examples/experiment/main.rs
+++ b/crates/standins/examples/experiment/main.rs
@@ -21,15 +21,56 @@
 type Experiment = (&'static str, &'static str, fn(u64) -> Vec<Row>);
 
 const EXPERIMENTS: &[Experiment] = &[
-    ("crest", "quality of service at the peak of a swing in demand", crest::run),
-    ("blocking", "head-of-line blocking of short work behind long work", blocking::run),
-    ("affinity", "prefix-cache hits against the balance of load", affinity::run),
-    ("limits", "admitted requests of a team over its limit, at many entry hosts", limits::run),
-    ("subset", "coverage of upstreams by the subsets of entry hosts", subset::run),
-    ("retries", "attempts for each request while upstreams fail", retries::run),
-    ("skew", "step-time skew across ranks, and the cost of rebalancing", skew::run),
-    ("control", "control cost, spread of configuration and detection against the number of nodes", control::run),
-    ("signaling", "messages and bytes of push, ask and adaptive link marking", signaling::run),
+    (
+        "crest",
+        "quality of service at the peak of a swing in demand",
+        crest::run,
+    ),
+    (
+        "blocking",
+        "head-of-line blocking of short work behind long work",
+        blocking::run,
+    ),
+    (
+        "affinity",
+        "prefix-cache hits against the balance of load",
+        affinity::run,
+    ),
+    (
+        "limits",
+        "admitted requests of a team over its limit, at many entry hosts",
+        limits::run,
+    ),
+    (
+        "subset",
+        "coverage of upstreams by the subsets of entry hosts",
+        subset::run,
+    ),
+    (
+        "retries",
+        "attempts for each request while upstreams fail",
+        retries::run,
+    ),
+    (
+        "skew",
+        "step-time skew across ranks, and the cost of rebalancing",
+        skew::run,
+    ),
+    (
+        "control",
+        "control cost, spread of configuration and detection against the number of nodes",
+        control::run,
+    ),
+    (
+        "signaling",
+        "messages and bytes of push, ask and adaptive link marking",
+        signaling::run,
+    ),
+    (
+        "recovery",
+        "time to normal and load on the platform after large failures",
+        control::run_recovery,
+    ),
 ];
 
 fn command() -> Command {
