Keep the cost of decisions independent of the number of teams

A first request now reports its own team, accountants are kept until the entry hosts change, and the queue keeps sums of usage and the set of waiting teams.

--- a/crates/core/src/entry/limiting.rs
+++ b/crates/core/src/entry/limiting.rs
@@ -20,6 +20,8 @@
 pub(super) struct Limiting {
     meters: BTreeMap<TeamId, Meter>,
     accountant: Accountant,
+    /// Accountants of teams, as far as they were needed since the entry hosts changed.
+    accountants: BTreeMap<TeamId, HostId>,
     /// Largest number of entry hosts seen, and when.
     hosts: (usize, Now),
 }
@@ -27,6 +29,7 @@
 impl Limiting {
     pub(super) fn set_hosts(&mut self, now: Now, hosts: &[HostId]) {
         self.accountant.hosts_changed(now, hosts);
+        self.accountants.clear();
         if hosts.len() >= self.hosts.0 || now >= self.hosts.1 + HOSTS_REMEMBERED {
             self.hosts = (hosts.len(), now);
         }
@@ -52,7 +55,8 @@
         let admitted = meter.admit(now);
         let retry_after = meter.retry_after(now);
         if is_new {
-            self.report_demands(now, out);
+            let demand = meter.report(now, team);
+            self.send_demands(now, demand.into_iter().collect(), out);
         }
         if admitted {
             return None;
@@ -87,16 +91,20 @@
     }
 
     fn report_demands(&mut self, now: Now, out: &mut Vec<Output>) {
-        let mut demands: BTreeMap<HostId, Vec<Demand>> = BTreeMap::new();
-        for (team, meter) in &mut self.limiting.meters {
-            let Some(accountant) = limits::accountant_of(team, &self.live_hosts) else {
-                continue;
-            };
-            if let Some(demand) = meter.report(now, team) {
-                demands.entry(accountant.clone()).or_default().push(demand);
+        let meters = self.limiting.meters.iter_mut();
+        let demands = meters.filter_map(|(team, meter)| meter.report(now, team));
+        let demands = demands.collect();
+        self.send_demands(now, demands, out);
+    }
+
+    fn send_demands(&mut self, now: Now, demands: Vec<Demand>, out: &mut Vec<Output>) {
+        let mut by_accountant: BTreeMap<HostId, Vec<Demand>> = BTreeMap::new();
+        for demand in demands {
+            if let Some(accountant) = self.accountant_of(&demand.team) {
+                by_accountant.entry(accountant).or_default().push(demand);
             }
         }
-        for (to, demands) in demands {
+        for (to, demands) in by_accountant {
             if to == self.host {
                 let shares = self.account(now, &to, &demands);
                 self.take_shares(now, &shares);
@@ -128,6 +136,16 @@
         }
     }
 
+    fn accountant_of(&mut self, team: &TeamId) -> Option<HostId> {
+        if let Some(known) = self.limiting.accountants.get(team) {
+            return Some(known.clone());
+        }
+        let accountant = limits::accountant_of(team, &self.live_hosts)?.clone();
+        let known = &mut self.limiting.accountants;
+        known.insert(team.clone(), accountant.clone());
+        Some(accountant)
+    }
+
     fn limit_of(&self, team: &TeamId) -> Option<f64> {
         self.cfg.as_ref()?.teams.get(team)?.requests_per_s
     }
--- a/crates/core/src/serving/queue/fair.rs
+++ b/crates/core/src/serving/queue/fair.rs
@@ -98,13 +98,15 @@
     }
 
     fn usage(&self, now: Now) -> f64 {
-        let age = now.saturating_sub(self.used_at);
-        self.usage * (-age.as_secs_f64() / USAGE_HALF_LIFE_S).exp2()
+        faded(self.usage, self.used_at, now)
     }
 
-    fn add_usage(&mut self, now: Now, tokens: f64) {
-        self.usage = (self.usage(now) + tokens).max(0.0);
+    /// Adds usage and returns by how much it changed.
+    fn add_usage(&mut self, now: Now, tokens: f64) -> f64 {
+        let before = self.usage(now);
+        self.usage = (before + tokens).max(0.0);
         self.used_at = now;
+        self.usage - before
     }
 
     /// Usage over weight, as far as it is above the average after `more` tokens.
@@ -141,6 +143,31 @@
     latest_start: Now,
 }
 
+/// Sums over all teams. All usage fades alike, so its sum needs no pass over the teams.
+#[derive(Clone, Copy, Debug, Default)]
+struct Total {
+    weight: f64,
+    usage: f64,
+    used_at: Now,
+}
+
+impl Total {
+    fn usage(&self, now: Now) -> f64 {
+        faded(self.usage, self.used_at, now)
+    }
+
+    fn add_usage(&mut self, now: Now, tokens: f64) {
+        self.usage = self.usage(now) + tokens;
+        self.used_at = now;
+    }
+}
+
+/// Usage at the time `now` that was `usage` at the time `used_at`.
+fn faded(usage: f64, used_at: Now, now: Now) -> f64 {
+    let age = now.saturating_sub(used_at);
+    usage * (-age.as_secs_f64() / USAGE_HALF_LIFE_S).exp2()
+}
+
 /// Waiting work of all teams.
 #[derive(Clone, Debug, Default)]
 pub struct FairQueue {
@@ -148,6 +175,10 @@
     places: BTreeMap<AttemptId, Whereabouts>,
     /// Latest time at which each item may start, earliest first.
     latest_starts: BTreeSet<(Now, AttemptId)>,
+    /// Teams with waiting work. There may be thousands of others with some usage.
+    waiting: BTreeSet<TeamId>,
+    total: Total,
+    swept_at: Now,
     arrivals: u64,
 }
 
@@ -173,7 +204,7 @@
     /// Expected cost of all that waits, in tokens.
     #[must_use]
     pub fn waiting_cost(&self) -> f64 {
-        self.teams.values().map(|t| t.waiting_cost(true)).sum()
+        self.waiting_teams().map(|t| t.waiting_cost(true)).sum()
     }
 
     /// Adds an item.
@@ -189,6 +220,7 @@
         };
         self.places.insert(item.attempt, whereabouts);
         self.latest_starts.insert((item.latest_start, item.attempt));
+        self.waiting.insert(id.clone());
         self.team(policy, id).lane_mut(item.long).push(place, item);
     }
 
@@ -200,17 +232,19 @@
             let ((_, arrival), _) = t.lane(lane).head()?;
             Some((t.excess(now, average, 0.0), arrival, lane))
         };
-        let (_, _, lane, team) = self
-            .teams
-            .values_mut()
-            .filter_map(|t| urgency(t).map(|(excess, arrival, lane)| (excess, arrival, lane, t)))
-            .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))?;
+        let waiting = self.waiting.iter().filter_map(|id| {
+            let (excess, arrival, lane) = urgency(self.teams.get(id)?)?;
+            Some((excess, arrival, lane, id))
+        });
+        let (_, _, lane, id) = waiting.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))?;
+        let team = self.teams.get_mut(id)?;
         let lane = team.lane_mut(lane);
         let (place, _) = lane.head()?;
         let item = lane.remove(place)?;
-        team.add_usage(now, item.cost());
+        let used = team.add_usage(now, item.cost());
+        self.total.add_usage(now, used);
         self.forget_place(item.attempt);
-        self.forget_idle_teams(now);
+        self.sweep(now);
         Some(item)
     }
 
@@ -219,13 +253,9 @@
         let Whereabouts {
             team, long, place, ..
         } = self.forget_place(attempt)?;
-        let team = self.teams.get_mut(&team)?;
-        let lane = if long {
-            &mut team.long
-        } else {
-            &mut team.short
-        };
-        lane.remove(place)
+        let item = self.teams.get_mut(&team)?.lane_mut(long).remove(place);
+        self.note_waiting(&team);
+        item
     }
 
     /// Takes an item whose latest start has come.
@@ -248,8 +278,9 @@
         let average = self.average(now);
         let team = self.team(policy, team.clone());
         let most = average * team.weight * MAX_CORRECTED - team.usage(now);
-        team.add_usage(now, tokens.min(most.max(0.0)));
-        self.forget_idle_teams(now);
+        let used = team.add_usage(now, tokens.min(most.max(0.0)));
+        self.total.add_usage(now, used);
+        self.sweep(now);
     }
 
     /// Whether a team stays within its share if one more item of it starts.
@@ -274,8 +305,9 @@
             let share = above + t.share_left(now, average);
             share.clamp(0.0, t.waiting_cost(with_long))
         };
-        let others = self.teams.iter().filter(|(other, _)| *other != id);
-        own + others.map(|(_, t)| before(t)).sum::<f64>()
+        let others = self.waiting.iter().filter(|other| *other != id);
+        let others = others.filter_map(|other| self.teams.get(other));
+        own + others.map(before).sum::<f64>()
     }
 
     /// Expected cost of what starts before a new short item of a team that has nothing waiting.
@@ -283,7 +315,7 @@
     pub fn cost_before_newcomer(&self, now: Now) -> f64 {
         let average = self.average(now);
         let share = |t: &Team| t.share_left(now, average).min(t.waiting_cost(false));
-        self.teams.values().map(share).sum()
+        self.waiting_teams().map(share).sum()
     }
 
     /// Takes everything that waits.
@@ -298,32 +330,56 @@
     fn team(&mut self, policy: &Policy, id: TeamId) -> &mut Team {
         let weight = policy.weight(&id);
         let team = self.teams.entry(id).or_insert_with(|| Team {
-            weight,
+            weight: 0.0,
             usage: 0.0,
             used_at: Now::ZERO,
             short: Lane::default(),
             long: Lane::default(),
         });
+        self.total.weight += weight - team.weight;
         team.weight = weight;
         team
     }
 
+    fn waiting_teams(&self) -> impl Iterator<Item = &Team> {
+        self.waiting.iter().filter_map(|id| self.teams.get(id))
+    }
+
     /// Average usage over weight of the teams that have any usage or work.
     fn average(&self, now: Now) -> f64 {
-        let weights: f64 = self.teams.values().map(|t| t.weight).sum();
-        let usage: f64 = self.teams.values().map(|t| t.usage(now)).sum();
-        if weights > 0.0 { usage / weights } else { 0.0 }
+        if self.total.weight > 0.0 {
+            self.total.usage(now) / self.total.weight
+        } else {
+            0.0
+        }
+    }
+
+    fn note_waiting(&mut self, team: &TeamId) {
+        if self.teams.get(team).is_none_or(Team::is_idle) {
+            self.waiting.remove(team);
+        }
     }
 
     fn forget_place(&mut self, attempt: AttemptId) -> Option<Whereabouts> {
         let whereabouts = self.places.remove(&attempt)?;
         self.latest_starts
             .remove(&(whereabouts.latest_start, attempt));
+        self.note_waiting(&whereabouts.team);
         Some(whereabouts)
     }
 
-    fn forget_idle_teams(&mut self, now: Now) {
+    /// Forgets idle teams whose usage has faded, and sums up anew, since rounding adds up.
+    fn sweep(&mut self, now: Now) {
+        if now.saturating_sub(self.swept_at).as_secs_f64() < USAGE_HALF_LIFE_S {
+            return;
+        }
+        self.swept_at = now;
         self.teams
             .retain(|_, t| !t.is_idle() || t.usage(now) >= FORGOTTEN_TOKENS);
+        self.total = Total {
+            weight: self.teams.values().map(|t| t.weight).sum(),
+            usage: self.teams.values().map(|t| t.usage(now)).sum(),
+            used_at: now,
+        };
     }
 }
