--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -56,6 +56,8 @@
 mod quarantine;
 mod retrying;
 
+#[cfg(test)]
+mod limiting_tests;
 #[cfg(test)]
 mod tests;
 
