--- /dev/null
+++ b/crates/net/src/host/entry/membership.rs
@@ -0,0 +1,118 @@
+//! The host's part in the fleet: what it announces, and what it learns.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, PoisonError};
+
+use eelgrasshold_core::entry::Input as EntryInput;
+use eelgrasshold_core::fleet::{
+    EntryHosts, FleetEntry, FleetSettings, MemberView, Output as FleetOutput, Role, State,
+};
+use eelgrasshold_core::types::HostId;
+use serde::Serialize;
+
+use super::Shared;
+use crate::entry::EntryDriver;
+use crate::host::fleet::FleetDriver;
+use crate::host::links::Base;
+use crate::host::{HostOptions, new_incarnation};
+
+/// Answer of `GET /v1/entry-hosts`.
+#[derive(Serialize)]
+struct EntryHostsBody {
+    entry_hosts: Vec<EntryHostBody>,
+    valid_for_ms: u64,
+}
+
+#[derive(Serialize)]
+struct EntryHostBody {
+    host: HostId,
+    address: String,
+    weight: u32,
+}
+
+/// Starts the fleet machine and gives what it learns to the entry machine.
+pub(super) fn start(
+    options: &HostOptions,
+    base: &Base,
+    shared: &Arc<Shared>,
+    driver: &Arc<EntryDriver>,
+) -> Arc<FleetDriver<FleetEntry>> {
+    let incarnation = new_incarnation();
+    shared.incarnation.store(incarnation, Ordering::Relaxed);
+    let settings = FleetSettings::new(
+        &options.host,
+        &options.region,
+        &options.data_centre,
+        &base.control.address.to_string(),
+    )
+    .data_address(&base.data.address.to_string())
+    .admin_address(&base.admin.address.to_string())
+    .incarnation(incarnation)
+    .seeds(options.seeds.clone());
+    let machine = FleetEntry::new(settings, options.seed);
+    let (shared, driver) = (Arc::clone(shared), Arc::clone(driver));
+    let on = move |machine: &FleetEntry, output| match output {
+        FleetOutput::ConfigInForce(cfg) => driver.set_config(cfg),
+        FleetOutput::Upstreams(list) => {
+            let usable = list.iter().filter(|upstream| !upstream.leaving).count();
+            shared.upstreams.store(usable, Ordering::Relaxed);
+            driver.feed(EntryInput::Upstreams(list));
+            set_entry_hosts(&shared, &driver, &machine.members());
+        }
+        FleetOutput::EntryHosts(answer) => {
+            set_answer(&shared, &answer);
+            set_entry_hosts(&shared, &driver, &machine.members());
+        }
+        FleetOutput::Incarnation(incarnation) => {
+            shared.incarnation.store(incarnation, Ordering::Relaxed);
+        }
+        FleetOutput::AnswersExpired => shared.answers_expired.notify_one(),
+        other => log::debug!("an output has no driver: {other:?}"),
+    };
+    FleetDriver::new(machine, FleetEntry::handle, base, Box::new(on))
+}
+
+fn set_answer(shared: &Shared, answer: &EntryHosts) {
+    let entry_hosts = answer
+        .hosts
+        .iter()
+        .map(|h| EntryHostBody {
+            host: h.host.clone(),
+            address: format!("http://{}", h.address),
+            weight: h.weight,
+        })
+        .collect();
+    let body = EntryHostsBody {
+        entry_hosts,
+        valid_for_ms: answer.validity_ms,
+    };
+    match serde_json::to_vec(&body) {
+        Ok(bytes) => {
+            *shared
+                .answer
+                .write()
+                .unwrap_or_else(PoisonError::into_inner) = bytes;
+        }
+        Err(error) => log::error!("can't encode the answer that names entry hosts: {error}"),
+    }
+}
+
+fn set_entry_hosts(shared: &Shared, driver: &EntryDriver, members: &[MemberView]) {
+    let live: BTreeMap<HostId, String> = members
+        .iter()
+        .filter(|m| m.record.role == Role::Entry && m.record.state == State::Live)
+        .map(|m| (m.record.host.clone(), m.record.control_address.clone()))
+        .collect();
+    let mut addresses = shared
+        .addresses
+        .write()
+        .unwrap_or_else(PoisonError::into_inner);
+    if *addresses == live {
+        return;
+    }
+    let hosts = live.keys().cloned().collect();
+    *addresses = live;
+    drop(addresses);
+    driver.feed(EntryInput::EntryHosts(hosts));
+}
--- a/crates/net/src/host/entry.rs
+++ b/crates/net/src/host/entry/mod.rs
@@ -1,5 +1,9 @@
 //! An entry host.
 
+mod membership;
+mod peers;
+mod status;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -8,23 +12,19 @@
 
 use eelgrasshold_core::entry::{Entry, Input as EntryInput, Output as EntryOutput};
 use eelgrasshold_core::event::{Event, EventKind};
-use eelgrasshold_core::fleet::{
-    EntryHosts, FleetEntry, FleetSettings, Input as FleetInput, MemberView, Output as FleetOutput,
-    Role, State,
-};
+use eelgrasshold_core::fleet::{FleetEntry, Input as FleetInput};
 use eelgrasshold_core::types::HostId;
-use serde::Serialize;
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
+use peers::PeerSender;
+
 use super::fleet::FleetDriver;
 use super::links::Base;
-use super::{Drained, HostOptions, StartError, new_incarnation};
-use crate::admin::{MemberStatus, Status};
-use crate::control::{Links, Message};
+use super::{Drained, HostOptions, StartError};
+use crate::control::Message;
 use crate::entry::{Callbacks, EntryDriver};
 use crate::http::{Limits, Server, prior_knowledge_client};
-use crate::runtime::Timeline;
 
 /// Interval at which the host announces its own load.
 const LOAD_INTERVAL: Duration = Duration::from_secs(1);
@@ -33,20 +33,6 @@
 /// Longest wait for the answers that name this host to expire.
 const ANSWERS_LIMIT: Duration = Duration::from_secs(30);
 
-/// Answer of `GET /v1/entry-hosts`.
-#[derive(Serialize)]
-struct EntryHostsBody {
-    entry_hosts: Vec<EntryHostBody>,
-    valid_for_ms: u64,
-}
-
-#[derive(Serialize)]
-struct EntryHostBody {
-    host: HostId,
-    address: String,
-    weight: u32,
-}
-
 /// What drivers of one entry host share.
 #[derive(Default)]
 struct Shared {
@@ -92,7 +78,7 @@
         let mut base = Base::new(&options).await?;
         let shared = Arc::new(Shared::default());
         let driver = start_driver(&options, &base, &shared);
-        let fleet = start_fleet(&options, &base, &shared, &driver);
+        let fleet = membership::start(&options, &base, &shared, &driver);
         base.timeline
             .record(Event::new(EventKind::DaemonStarted, "entry host"));
         let mut tasks = vec![
@@ -101,7 +87,7 @@
             tokio::spawn(announce_load(Arc::clone(&driver), Arc::clone(&fleet))),
         ];
         tasks.extend(serve_control(&mut base, &options, &driver, &fleet));
-        let status = status(&base, &options, &shared, &driver, &fleet);
+        let status = status::reader(&base, &options, &shared, &driver, &fleet);
         let (config, wanted) = (Arc::clone(&driver), Arc::clone(&shared));
         tasks.extend(base.serve_admin(
             &options,
@@ -200,22 +186,8 @@
     }
 
     fn stop(self) {
-        let open = self.driver.held();
-        let event = if open == 0 {
-            Event::new(EventKind::DrainFinished, "")
-        } else {
-            Event::new(EventKind::DrainCut, format!("{open} requests"))
-        };
-        self.base.timeline.record(event);
-        self.base.no_more_requests.cancel();
-        self.base.shutdown.cancel();
-        for task in self.tasks {
-            task.abort();
-        }
-        if open > 0 {
-            self.data_task.abort();
-        }
-        self.base.metrics.close();
+        let open = self.driver.held() as u64;
+        self.base.stop(open, self.tasks, &self.data_task);
     }
 }
 
@@ -264,122 +236,6 @@
     driver
 }
 
-/// Sends messages to other entry hosts by name.
-struct PeerSender {
-    host: HostId,
-    shared: Arc<Shared>,
-    links: Arc<Links>,
-    timeline: Arc<Timeline>,
-}
-
-impl PeerSender {
-    fn send(&self, to: &HostId, message: eelgrasshold_core::entry::PeerMessage) {
-        let addresses = self
-            .shared
-            .addresses
-            .read()
-            .unwrap_or_else(PoisonError::into_inner);
-        let Some(address) = addresses.get(to) else {
-            log::debug!("entry host {to} has no known address; a message was dropped");
-            return;
-        };
-        let (from, clock) = (self.host.clone(), self.timeline.stamp());
-        self.links.send(
-            address,
-            Message::Peer {
-                from,
-                clock,
-                message,
-            },
-        );
-    }
-}
-
-fn start_fleet(
-    options: &HostOptions,
-    base: &Base,
-    shared: &Arc<Shared>,
-    driver: &Arc<EntryDriver>,
-) -> Arc<FleetDriver<FleetEntry>> {
-    let incarnation = new_incarnation();
-    shared.incarnation.store(incarnation, Ordering::Relaxed);
-    let settings = FleetSettings::new(
-        &options.host,
-        &options.region,
-        &options.data_centre,
-        &base.control.address.to_string(),
-    )
-    .data_address(&base.data.address.to_string())
-    .admin_address(&base.admin.address.to_string())
-    .incarnation(incarnation)
-    .seeds(options.seeds.clone());
-    let machine = FleetEntry::new(settings, options.seed);
-    let (shared, driver) = (Arc::clone(shared), Arc::clone(driver));
-    let on = move |machine: &FleetEntry, output| match output {
-        FleetOutput::ConfigInForce(cfg) => driver.set_config(cfg),
-        FleetOutput::Upstreams(list) => {
-            let usable = list.iter().filter(|upstream| !upstream.leaving).count();
-            shared.upstreams.store(usable, Ordering::Relaxed);
-            driver.feed(EntryInput::Upstreams(list));
-            set_entry_hosts(&shared, &driver, &machine.members());
-        }
-        FleetOutput::EntryHosts(answer) => {
-            set_answer(&shared, &answer);
-            set_entry_hosts(&shared, &driver, &machine.members());
-        }
-        FleetOutput::Incarnation(incarnation) => {
-            shared.incarnation.store(incarnation, Ordering::Relaxed);
-        }
-        FleetOutput::AnswersExpired => shared.answers_expired.notify_one(),
-        other => log::debug!("an output has no driver: {other:?}"),
-    };
-    FleetDriver::new(machine, FleetEntry::handle, base, Box::new(on))
-}
-
-fn set_answer(shared: &Shared, answer: &EntryHosts) {
-    let entry_hosts = answer
-        .hosts
-        .iter()
-        .map(|h| EntryHostBody {
-            host: h.host.clone(),
-            address: format!("http://{}", h.address),
-            weight: h.weight,
-        })
-        .collect();
-    let body = EntryHostsBody {
-        entry_hosts,
-        valid_for_ms: answer.validity_ms,
-    };
-    match serde_json::to_vec(&body) {
-        Ok(bytes) => {
-            *shared
-                .answer
-                .write()
-                .unwrap_or_else(PoisonError::into_inner) = bytes;
-        }
-        Err(error) => log::error!("can't encode the answer that names entry hosts: {error}"),
-    }
-}
-
-fn set_entry_hosts(shared: &Shared, driver: &EntryDriver, members: &[MemberView]) {
-    let live: BTreeMap<HostId, String> = members
-        .iter()
-        .filter(|m| m.record.role == Role::Entry && m.record.state == State::Live)
-        .map(|m| (m.record.host.clone(), m.record.control_address.clone()))
-        .collect();
-    let mut addresses = shared
-        .addresses
-        .write()
-        .unwrap_or_else(PoisonError::into_inner);
-    if *addresses == live {
-        return;
-    }
-    let hosts = live.keys().cloned().collect();
-    *addresses = live;
-    drop(addresses);
-    driver.feed(EntryInput::EntryHosts(hosts));
-}
-
 fn serve_control(
     base: &mut Base,
     options: &HostOptions,
@@ -418,51 +274,3 @@
         fleet.feed(FleetInput::Load(u8::try_from(percent).unwrap_or(100)));
     }
 }
-
-fn status(
-    base: &Base,
-    options: &HostOptions,
-    shared: &Arc<Shared>,
-    driver: &Arc<EntryDriver>,
-    fleet: &Arc<FleetDriver<FleetEntry>>,
-) -> impl Fn() -> Status + use<> {
-    let common = base.status(options, "entry");
-    let (shared, driver, fleet) = (Arc::clone(shared), Arc::clone(driver), Arc::clone(fleet));
-    move || {
-        let cfg = driver.config();
-        let draining = shared.draining.load(Ordering::Relaxed);
-        let reason = match (&cfg, draining) {
-            (_, true) => "draining",
-            (None, false) => "no configuration is known yet",
-            (Some(_), false) => "",
-        };
-        let members = fleet.read(FleetEntry::members);
-        Status {
-            ready: reason.is_empty(),
-            reason: reason.to_owned(),
-            revision: cfg.map_or(0, |cfg| cfg.revision),
-            draining,
-            held: driver.held() as u64,
-            incarnation: shared.incarnation.load(Ordering::Relaxed),
-            members: members.iter().map(member_status).collect(),
-            ..common()
-        }
-    }
-}
-
-fn member_status(member: &MemberView) -> MemberStatus {
-    let record = &member.record;
-    let name = |value: serde_json::Result<serde_json::Value>| match value {
-        Ok(serde_json::Value::String(name)) => name.to_lowercase(),
-        _ => String::new(),
-    };
-    MemberStatus {
-        host: record.host.clone(),
-        role: name(serde_json::to_value(record.role)),
-        data_centre: record.data_centre.clone(),
-        service: record.service.clone(),
-        state: name(serde_json::to_value(record.state)),
-        revision: record.revision,
-        admin_address: record.admin_address.clone(),
-    }
-}
--- a/crates/net/src/host/links.rs
+++ b/crates/net/src/host/links.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use eelgrasshold_core::config::Config;
+use eelgrasshold_core::event::{Event, EventKind};
 use eelgrasshold_core::fleet::platform_policy::PlatformLimits;
 use http::Request;
 use hyper::body::Incoming;
@@ -124,6 +125,24 @@
         Some(tokio::spawn(server.run(self.shutdown.clone(), serve)))
     }
 
+    /// Ends everything; `open` requests are cut.
+    pub(super) fn stop(self, open: u64, tasks: Vec<JoinHandle<()>>, data_task: &JoinHandle<()>) {
+        self.timeline.record(if open == 0 {
+            Event::new(EventKind::DrainFinished, "")
+        } else {
+            Event::new(EventKind::DrainCut, format!("{open} requests"))
+        });
+        self.no_more_requests.cancel();
+        self.shutdown.cancel();
+        for task in tasks {
+            task.abort();
+        }
+        if open > 0 {
+            data_task.abort();
+        }
+        self.metrics.close();
+    }
+
     /// Fields of the status that don't depend on the role.
     pub(super) fn status(&self, options: &HostOptions, role: &str) -> impl Fn() -> Status + use<> {
         let blank = Status {
--- a/crates/net/src/host/upstream.rs
+++ b/crates/net/src/host/upstream.rs
@@ -150,22 +150,8 @@
     }
 
     fn stop(self) {
-        let open = self.driver.load().in_flight;
-        let event = if open == 0 {
-            Event::new(EventKind::DrainFinished, "")
-        } else {
-            Event::new(EventKind::DrainCut, format!("{open} requests"))
-        };
-        self.base.timeline.record(event);
-        self.base.no_more_requests.cancel();
-        self.base.shutdown.cancel();
-        for task in self.tasks {
-            task.abort();
-        }
-        if open > 0 {
-            self.data_task.abort();
-        }
-        self.base.metrics.close();
+        let open = u64::from(self.driver.load().in_flight);
+        self.base.stop(open, self.tasks, &self.data_task);
     }
 }
 
