--- a/crates/core/src/entry/hosts.rs
+++ b/crates/core/src/entry/hosts.rs
@@ -28,6 +28,11 @@
 }
 
 impl Hosts {
+    /// Live entry hosts, this one included.
+    pub(super) fn live(&self) -> &[HostId] {
+        &self.live
+    }
+
     /// Live entry hosts but this one, with those that have just started.
     pub(super) fn others(&self, now: Now, this: &HostId) -> BTreeSet<HostId> {
         let recent = |at: &Now| now < *at + LISTING_TIME;
@@ -76,6 +81,7 @@
             self.ask_for_suspects(now, out);
         }
         self.hosts.live = list;
+        self.list_peers();
         self.sharing
             .retain_hosts(&self.hosts.others(now, &self.host));
         self.ask_for_suspects(now, out);
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -46,6 +46,7 @@
 //! ```
 
 mod attempts;
+mod choosing;
 mod claiming;
 mod ending;
 mod held;
@@ -58,6 +59,7 @@
 #[cfg(test)]
 mod tests;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -127,6 +129,8 @@
     Attempt(AttemptId, AttemptEvent),
     /// The live entry hosts, this one included, changed.
     EntryHosts(Vec<HostId>),
+    /// The data centres of the live entry hosts changed; without them, all count as one.
+    Locations(BTreeMap<HostId, DataCentreId>),
     /// A message of another daemon arrived.
     Peer {
         /// Its sender.
@@ -170,6 +174,17 @@
     Crashed,
 }
 
+impl AttemptEvent {
+    /// Whether nothing follows it.
+    #[must_use]
+    pub fn is_last(&self) -> bool {
+        matches!(
+            self,
+            Self::Finished(_) | Self::Bounced(..) | Self::Failed(_) | Self::Crashed
+        )
+    }
+}
+
 /// What the driver shall do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Output {
--- a/crates/core/src/event/catalogue.rs
+++ b/crates/core/src/event/catalogue.rs
@@ -67,14 +67,35 @@
     WorkFinished = 3004, "the engine finished work";
     WorkFailed = 3005, "the engine failed work";
     WorkCancelled = 3006, "work was cancelled";
+    WorkExpired = 3101, "queued work was returned because its deadline can't be met any more";
+
+    LeaseAcquired = 4001, "the planner's lease was taken";
+    LeaseLost = 4002, "the planner's lease ended or was lost";
+    SwitchProposed = 4003, "all ranks loaded a map and a switch step was proposed";
+    SwitchCommitted = 4004, "an engine took the commit of a map";
+    SwitchAborted = 4005, "an engine went on with the present map";
+    StepHeld = 4006, "an engine holds the switch step without a decision";
+    OrderRefused = 4007, "an order with an old fencing number was refused";
+    MapSwitched = 4008, "an engine started to use a new map";
+    MapInstalled = 4009, "a new engine took the group's map";
+    PlanMade = 4010, "a new map was planned";
+    PlanGivenUp = 4011, "a planned map was given up";
 
     MemberJoined = 5001, "a process joined";
     MemberSuspected = 5002, "a process did not answer probes";
     MemberGone = 5003, "a process is gone";
     MemberLeaving = 5004, "a process is leaving";
+    MemberConfirmed = 5005, "a suspected process showed that it lives";
+    ProcessPaused = 5006, "the process itself was paused";
+    HostIsolated = 5007, "the host hears no other entry host";
+    DataCentreSilent = 5008, "a data centre does not answer";
+    DataCentreBack = 5009, "a data centre answers again";
 
     ConfigApplied = 6001, "a configuration came into force";
     ConfigRefused = 6002, "a configuration was refused";
+    ConfigHeadWentBack = 6003, "a configuration with a revision that was in force before, but other content, was refused";
+    ConfigWatchStarted = 6004, "the host watches the platform's configuration";
+    ConfigWatchEnded = 6005, "the host no longer watches the platform's configuration";
 
     PlatformUnavailable = 7001, "the platform does not answer";
     PlatformRecovered = 7002, "the platform answers again";
