Run suspects alone at the upstream and tell hosts their data centres

Entry hosts marked suspects of crashes to run alone, but the upstream process ran them beside other work of other entry hosts, so a crash still had several possible causes. A suspect now waits until the engine is idle, and new work is returned meanwhile. The driver also never told the entry machine where the hosts are, so all counted as one data centre.

Before, the upstream had no means to run work alone.

--- a/crates/core/benches/routing.rs
+++ b/crates/core/benches/routing.rs
@@ -102,6 +102,7 @@
                     attempt,
                     request: request(attempt as usize % teams),
                     age: Duration::ZERO,
+                    alone: false,
                 };
                 black_box(upstream.handle(now, work));
                 let finished = upstream::Input::Engine(attempt, EngineEvent::Finished);
--- a/crates/core/src/upstream/machine.rs
+++ b/crates/core/src/upstream/machine.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::quarantine::Quarantine;
 use super::{Bounce, EngineEvent, Input, Output, Timer};
 use crate::event::{Event, EventKind};
 use crate::serving::queue::{
@@ -23,6 +24,7 @@
     levels: Levels,
     lengths: Lengths,
     waits: Waits,
+    quarantine: Quarantine,
     /// Time of the last input.
     now: Now,
     leaving: bool,
@@ -47,6 +49,7 @@
             levels: Levels::default(),
             lengths: Lengths::default(),
             waits: Waits::default(),
+            quarantine: Quarantine::default(),
             now: Now::ZERO,
             leaving: false,
             engine_up: true,
@@ -76,7 +79,11 @@
                 attempt,
                 request,
                 age,
-            } => self.accept(now, attempt, request, age, &mut out),
+                alone,
+            } => {
+                let item = self.item(now, attempt, request);
+                self.accept(now, item, age, alone, &mut out);
+            }
             Input::Cancel(attempt) => self.cancel(now, attempt, &mut out),
             Input::Engine(attempt, EngineEvent::Tokens(tokens)) => {
                 if !self.levels.produce(now, &self.policy, attempt, tokens) {
@@ -106,7 +113,8 @@
         self.expire(now, &mut out);
         self.start(now, &mut out);
         self.set_timers(now, &mut out);
-        if self.leaving && self.queue.is_empty() && self.levels.is_empty() {
+        let idle = self.queue.is_empty() && self.levels.is_empty();
+        if self.leaving && idle && !self.quarantine.is_closed() {
             out.push(Output::Drained);
         }
         out
@@ -115,20 +123,25 @@
     fn accept(
         &mut self,
         now: Now,
-        attempt: AttemptId,
-        request: Request,
+        mut item: Item,
         age: Duration,
+        alone: bool,
         out: &mut Vec<Output>,
     ) {
-        let mut item = self.item(now, attempt, request);
         item.predicted_wait = self.predicted_wait(now, &item);
         if let Some(reason) = self.reason_to_bounce(now, &item, age) {
             out.push(self.bounce(&item, reason));
-            out.push(about(EventKind::WorkBounced, attempt, &item.request));
+            out.push(about(EventKind::WorkBounced, item.attempt, &item.request));
             return;
         }
-        out.push(about(EventKind::WorkQueued, attempt, &item.request));
-        self.queue.push(&self.policy, item);
+        out.push(about(EventKind::WorkQueued, item.attempt, &item.request));
+        if alone {
+            let (at, timer) = (item.latest_start, Timer::Expire);
+            out.push(Output::SetTimer { at, timer });
+            self.quarantine.wait(item);
+        } else {
+            self.queue.push(&self.policy, item);
+        }
     }
 
     fn item(&self, now: Now, attempt: AttemptId, request: Request) -> Item {
@@ -147,7 +160,9 @@
 
     fn reason_to_bounce(&self, now: Now, item: &Item, age: Duration) -> Option<Bounce> {
         let attempt = item.attempt;
-        let seen = self.levels.contains(attempt) || self.queue.contains(attempt);
+        let seen = self.levels.contains(attempt)
+            || self.queue.contains(attempt)
+            || self.quarantine.is_waiting_for(attempt);
         if seen || age > MAX_DISPATCH_AGE {
             return Some(Bounce::Stale);
         }
@@ -157,6 +172,9 @@
         if !self.engine_up {
             return Some(Bounce::EngineDown);
         }
+        if self.quarantine.is_closed() {
+            return Some(Bounce::Quarantined);
+        }
         if self.queue.len() >= self.policy.max_queued() {
             return Some(Bounce::QueueFull);
         }
@@ -188,7 +206,8 @@
     }
 
     fn cancel(&mut self, now: Now, attempt: AttemptId, out: &mut Vec<Output>) {
-        if let Some(item) = self.queue.remove(attempt) {
+        let waiting = self.quarantine.end(attempt);
+        if let Some(item) = waiting.or_else(|| self.queue.remove(attempt)) {
             out.push(about(EventKind::WorkCancelled, attempt, &item.request));
         }
         if let Some(running) = self.levels.remove(attempt) {
@@ -202,6 +221,7 @@
         let Some(running) = self.levels.finish(now, attempt) else {
             return;
         };
+        self.quarantine.end(attempt);
         let request = &running.request;
         if request.max_tokens > 0 {
             let tokens = request.resume_from + running.produced;
@@ -215,6 +235,7 @@
         let Some(running) = self.levels.remove(attempt) else {
             return;
         };
+        self.quarantine.end(attempt);
         out.push(Output::Fail { attempt, run });
         out.push(about(EventKind::WorkFailed, attempt, &running.request));
         self.settle(now, &running);
@@ -238,14 +259,20 @@
             let run = Run::Unknown;
             out.push(Output::Fail { attempt, run });
         }
-        for item in self.queue.drain() {
+        let suspect = self.quarantine.clear();
+        for item in self.queue.drain().into_iter().chain(suspect) {
             out.push(self.bounce(&item, Bounce::EngineDown));
         }
     }
 
     /// Drops queued work that can no longer meet its deadline.
     fn expire(&mut self, now: Now, out: &mut Vec<Output>) {
-        while let Some(item) = self.queue.expire(now) {
+        let suspect = self.quarantine.expire(now);
+        let queue = &mut self.queue;
+        let expired: Vec<_> = std::iter::from_fn(|| queue.expire(now))
+            .chain(suspect)
+            .collect();
+        for item in expired {
             self.learn_wait(now, &item);
             out.push(self.bounce(&item, Bounce::Deadline));
             out.push(about(EventKind::WorkExpired, item.attempt, &item.request));
@@ -259,23 +286,33 @@
                 return;
             }
             let Some(item) = self.queue.pop(now, &self.policy, long_level.is_some()) else {
-                return;
+                break;
             };
-            self.learn_wait(now, &item);
             let level = match long_level {
                 Some(level) if item.long => level,
                 _ => Level::Short,
             };
-            let attempt = item.attempt;
-            out.push(about(EventKind::WorkStarted, attempt, &item.request));
-            let charged = item.expected_tokens;
-            let priority = self
-                .levels
-                .start(now, attempt, level, item.request, charged);
-            out.push(Output::Start { attempt, priority });
+            self.start_item(now, item, level, out);
+        }
+        if self.queue.is_empty()
+            && self.levels.is_empty()
+            && let Some(suspect) = self.quarantine.start()
+        {
+            self.start_item(now, suspect, Level::Short, out);
         }
     }
 
+    fn start_item(&mut self, now: Now, item: Item, level: Level, out: &mut Vec<Output>) {
+        self.learn_wait(now, &item);
+        let attempt = item.attempt;
+        out.push(about(EventKind::WorkStarted, attempt, &item.request));
+        let charged = item.expected_tokens;
+        let priority = self
+            .levels
+            .start(now, attempt, level, item.request, charged);
+        out.push(Output::Start { attempt, priority });
+    }
+
     fn learn_wait(&mut self, now: Now, item: &Item) {
         let waited = now.saturating_sub(item.arrived);
         self.waits
--- a/crates/core/src/upstream/mod.rs
+++ b/crates/core/src/upstream/mod.rs
@@ -5,6 +5,7 @@
 //! certain: bounced work was never passed to the engine.
 
 mod machine;
+mod quarantine;
 
 #[cfg(test)]
 mod tests;
@@ -30,6 +31,8 @@
         request: Request,
         /// Time since the entry host sent the dispatch, by hybrid clock.
         age: Duration,
+        /// It is suspected of crashing upstreams and runs with nothing beside it.
+        alone: bool,
     },
     /// The entry host cancelled an attempt or its connection broke.
     Cancel(AttemptId),
--- a/crates/core/src/upstream/tests.rs
+++ b/crates/core/src/upstream/tests.rs
@@ -25,6 +25,7 @@
         attempt,
         request: request("r"),
         age: Duration::ZERO,
+        alone: false,
     }
 }
 
@@ -91,7 +92,8 @@
         Input::Work {
             attempt: 2,
             request: request("r"),
-            age
+            age,
+            alone: false
         }
     )));
 }
@@ -119,6 +121,7 @@
         attempt,
         request,
         age: Duration::ZERO,
+        alone: false,
     }
 }
 
@@ -217,3 +220,55 @@
     let out = up.handle(Now::ZERO, Input::Policy(policy.build()));
     assert_eq!(started(&out), [2]);
 }
+
+fn suspect(attempt: AttemptId) -> Input {
+    Input::Work {
+        attempt,
+        request: request("suspect"),
+        age: Duration::ZERO,
+        alone: true,
+    }
+}
+
+// Guards against a crash that can't be attributed because a suspect ran beside other work.
+#[test]
+fn suspect_runs_alone_and_new_work_is_returned_meanwhile() {
+    let mut up = Upstream::new(4);
+    assert_eq!(started(&up.handle(Now::ZERO, work(1))), [1]);
+    assert_eq!(started(&up.handle(Now::ZERO, suspect(2))), [0; 0]);
+    let quarantined = |out: &[Output]| {
+        let reason = |o: &Output| {
+            matches!(
+                o,
+                Output::Bounce {
+                    reason: Bounce::Quarantined,
+                    ..
+                }
+            )
+        };
+        out.iter().any(reason)
+    };
+    assert!(quarantined(&up.handle(Now::ZERO, work(3))));
+    let out = up.handle(Now::ZERO, Input::Engine(1, EngineEvent::Finished));
+    assert_eq!(started(&out), [2]);
+    assert!(quarantined(&up.handle(Now::ZERO, work(4))));
+    up.handle(Now::ZERO, Input::Engine(2, EngineEvent::Finished));
+    assert_eq!(started(&up.handle(Now::ZERO, work(5))), [5]);
+}
+
+// Guards against a suspect that keeps an upstream closed for ever.
+#[test]
+fn suspect_that_waits_too_long_or_is_cancelled_reopens_the_upstream() {
+    let mut up = Upstream::new(4);
+    up.handle(Now::ZERO, work(1));
+    up.handle(Now::ZERO, suspect(2));
+    up.handle(Now::ZERO, Input::Cancel(2));
+    assert_eq!(started(&up.handle(Now::ZERO, work(3))), [3]);
+    up.handle(Now::ZERO, suspect(4));
+    let out = up.handle(Now::from_secs(10), Input::Timer(Timer::Expire));
+    assert!(
+        out.iter()
+            .any(|o| matches!(o, Output::Bounce { attempt: 4, .. }))
+    );
+    assert_eq!(started(&up.handle(Now::from_secs(10), work(5))), [5]);
+}
--- a/crates/core/tests/serving/connection.rs
+++ b/crates/core/tests/serving/connection.rs
@@ -20,6 +20,7 @@
 }
 
 /// The stream of one attempt.
+#[allow(clippy::struct_excessive_bools)] // Independent facts about one connection.
 pub struct Connection {
     pub handle: RequestHandle,
     pub fingerprint: u64,
@@ -28,6 +29,8 @@
     /// The dispatch was meant for another life of the upstream process.
     pub misdirected: bool,
     pub resume_from: u32,
+    /// The request is a suspect that runs with nothing beside it.
+    pub alone: bool,
     /// When the entry host decided on it.
     pub decided: Now,
     /// Age that the upstream process saw.
--- a/crates/core/tests/serving/entries.rs
+++ b/crates/core/tests/serving/entries.rs
@@ -113,10 +113,13 @@
                     attempt,
                     upstream,
                     resume_from,
-                    ..
+                    alone,
                 } => {
                     self.oracle.dispatched(handle, decided);
                     self.connect(slot, decided, handle, attempt, &upstream, resume_from);
+                    if let Some(conn) = self.connections.get_mut(&attempt) {
+                        conn.alone = alone;
+                    }
                 }
                 Output::Cancel(attempt) => {
                     if let Some(conn) = self.connections.get_mut(&attempt) {
@@ -174,6 +177,7 @@
             upstream: (to, life),
             misdirected: upstream.incarnation != life,
             resume_from,
+            alone: false,
             decided,
             age: Duration::ZERO,
             stage: Stage::Sent,
--- a/crates/core/tests/serving/upstreams.rs
+++ b/crates/core/tests/serving/upstreams.rs
@@ -150,6 +150,7 @@
         conn.age = now.saturating_sub(conn.decided);
         conn.stage = Stage::Taken;
         let (age, handle, resume_from) = (conn.age, conn.handle, conn.resume_from);
+        let alone = conn.alone;
         if conn.misdirected {
             let event =
                 AttemptEvent::Bounced(Bounce::Stale, eelgrasshold_core::types::Load::default());
@@ -167,6 +168,7 @@
                 attempt,
                 request,
                 age,
+                alone,
             },
         );
     }
--- a/crates/net/src/host/entry/membership.rs
+++ b/crates/net/src/host/entry/membership.rs
@@ -8,7 +8,7 @@
 use eelgrasshold_core::fleet::{
     EntryHosts, FleetEntry, FleetSettings, MemberView, Output as FleetOutput, Role, State,
 };
-use eelgrasshold_core::types::HostId;
+use eelgrasshold_core::types::{DataCentreId, HostId};
 use serde::Serialize;
 
 use super::Shared;
@@ -99,10 +99,16 @@
 }
 
 fn set_entry_hosts(shared: &Shared, driver: &EntryDriver, members: &[MemberView]) {
-    let live: BTreeMap<HostId, String> = members
+    let live = members
         .iter()
-        .filter(|m| m.record.role == Role::Entry && m.record.state == State::Live)
-        .map(|m| (m.record.host.clone(), m.record.control_address.clone()))
+        .map(|m| &m.record)
+        .filter(|r| r.role == Role::Entry && r.state == State::Live);
+    let places: BTreeMap<HostId, DataCentreId> = live
+        .clone()
+        .map(|r| (r.host.clone(), r.data_centre.clone()))
+        .collect();
+    let live: BTreeMap<HostId, String> = live
+        .map(|r| (r.host.clone(), r.control_address.clone()))
         .collect();
     let mut addresses = shared
         .addresses
@@ -114,5 +120,6 @@
     let hosts = live.keys().cloned().collect();
     *addresses = live;
     drop(addresses);
+    driver.feed(EntryInput::Locations(places));
     driver.feed(EntryInput::EntryHosts(hosts));
 }
--- a/crates/net/src/upstream/work.rs
+++ b/crates/net/src/upstream/work.rs
@@ -51,6 +51,7 @@
     attempt: AttemptId,
     meta: Meta,
     age: Duration,
+    alone: bool,
     parts: Parts,
     body: Bytes,
 }
@@ -76,6 +77,7 @@
         attempt,
         request,
         age,
+        alone: dispatch.alone,
     });
     let priority = match commands.recv().await {
         Some(Command::Start { priority }) => priority,
@@ -157,6 +159,7 @@
         Ok(Some(stamp)) => driver.observe(stamp),
         _ => Duration::ZERO,
     };
+    let alone = parts.headers.contains_key(headers::ALONE);
     let Ok(body) = collect(body, MAX_BODY_BYTES, BODY_TIMEOUT).await else {
         return Err(Box::new(failed(headers::FAILED_NOT_RUN)));
     };
@@ -164,6 +167,7 @@
         attempt,
         meta,
         age,
+        alone,
         parts,
         body,
     })
--- a/crates/standins/examples/experiment/world/run.rs
+++ b/crates/standins/examples/experiment/world/run.rs
@@ -219,6 +219,7 @@
             attempt,
             request,
             age: latency,
+            alone: false,
         };
         self.at(self.now + latency, Event::Upstream(upstream, work));
     }
