End prepared attempts with later ones; split the rank's machine by topic

A rank that prepared an attempt late kept it for ever: the planner repeated only how its latest attempt ended, and waited for the rank to settle. The end of an attempt now ends the prepared ones before it as well.

The case of seed 33 is a test of its own.

--- a/crates/core/src/group/switch/mod.rs
+++ b/crates/core/src/group/switch/mod.rs
@@ -12,7 +12,9 @@
 //! engine loses its memory, the driver builds a new machine with a higher
 //! incarnation.
 
+mod engine;
 mod messages;
+mod orders;
 mod rank;
 mod resolve;
 mod start;
--- a/crates/core/src/group/switch/tests.rs
+++ b/crates/core/src/group/switch/tests.rs
@@ -375,3 +375,18 @@
     assert!(!ready(&out));
     assert!(out.iter().any(|o| matches!(o, Output::WantLoad { .. })));
 }
+
+// Guards against the fault that a rank which prepared an attempt late kept it for ever: the
+// planner only repeated how its latest attempt ended, and waited for the rank to settle.
+#[test]
+fn end_of_a_later_attempt_ends_a_prepared_one() {
+    let mut rank = started(engine_state(None));
+    rank.handle(AT, from(1, 1, prepare(1)));
+    let later = Attempt {
+        fence: 1,
+        sequence: 2,
+    };
+    let out = rank.handle(AT, from(1, 1, Message::Abort { attempt: later }));
+    assert_eq!(orders(&out), vec![&Action::Trim]);
+    assert!(rank.is_settled());
+}
--- a/crates/core/tests/group_fuzz.rs
+++ b/crates/core/tests/group_fuzz.rs
@@ -5,6 +5,8 @@
 
 #[path = "group_fuzz/engine.rs"]
 mod engine;
+#[path = "group_fuzz/faults.rs"]
+mod faults;
 #[path = "group_fuzz/oracle.rs"]
 mod oracle;
 #[path = "group_fuzz/platform.rs"]
@@ -232,3 +234,44 @@
     ];
     replay(settings, &faults);
 }
+
+// Guards against the fault that a late attempt kept a rank from settling, so that the group
+// never switched again (EELGRASSHOLD_FUZZ_SEED=33).
+#[test]
+fn fuzz_late_attempt_does_not_keep_a_rank_from_settling() {
+    let settings = WorldSettings {
+        seed: 16_011_548_404_898_672_030,
+        ranks: 4,
+        engine_checks_fence: false,
+    };
+    let faults = [
+        Fault::CutOff(3, 2_101),
+        Fault::Network(0),
+        Fault::Stall(0, 50),
+        Fault::Pass(141),
+        Fault::Network(27),
+        Fault::Pass(674),
+        Fault::CutFromPlatform(0, 2_615),
+        Fault::Target(10_996_321_505_251_559_425),
+        Fault::LoseAnswers(1_179),
+        Fault::Pass(921),
+        Fault::Pass(597),
+        Fault::CutOff(1, 50),
+        Fault::Pause(1, 780),
+        Fault::Replace(2, 1_164),
+        Fault::Target(0),
+        Fault::Target(12_843),
+        Fault::Pause(2, 2_435),
+        Fault::Target(6_040_124_664_817_416_418),
+        Fault::Network(36),
+        Fault::LoseAnswers(2_091),
+        Fault::LoseAnswers(200),
+        Fault::PlatformDown(281),
+        Fault::CutOff(1, 2_168),
+        Fault::CutOff(2, 1_244),
+        Fault::Restart(0, 364),
+        Fault::Pass(1_412),
+        Fault::Pass(1_179),
+    ];
+    replay(settings, &faults);
+}
--- a/crates/core/tests/group_fuzz/world.rs
+++ b/crates/core/tests/group_fuzz/world.rs
@@ -7,9 +7,7 @@
 use eelgrasshold_core::group::bandwidth::{self, LoadShare, ShareMessage, ShareSettings};
 use eelgrasshold_core::group::coordinator::{self, CoordinatorSettings, GroupPlanner};
 use eelgrasshold_core::group::lease::{LeaseSettings, lease_key, number_of};
-use eelgrasshold_core::group::map::{
-    ExpertMap, LayerMap, Placed, RankId, Step, WHOLE_SHARE, Weight,
-};
+use eelgrasshold_core::group::map::{ExpertMap, RankId, Step, Weight};
 use eelgrasshold_core::group::planner::PlannerSettings;
 use eelgrasshold_core::group::switch::{
     self, EngineEvent, Envelope, GroupRank, Order, RankSettings,
@@ -23,8 +21,8 @@
 use crate::platform::Platform;
 
 const GROUP: &str = "drafts";
-const LAYERS: u32 = 2;
-const EXPERTS: u32 = 6;
+pub const LAYERS: u32 = 2;
+pub const EXPERTS: u32 = 6;
 const WEIGHT_BYTES: u64 = 1_000;
 const STORE_BYTES_PER_S: f64 = 400_000.0;
 const STEP_MS: u64 = 20;
@@ -40,20 +38,20 @@
 
 /// Part of a process to which something is addressed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Part {
+pub enum Part {
     Rank,
     Planner,
     Share,
 }
 
 #[derive(Clone, Debug)]
-enum Body {
+pub enum Body {
     Group(Box<Envelope>),
     Share(RankId, ShareMessage),
 }
 
 #[derive(Clone, Debug)]
-enum Ev {
+pub enum Ev {
     Deliver(RankId, Body),
     Timer(RankId, u64, Part),
     /// What an engine said reaches its process.
@@ -69,52 +67,52 @@
     Order(RankId),
 }
 
-enum ToEngine {
+pub enum ToEngine {
     Read,
     Order(Order),
 }
 
-struct Process {
-    life: u64,
-    rank: GroupRank,
-    planner: GroupPlanner,
-    share: LoadShare<Weight>,
+pub struct Process {
+    pub life: u64,
+    pub rank: GroupRank,
+    pub planner: GroupPlanner,
+    pub share: LoadShare<Weight>,
     /// Speed of its clock and the clock's origin.
-    clock: (f64, Duration),
+    pub clock: (f64, Duration),
 }
 
-struct Host {
-    process: Option<Process>,
-    engine: Engine,
+pub struct Host {
+    pub process: Option<Process>,
+    pub engine: Engine,
     /// Orders on their way, oldest first, with the life that gave them.
-    orders: VecDeque<(u64, ToEngine)>,
+    pub orders: VecDeque<(u64, ToEngine)>,
     /// What the engine said, oldest first, with the life that it was said to.
     said: VecDeque<(u64, EngineEvent)>,
-    paused_until: Duration,
-    cut_until: Duration,
-    cut_from_platform_until: Duration,
-    stalled_until: Duration,
+    pub paused_until: Duration,
+    pub cut_until: Duration,
+    pub cut_from_platform_until: Duration,
+    pub stalled_until: Duration,
     starts: u32,
 }
 
 pub struct World {
-    settings: WorldSettings,
-    now: Duration,
+    pub settings: WorldSettings,
+    pub now: Duration,
     queue: BTreeMap<(Duration, u64), Ev>,
     sequence: u64,
-    hosts: Vec<Host>,
+    pub hosts: Vec<Host>,
     platform: Platform,
-    platform_down_until: Duration,
-    lose_until: Duration,
-    trouble_percent: u32,
-    step: Step,
-    next_life: u64,
-    held: u64,
+    pub platform_down_until: Duration,
+    pub lose_until: Duration,
+    pub trouble_percent: u32,
+    pub step: Step,
+    pub next_life: u64,
+    pub held: u64,
     rate: RateCheck,
-    rng: SmallRng,
+    pub rng: SmallRng,
 }
 
-fn ms(ms: u64) -> Duration {
+pub fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
@@ -171,165 +169,17 @@
         self.now = end;
     }
 
-    pub fn target(&mut self, choice: u64) {
-        let layers = self.random_layers(choice);
-        for rank in 0..self.settings.ranks {
-            if !self.is_paused(rank) {
-                self.planner(rank, coordinator::Input::Target(layers.clone()));
-            }
-        }
-    }
-
-    pub fn restart(&mut self, rank: RankId, millis: u64) {
-        let host = &mut self.hosts[rank as usize];
-        if host.process.take().is_none() {
-            return;
-        }
-        // What the process wrote to its engine last may not have left it.
-        let keep = self.rng.random_range(0..=host.orders.len());
-        host.orders.truncate(keep);
-        host.paused_until = Duration::ZERO;
-        self.push(ms(millis), Ev::Start(rank));
-    }
-
-    pub fn replace(&mut self, rank: RankId, millis: u64) {
-        self.restart(rank, millis);
-        let life = self.next_life;
-        self.next_life += 1;
-        let host = &mut self.hosts[rank as usize];
-        host.engine = Engine::new(rank, life, self.settings.engine_checks_fence);
-        host.orders.clear();
-    }
-
-    pub fn pause(&mut self, rank: RankId, millis: u64) {
-        self.hosts[rank as usize].paused_until = self.now + ms(millis);
-    }
-
-    pub fn cut_off(&mut self, rank: RankId, millis: u64) {
-        self.hosts[rank as usize].cut_until = self.now + ms(millis);
-    }
-
-    pub fn cut_from_platform(&mut self, rank: RankId, millis: u64) {
-        self.hosts[rank as usize].cut_from_platform_until = self.now + ms(millis);
-    }
-
-    pub fn stall(&mut self, rank: RankId, millis: u64) {
-        self.hosts[rank as usize].stalled_until = self.now + ms(millis);
-    }
-
-    pub fn platform_down(&mut self, millis: u64) {
-        self.platform_down_until = self.now + ms(millis);
-    }
-
-    pub fn lose_answers(&mut self, millis: u64) {
-        self.lose_until = self.now + ms(millis);
-    }
-
-    pub fn network(&mut self, percent: u32) {
-        self.trouble_percent = percent;
-    }
-
-    /// Ends all faults. Messages that were delayed still arrive late.
-    pub fn heal(&mut self) {
-        self.trouble_percent = 0;
-        self.platform_down_until = self.now;
-        self.lose_until = self.now;
-        for host in &mut self.hosts {
-            host.paused_until = self.now;
-            host.cut_until = self.now;
-            host.cut_from_platform_until = self.now;
-            host.stalled_until = self.now;
-        }
-    }
-
-    /// Versions of the maps in the engines.
-    pub fn versions(&self) -> Vec<u64> {
-        let map = |h: &Host| h.engine.state.map.as_ref().map_or(0, |m| m.id.version);
-        self.hosts.iter().map(map).collect()
-    }
-
-    /// Steps that an engine held, counted per engine.
-    pub fn held_steps(&self) -> u64 {
-        self.held
-    }
-
-    /// With all ranks reachable, steps go on and a new map comes into force.
-    pub fn expect_progress(&mut self) {
-        self.pass(15_000);
-        let step = self.step;
-        self.pass(3_000);
-        assert!(
-            self.step > step + 20,
-            "blocked at step {step}: {}",
-            self.phases()
-        );
-        let before = self.versions();
-        let choice = self.other_target();
-        self.target(choice);
-        self.pass(20_000);
-        let after = self.versions();
-        let moved = before.iter().zip(&after).all(|(a, b)| b > a);
-        assert!(moved, "no switch: {before:?} {after:?}: {}", self.phases());
-    }
-
-    /// A target that differs from the present map: one that doesn't needs no switch.
-    fn other_target(&mut self) -> u64 {
-        loop {
-            let choice = self.rng.random();
-            let layers = self.random_layers(choice);
-            let present = self.hosts[0].engine.state.map.as_ref();
-            if present.is_none_or(|m| m.layers != layers) {
-                return choice;
-            }
-        }
-    }
-
-    fn phases(&self) -> String {
-        let phase = |h: &Host| match &h.process {
-            Some(p) => format!(
-                "life {} lease {:?} {}\n  {}\n",
-                p.life,
-                p.planner.holds_lease(self.clock(h.engine.rank)),
-                p.rank.summary(),
-                p.planner.summary()
-            ),
-            None => "no process\n".into(),
-        };
-        self.hosts.iter().map(phase).collect()
-    }
-
-    fn random_layers(&self, choice: u64) -> Vec<LayerMap> {
-        let mut rng = SmallRng::seed_from_u64(choice);
-        let ranks = self.settings.ranks;
-        let layer = |rng: &mut SmallRng| {
-            let mut map = LayerMap {
-                ranks: vec![Vec::new(); ranks as usize],
-            };
-            for expert in 0..EXPERTS {
-                let a = rng.random_range(0..ranks);
-                let b = rng.random_range(0..ranks);
-                let share = if a == b { WHOLE_SHARE } else { WHOLE_SHARE / 2 };
-                map.ranks[a as usize].push(Placed { expert, share });
-                if a != b {
-                    map.ranks[b as usize].push(Placed { expert, share });
-                }
-            }
-            map
-        };
-        (0..LAYERS).map(|_| layer(&mut rng)).collect()
-    }
-
-    fn push(&mut self, after: Duration, ev: Ev) {
+    pub fn push(&mut self, after: Duration, ev: Ev) {
         self.sequence += 1;
         self.queue.insert((self.now + after, self.sequence), ev);
     }
 
-    fn is_paused(&self, rank: RankId) -> bool {
+    pub fn is_paused(&self, rank: RankId) -> bool {
         self.hosts[rank as usize].paused_until > self.now
     }
 
     /// Time on a process's clock.
-    fn clock(&self, rank: RankId) -> Duration {
+    pub fn clock(&self, rank: RankId) -> Duration {
         let process = self.hosts[rank as usize].process.as_ref();
         let (speed, origin) = process.map_or((1.0, Duration::ZERO), |p| p.clock);
         origin + self.now.mul_f64(speed)
@@ -500,7 +350,7 @@
         }
     }
 
-    fn planner(&mut self, rank: RankId, input: coordinator::Input) {
+    pub fn planner(&mut self, rank: RankId, input: coordinator::Input) {
         let now = self.clock(rank);
         let Some(process) = &mut self.hosts[rank as usize].process else {
             return;
