Probe upstreams whose engines are down instead of trying requests

A shunned upstream was tried with a request every 0.5 to 4 s by each entry host, and each such try cost an attempt and retry budget, so requests were refused while healthy engines were idle. Entry hosts now ask the upstream process itself once a second; a request is a probe only after 30 s without an answer.

--- a/crates/core/src/entry/machine.rs
+++ b/crates/core/src/entry/machine.rs
@@ -135,6 +135,7 @@
             Input::CallerGone(handle) => self.caller_gone(now, handle, &mut out),
             Input::Attempt(attempt, event) => self.attempt(now, attempt, event, &mut out),
             Input::EntryHosts(list) => self.set_entry_hosts(now, list, &mut out),
+            Input::Probed { host, up } => self.probed(&host, up),
             Input::Locations(locations) => {
                 self.locations = locations;
                 self.list_peers();
@@ -192,12 +193,30 @@
         self.claiming.forget(now);
         self.cancelled.retain(|_, (_, at)| now < *at + REPORT_TIME);
         self.tick_limits(now, out);
+        self.probe(now, out);
         out.push(Output::SetTimer {
             at: now + TICK,
             timer: Timer::Tick,
         });
     }
 
+    /// Probes upstreams whose engines are down, so that no request has to find out.
+    fn probe(&mut self, now: Now, out: &mut Vec<Output>) {
+        for (host, view) in &mut self.loads {
+            if let Some(upstream) = self.upstreams.get(host)
+                && view.take_probe(now)
+            {
+                out.push(Output::Probe(upstream.clone()));
+            }
+        }
+    }
+
+    fn probed(&mut self, host: &HostId, up: bool) {
+        if let Some(view) = self.loads.get_mut(host).filter(|_| up) {
+            view.answers();
+        }
+    }
+
     fn set_upstreams(&mut self, list: Vec<UpstreamInfo>) {
         self.upstreams = list.into_iter().map(|u| (u.host.clone(), u)).collect();
         let known = &mut self.upstreams;
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -130,6 +130,13 @@
     CallerGone(RequestHandle),
     /// An attempt made progress or ended.
     Attempt(AttemptId, AttemptEvent),
+    /// A probe of an upstream process was answered.
+    Probed {
+        /// Upstream.
+        host: HostId,
+        /// Its engine takes work.
+        up: bool,
+    },
     /// The live entry hosts, this one included, changed.
     EntryHosts(Vec<HostId>),
     /// The data centres of the live entry hosts changed; without them, all count as one.
@@ -204,6 +211,8 @@
         /// The request is suspected of crashing upstreams and shall run alone.
         alone: bool,
     },
+    /// Ask an upstream process whether its engine takes work; `Probed` follows unless it is lost.
+    Probe(UpstreamInfo),
     /// Drop an attempt: close its stream.
     Cancel(AttemptId),
     /// Pass the chunk just reported on to the caller, without its first `skip` tokens.
--- a/crates/core/src/serving/routing/view.rs
+++ b/crates/core/src/serving/routing/view.rs
@@ -13,10 +13,11 @@
 /// each of its steps longer, and a full one makes it wait.
 const REQUEST_MS: f64 = 50.0;
 
-/// Time for which an upstream is shunned that refused work because its engine is down; it
-/// doubles with each refusal in a row.
-const SHUN: Duration = Duration::from_millis(500);
-const MAX_SHUN: Duration = Duration::from_secs(4);
+/// Longest time for which an upstream is shunned that refused work because its engine is down.
+/// A probe that finds the engine up ends it earlier, so that no request has to try.
+const MAX_SHUN: Duration = Duration::from_secs(30);
+/// Time between two probes of a shunned upstream.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// What one entry host knows about the load of an upstream.
 #[derive(Clone, Copy, Debug, Default)]
@@ -27,9 +28,9 @@
     /// Own requests in flight when the report came, which it counted too.
     own_then: u32,
     reported_at: Option<Now>,
-    /// Refusals without an answer in between, and until when nothing more is sent.
-    refusals: u32,
+    /// Until when nothing is sent, and when the next probe is due.
     shunned_until: Now,
+    probe_at: Now,
 }
 
 impl LoadView {
@@ -42,17 +43,24 @@
 
     /// Notes that the upstream can't take any work, so that its empty queue attracts none.
     pub fn refused(&mut self, now: Now) {
-        let time = SHUN * 2_u32.saturating_pow(self.refusals);
-        self.refusals += 1;
-        self.shunned_until = now + time.min(MAX_SHUN);
+        self.shunned_until = now + MAX_SHUN;
+        self.probe_at = now + PROBE_INTERVAL;
     }
 
-    /// Notes that the upstream began to answer.
+    /// Notes that the upstream began to answer, or that a probe found its engine up.
     pub fn answers(&mut self) {
-        self.refusals = 0;
         self.shunned_until = Now::ZERO;
     }
 
+    /// Whether to probe the upstream now; if so, the next probe is due an interval later.
+    pub fn take_probe(&mut self, now: Now) -> bool {
+        let due = self.is_shunned(now) && now >= self.probe_at;
+        if due {
+            self.probe_at = now + PROBE_INTERVAL;
+        }
+        due
+    }
+
     /// Whether nothing is sent to the upstream for now.
     #[must_use]
     pub fn is_shunned(&self, now: Now) -> bool {
--- a/crates/core/tests/serving/entries.rs
+++ b/crates/core/tests/serving/entries.rs
@@ -147,6 +147,17 @@
                     let input = Input::Timer(timer);
                     self.schedule(at, Event::Entry { slot, life, input });
                 }
+                Output::Probe(upstream) => {
+                    let up = self.upstreams.iter().enumerate().any(|(n, process)| {
+                        super::upstreams::upstream_name(n) == upstream.host
+                            && process.machine.is_some()
+                            && process.engine_up
+                    });
+                    let at = self.now + self.latency();
+                    let host = upstream.host;
+                    let input = Input::Probed { host, up };
+                    self.schedule(at, Event::Entry { slot, life, input });
+                }
                 Output::Send { to, message } => self.send_message(slot, &to, &message),
                 Output::Platform { id, call } => self.call_platform(slot, id, call),
                 Output::Event(_) => {}
--- a/crates/net/src/entry/attempt.rs
+++ b/crates/net/src/entry/attempt.rs
@@ -1,8 +1,10 @@
 //! One attempt at an upstream process, as the entry host's client sees it.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use eelgrasshold_core::config::ServiceKind;
-use eelgrasshold_core::entry::AttemptEvent;
+use eelgrasshold_core::entry::{AttemptEvent, UpstreamInfo};
 use eelgrasshold_core::event::Stamp;
 use eelgrasshold_core::types::{Load, Run};
 use eelgrasshold_core::upstream::Bounce;
@@ -12,9 +14,12 @@
 use hyper::body::Incoming as IncomingBody;
 
 use super::driver::{Dispatch, EntryDriver};
-use crate::http::{Body, full};
+use crate::http::{Body, Client, empty, full};
 use crate::wire::{Incoming, SseEvent, SseSplitter, headers};
 
+/// Longest time for the answer to a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// How an attempt's answer begins.
 pub(super) enum Head {
     /// The upstream answers.
@@ -95,6 +100,17 @@
     Some(request)
 }
 
+/// Asks an upstream process whether its engine takes work.
+pub(super) async fn probe(client: &Client, upstream: &UpstreamInfo) -> bool {
+    let request = Request::get(format!("http://{}/", upstream.address))
+        .version(http::Version::HTTP_2)
+        .header(headers::PROBE, "true")
+        .body(empty());
+    let Ok(request) = request else { return false };
+    let answer = tokio::time::timeout(PROBE_TIMEOUT, client.request(request)).await;
+    matches!(answer, Ok(Ok(answer)) if answer.status().is_success())
+}
+
 fn read_head(driver: &EntryDriver, incoming: &Incoming, response: Response<IncomingBody>) -> Head {
     let (parts, body) = response.into_parts();
     if let Ok(Some(stamp)) = headers::parsed::<Stamp>(&parts.headers, &headers::CLOCK) {
--- a/crates/net/src/entry/driver.rs
+++ b/crates/net/src/entry/driver.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, Weak};
 
 use eelgrasshold_core::config::Config;
 use eelgrasshold_core::entry::{AttemptEvent, Entry, Input, Output, Timer, UpstreamInfo};
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use tokio::sync::{mpsc, watch};
 
+use super::attempt;
 use super::kept::{KeptAnswer, KeptAnswers};
 use super::serve;
 use crate::http::{Body, Client};
@@ -63,6 +64,8 @@
     cfg: RwLock<Option<Arc<Config>>>,
     callbacks: Callbacks,
     client: Client,
+    /// For tasks that report to the machine.
+    this: Weak<Self>,
     requests: Mutex<BTreeMap<RequestHandle, mpsc::UnboundedSender<Command>>>,
     attempts: Mutex<BTreeMap<AttemptId, RequestHandle>>,
     next_handle: AtomicU64,
@@ -80,7 +83,8 @@
         callbacks: Callbacks,
         client: Client,
     ) -> Arc<Self> {
-        Arc::new(Self {
+        Arc::new_cyclic(|this| Self {
+            this: this.clone(),
             machine: Mutex::new(machine),
             clock,
             timers: Timers::new(),
@@ -220,6 +224,7 @@
                 };
                 self.command(handle, Command::Dispatch(dispatch));
             }
+            Output::Probe(upstream) => self.probe(upstream),
             Output::Cancel(attempt) => self.cancel(attempt),
             Output::Refuse { handle, refusal } => self.command(handle, Command::Refuse(refusal)),
             Output::Replay {
@@ -243,6 +248,17 @@
         }
     }
 
+    fn probe(&self, upstream: UpstreamInfo) {
+        let (client, this) = (self.client.clone(), self.this.clone());
+        tokio::spawn(async move {
+            let up = attempt::probe(&client, &upstream).await;
+            if let Some(driver) = this.upgrade() {
+                let host = upstream.host;
+                driver.feed(Input::Probed { host, up });
+            }
+        });
+    }
+
     fn cancel(&self, attempt: AttemptId) {
         let handle = self.lock_attempts().remove(&attempt);
         if let Some(handle) = handle {
--- a/crates/net/src/upstream/driver.rs
+++ b/crates/net/src/upstream/driver.rs
@@ -134,6 +134,10 @@
         self.lock_attempts().remove(&attempt);
     }
 
+    pub(super) fn is_engine_up(&self) -> bool {
+        !self.probing.load(Ordering::Relaxed)
+    }
+
     /// Finds out whether the engine died; if so, probes it until it accepts connections again.
     pub(super) async fn check_engine(self: &Arc<Self>) -> bool {
         if self.engine.is_up().await {
--- a/crates/net/src/upstream/work.rs
+++ b/crates/net/src/upstream/work.rs
@@ -60,6 +60,9 @@
     driver: Arc<UpstreamDriver>,
     request: Request<Incoming>,
 ) -> Response<Body> {
+    if request.headers().contains_key(headers::PROBE) {
+        return probe_answer(&driver);
+    }
     let dispatch = match read_dispatch(&driver, request).await {
         Ok(dispatch) => dispatch,
         Err(response) => return *response,
@@ -190,6 +193,17 @@
     response
 }
 
+/// Says whether the engine takes work, without any work.
+fn probe_answer(driver: &UpstreamDriver) -> Response<Body> {
+    if !driver.is_engine_up() {
+        return bounce(Bounce::EngineDown, driver.load());
+    }
+    let mut response = Response::new(empty());
+    let load = headers::json_value(&driver.load());
+    response.headers_mut().insert(headers::LOAD, load);
+    response
+}
+
 fn run_name(run: Run) -> &'static str {
     match run {
         Run::NotRun => headers::FAILED_NOT_RUN,
--- a/crates/net/src/wire/headers.rs
+++ b/crates/net/src/wire/headers.rs
@@ -43,6 +43,8 @@
 pub const FAILED_UNKNOWN: &str = "unknown";
 /// Value of [`FAILED`]: the engine died while it ran the work.
 pub const FAILED_CRASHED: &str = "crashed";
+/// The request only asks whether the engine takes work.
+pub const PROBE: HeaderName = HeaderName::from_static("eel-probe");
 /// The work is suspected of crashing upstreams and shall run alone.
 pub const ALONE: HeaderName = HeaderName::from_static("eel-alone");
 
--- a/crates/standins/examples/experiment/world/run.rs
+++ b/crates/standins/examples/experiment/world/run.rs
@@ -1,6 +1,6 @@
 //! The event loop.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use eelgrasshold_core::entry::{self, AttemptEvent};
@@ -43,6 +43,8 @@
     engines: Vec<Engine>,
     latencies: Vec<Vec<Duration>>,
     attempts: BTreeMap<AttemptId, Attempt>,
+    /// Upstreams whose engines are down.
+    down: BTreeSet<usize>,
     results: Results,
 }
 
@@ -70,6 +72,7 @@
             .map(|_| Engine::new(fleet.spec))
             .collect(),
         attempts: BTreeMap::new(),
+        down: BTreeSet::new(),
         results: Results::default(),
     };
     world
@@ -137,6 +140,7 @@
             }
             Event::Fault(upstream, Fault::Crash(outage)) => {
                 self.engines[upstream].crash();
+                self.down.insert(upstream);
                 self.at(
                     self.now,
                     Event::Upstream(upstream, upstream::Input::EngineDown),
@@ -145,6 +149,7 @@
             }
             Event::EngineUp(upstream) => {
                 self.engines[upstream].restart();
+                self.down.remove(&upstream);
                 self.event(Event::Upstream(upstream, upstream::Input::EngineUp));
             }
         }
@@ -177,6 +182,14 @@
             entry::Output::SetTimer { at, timer } => {
                 self.at(at, Event::Entry(entry, entry::Input::Timer(timer)));
             }
+            entry::Output::Probe(upstream) => {
+                let host = upstream.host;
+                let number: Option<usize> = host.strip_prefix("up-").and_then(|n| n.parse().ok());
+                let Some(number) = number else { return };
+                let up = !self.down.contains(&number);
+                let at = self.now + 2 * self.latencies[entry][number];
+                self.at(at, Event::Entry(entry, entry::Input::Probed { host, up }));
+            }
             entry::Output::Send { to, message } => {
                 let known = (0..self.entries.len()).find(|n| entry_name(*n) == to);
                 if let Some(peer) = known {
