--- a/crates/standins/examples/quickstart/keep.rs
+++ b/crates/standins/examples/quickstart/keep.rs
@@ -20,6 +20,12 @@
             upstream.admin_address()
         );
     }
+    for engine in &fleet.engines {
+        println!("  engine    {}", engine.address());
+    }
+    for plain in &fleet.plains {
+        println!("  plain     {}", plain.address());
+    }
     if let Some(entry) = fleet.entries.first() {
         let url = format!(
             "http://{}/v1/services/{DRAFTS}/v1/completions",
