Start daemons again when a port was taken meanwhile; show the own revision

A run of 100 daemons never got ready: one of them had lost a free port to another between the look and the bind, and had ended. The table in eelctl status also showed revision 0 for the host that was asked.

--- a/crates/net/src/host/entry/status.rs
+++ b/crates/net/src/host/entry/status.rs
@@ -30,16 +30,23 @@
             (None, false) => "no configuration is known yet",
             (Some(_), false) => "",
         };
+        let revision = cfg.map_or(0, |cfg| cfg.revision);
+        let common = common();
         let members = fleet.read(FleetEntry::members);
+        let mut members: Vec<MemberStatus> = members.iter().map(member_status).collect();
+        for member in members.iter_mut().filter(|m| m.host == common.host) {
+            // The table holds what the host announced at its start.
+            member.revision = revision;
+        }
         Status {
             ready: reason.is_empty(),
             reason: reason.to_owned(),
-            revision: cfg.map_or(0, |cfg| cfg.revision),
+            revision,
             draining,
             held: driver.held() as u64,
             incarnation: shared.incarnation.load(Ordering::Relaxed),
-            members: members.iter().map(member_status).collect(),
-            ..common()
+            members,
+            ..common
         }
     }
 }
--- a/crates/standins/src/process/mod.rs
+++ b/crates/standins/src/process/mod.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -17,6 +17,12 @@
 const PAUSE: Duration = Duration::from_millis(50);
 /// Looks after which a process counts as never ending.
 const LOOKS: u32 = 1_200;
+/// Starts after which a daemon counts as unable to start.
+const TRIES: u32 = 5;
+/// Pause between looks at whether a daemon listens.
+const LISTEN_PAUSE: Duration = Duration::from_millis(10);
+/// Looks after which a daemon counts as never listening.
+const LISTEN_LOOKS: u32 = 1_000;
 /// Makes the names of settings files differ.
 static NEXT_FILE: AtomicU64 = AtomicU64::new(0);
 
@@ -69,14 +75,25 @@
         self
     }
 
-    /// Starts the daemon on free ports of loopback.
+    /// Starts the daemon on free ports of loopback and waits until it listens.
     ///
     /// # Errors
     ///
-    /// If there are no free ports or the process can't be started.
+    /// If there are no free ports, or the process can't be started or does not listen.
     pub fn start(self) -> io::Result<Daemon> {
+        for _ in 0..TRIES {
+            let mut daemon = self.try_start()?;
+            if daemon.listens() {
+                return Ok(daemon);
+            }
+        }
+        Err(io::Error::other("the daemon does not listen"))
+    }
+
+    fn try_start(&self) -> io::Result<Daemon> {
         let [data, control, admin] = free_addresses()?;
         let launch = self
+            .clone()
             .set("data_address", json!(data))
             .set("control_address", json!(control))
             .set("admin_address", json!(admin));
@@ -119,6 +136,21 @@
         self.child.id()
     }
 
+    /// Waits until the daemon listens; false if it ended before, as when another process took
+    /// one of its ports meanwhile.
+    fn listens(&mut self) -> bool {
+        for _ in 0..LISTEN_LOOKS {
+            if !matches!(self.child.try_wait(), Ok(None)) {
+                return false;
+            }
+            if TcpStream::connect(self.admin).is_ok() {
+                return true;
+            }
+            std::thread::sleep(LISTEN_PAUSE);
+        }
+        false
+    }
+
     /// Sends a signal by its name, such as `TERM`.
     ///
     /// # Errors
