Leave out an upstream whose engine was seen to die

A crash that an entry host had seen itself still cost another request a bounce before the upstream was left out. The experiment also reported crashes as plain failures, unlike the drivers.

--- a/crates/core/src/entry/attempts.rs
+++ b/crates/core/src/entry/attempts.rs
@@ -168,6 +168,9 @@
                 self.retry(now, handle, run, out);
             }
             AttemptEvent::Crashed => {
+                if let Some(view) = self.loads.get_mut(&host) {
+                    view.refused(now);
+                }
                 self.observe(now, &host, handle, Observation::Failed, out);
                 self.end_attempt(attempt);
                 self.crashed(now, handle, out);
--- a/crates/core/src/entry/tests/mod.rs
+++ b/crates/core/src/entry/tests/mod.rs
@@ -203,6 +203,29 @@
     assert!(only.is_some());
 }
 
+// Guards against a request that has to find out that an engine is down which was seen to die.
+#[test]
+fn upstream_whose_engine_died_is_left_out_until_a_probe_finds_it_up() {
+    let mut entry = entry(6);
+    let out = admit(&mut entry, WorkClass::Idempotent);
+    let host = |out: &[Output]| {
+        out.iter().find_map(|o| match o {
+            Output::Dispatch { upstream, .. } => Some(upstream.host.clone()),
+            _ => None,
+        })
+    };
+    let (attempt, dead) = (dispatched(&out).unwrap().0, host(&out).unwrap());
+    entry.handle(Now::ZERO, Input::Attempt(attempt, AttemptEvent::Crashed));
+    for n in 0..10 {
+        let mut request = request(WorkClass::Idempotent);
+        request.id = format!("after-{n}");
+        request.fingerprint = 100 + n;
+        let handle = 100 + n;
+        let out = entry.handle(Now::ZERO, Input::Request { handle, request });
+        assert_ne!(host(&out).unwrap(), dead);
+    }
+}
+
 // Guards against requests that are refused because suspects keep a few upstreams closed while
 // others are idle (seen in the quickstart, seed 2: 11 of 240 drafts), and against a closed
 // upstream that is not asked whether it is open again.
--- a/crates/standins/examples/experiment/world/run.rs
+++ b/crates/standins/examples/experiment/world/run.rs
@@ -262,7 +262,15 @@
                 self.attempts.remove(&attempt);
             }
             upstream::Output::Fail { attempt, run } => {
-                self.tell_entry(attempt, AttemptEvent::Failed(run));
+                let crashed = self
+                    .attempts
+                    .get(&attempt)
+                    .map(|a| self.down.contains(&a.upstream));
+                let event = match crashed {
+                    Some(true) => AttemptEvent::Crashed,
+                    _ => AttemptEvent::Failed(run),
+                };
+                self.tell_entry(attempt, event);
                 self.attempts.remove(&attempt);
             }
             upstream::Output::SetTimer { at, timer } => {
