--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -14,6 +14,8 @@
 
 /// Streams that are open while a process stops.
 const STREAMS: usize = 50;
+/// Looks after which the engines count as never getting the drafts.
+const LOOKS: u32 = 6_000;
 /// Tokens of each draft: long enough to be running when the process stops.
 const TOKENS: u32 = 60;
 
@@ -44,10 +46,13 @@
         })
     });
     let drafts: Vec<_> = drafts.collect();
-    while processes.in_flight() < STREAMS / 4 {
+    for _ in 0..LOOKS {
+        if processes.in_flight() >= STREAMS / 4 {
+            return drafts;
+        }
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
-    drafts
+    panic!("the engines did not get the drafts");
 }
 
 async fn reports(drafts: Vec<tokio::task::JoinHandle<Report>>) -> Vec<Report> {
