--- a/crates/standins/examples/experiment/skew/mod.rs
+++ b/crates/standins/examples/experiment/skew/mod.rs
@@ -63,8 +63,8 @@
     }
     for layers in [15, 29, 58] {
         let (mean, longest) = plan_time::plan_ms(seed, layers);
-        rows.push(row("planned", "plan_ms", layers, mean));
-        rows.push(row("planned", "plan_ms_max", layers, longest));
+        rows.push(row("eelgrasshold", "plan_ms", layers, mean));
+        rows.push(row("eelgrasshold", "plan_ms_max", layers, longest));
     }
     rows
 }
--- a/crates/standins/examples/experiment/skew/model.rs
+++ b/crates/standins/examples/experiment/skew/model.rs
@@ -54,7 +54,7 @@
         match self {
             Self::Static => "static",
             Self::FullReplan => "full_replan",
-            Self::Planned => "planned",
+            Self::Planned => "eelgrasshold",
         }
     }
 }
