Share rendezvous hashing and the removal of hop-by-hop headers

Rendezvous hashing stood twice, line for line, in serving and in fleet, and four places of the drivers removed the same headers in a loop of their own. Both are one piece of code now. Ruled out: merging the doubled constructors of the two roles, which share a shape but not their parts. Behaviour is unchanged: the two copies of the hash were identical.

--- a/crates/core/src/fleet/answers.rs
+++ b/crates/core/src/fleet/answers.rs
@@ -5,8 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::membership::rendezvous;
 use super::membership::{MemberView, Record, Role, State};
+use crate::rendezvous;
 use crate::types::HostId;
 
 /// How long a caller may use an answer.
--- a/crates/core/src/fleet/entry/config.rs
+++ b/crates/core/src/fleet/entry/config.rs
@@ -3,9 +3,10 @@
 use super::FleetEntry;
 use crate::event::EventKind;
 use crate::fleet::Output;
-use crate::fleet::membership::{State, rendezvous};
+use crate::fleet::membership::State;
 use crate::fleet::message::Body;
 use crate::fleet::spread::{Source, Step, WatchStep};
+use crate::rendezvous;
 use crate::types::Now;
 
 /// Watchers in each data centre: two, so that one may fail unnoticed for a while.
--- a/crates/core/src/fleet/entry/members.rs
+++ b/crates/core/src/fleet/entry/members.rs
@@ -10,8 +10,9 @@
 use crate::event::EventKind;
 use crate::fleet::membership::gossip::Room;
 use crate::fleet::membership::table::{Change, Member};
-use crate::fleet::membership::{Role, State, rendezvous, sync};
+use crate::fleet::membership::{Role, State, sync};
 use crate::fleet::message::{Body, Peer, RUMOUR_BYTES, Summary, Update};
+use crate::rendezvous;
 use crate::types::{HostId, Now};
 
 /// Silence of an upstream process after which it is suspected: two heartbeats and some.
--- a/crates/core/src/fleet/entry/receive.rs
+++ b/crates/core/src/fleet/entry/receive.rs
@@ -118,7 +118,7 @@
     }
 
     fn ask_record(&mut self, from: &Sender) {
-        let wanted = vec![crate::fleet::membership::rendezvous::hash(&from.host)];
+        let wanted = vec![crate::rendezvous::hash(&from.host)];
         let updates = Vec::new();
         self.send(&from.address, Body::Repair { updates, wanted });
     }
--- a/crates/core/src/fleet/membership/mod.rs
+++ b/crates/core/src/fleet/membership/mod.rs
@@ -6,7 +6,6 @@
 pub(super) mod gossip;
 pub(super) mod reach;
 mod record;
-pub(super) mod rendezvous;
 pub(super) mod sync;
 pub(super) mod table;
 
--- a/crates/core/src/fleet/membership/record.rs
+++ b/crates/core/src/fleet/membership/record.rs
@@ -2,8 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::rendezvous;
 use crate::fleet::message::Summary;
+use crate::rendezvous;
 use crate::types::{DataCentreId, HostId, Incarnation, RegionId, Revision, ServiceId};
 
 /// What a process does.
--- a/crates/core/src/fleet/membership/sync.rs
+++ b/crates/core/src/fleet/membership/sync.rs
@@ -1,9 +1,9 @@
 //! Comparison of two tables by hashes of buckets, for what gossip missed.
 
 use super::record::{Record, State};
-use super::rendezvous;
 use super::table::{Member, Table};
 use crate::fleet::message::{MAX_PAGE_BYTES, Summary, Update};
+use crate::rendezvous;
 
 /// Buckets of names.
 pub const BUCKETS: u64 = 32;
--- a/crates/core/src/fleet/membership/table.rs
+++ b/crates/core/src/fleet/membership/table.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use super::record::{Record, Role, State};
-use super::rendezvous;
 use crate::fleet::message::{Summary, Update};
+use crate::rendezvous;
 use crate::types::{HostId, Now};
 
 /// A member as status pages show it.
--- a/crates/core/src/fleet/upstream.rs
+++ b/crates/core/src/fleet/upstream.rs
@@ -6,13 +6,14 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::membership::{Record, Role, State, rendezvous};
+use super::membership::{Record, Role, State};
 use super::message::{Body, FleetMessage, Heartbeat, HeartbeatReply, Peer, Sender};
 use super::settings::FleetSettings;
 use super::spread::{Source, Spread, Step};
 use super::{Input, Output, Timer};
 use crate::config::Config;
 use crate::event::{Event, EventKind, Stamp};
+use crate::rendezvous;
 use crate::types::{Now, Revision};
 
 /// Regular step.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fleet;
 pub mod group;
 pub mod platform;
+mod rendezvous;
 pub mod serving;
 pub mod types;
 pub mod upstream;
--- a/crates/core/src/serving/limits/mod.rs
+++ b/crates/core/src/serving/limits/mod.rs
@@ -23,7 +23,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::rendezvous;
+use crate::rendezvous;
 use crate::types::{HostId, TeamId};
 
 pub use accountant::Accountant;
--- a/crates/core/src/serving/mod.rs
+++ b/crates/core/src/serving/mod.rs
@@ -4,7 +4,6 @@
 pub mod health;
 pub mod limits;
 pub mod queue;
-mod rendezvous;
 pub mod retry;
 pub mod routing;
 pub mod subset;
--- a/crates/core/src/serving/routing/mod.rs
+++ b/crates/core/src/serving/routing/mod.rs
@@ -12,7 +12,7 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
-use super::rendezvous;
+use crate::rendezvous;
 use crate::types::{HostId, Now, Request};
 
 pub use view::LoadView;
--- a/crates/core/src/serving/subset/mod.rs
+++ b/crates/core/src/serving/subset/mod.rs
@@ -12,7 +12,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::rendezvous;
+use crate::rendezvous;
 use crate::types::{DataCentreId, HostId};
 
 /// Upstreams of a service that an entry host uses.
--- a/crates/net/src/entry/attempt.rs
+++ b/crates/net/src/entry/attempt.rs
@@ -76,9 +76,7 @@
     *request.version_mut() = http::Version::HTTP_2;
     let fields = request.headers_mut();
     *fields = incoming.parts.headers.clone();
-    for name in headers::HOP_BY_HOP {
-        fields.remove(name);
-    }
+    headers::remove_hop_by_hop(fields);
     fields.remove(http::header::HOST);
     fields.insert(
         headers::ATTEMPT,
--- a/crates/net/src/entry/flow.rs
+++ b/crates/net/src/entry/flow.rs
@@ -168,9 +168,7 @@
         *response.status_mut() = stream.parts.status;
         let fields = response.headers_mut();
         *fields = stream.parts.headers.clone();
-        for name in headers::HOP_BY_HOP {
-            fields.remove(name);
-        }
+        headers::remove_hop_by_hop(fields);
         for name in [headers::LOAD, headers::CLOCK] {
             fields.remove(name);
         }
--- a/crates/net/src/upstream/engine.rs
+++ b/crates/net/src/upstream/engine.rs
@@ -163,9 +163,7 @@
 
 fn pass_through(parts: &Parts) -> http::HeaderMap {
     let mut fields = parts.headers.clone();
-    for name in headers::HOP_BY_HOP {
-        fields.remove(name);
-    }
+    headers::remove_hop_by_hop(&mut fields);
     let ours = [
         headers::ATTEMPT,
         headers::REQUEST,
--- a/crates/net/src/upstream/work.rs
+++ b/crates/net/src/upstream/work.rs
@@ -241,9 +241,7 @@
     commands: mpsc::UnboundedReceiver<Command>,
 ) -> Response<Body> {
     let (mut parts, body) = answer.into_parts();
-    for name in headers::HOP_BY_HOP {
-        parts.headers.remove(name);
-    }
+    headers::remove_hop_by_hop(&mut parts.headers);
     parts
         .headers
         .insert(headers::LOAD, headers::json_value(&guard.driver.load()));
--- a/crates/net/src/wire/headers.rs
+++ b/crates/net/src/wire/headers.rs
@@ -49,7 +49,7 @@
 pub const ALONE: HeaderName = HeaderName::from_static("eel-alone");
 
 /// Headers that belong to one connection and are never passed on.
-pub const HOP_BY_HOP: [HeaderName; 7] = [
+const HOP_BY_HOP: [HeaderName; 7] = [
     http::header::CONNECTION,
     http::header::TRANSFER_ENCODING,
     http::header::TE,
@@ -59,6 +59,13 @@
     HeaderName::from_static("proxy-connection"),
 ];
 
+/// Removes the headers that belong to one connection.
+pub fn remove_hop_by_hop(fields: &mut HeaderMap) {
+    for name in HOP_BY_HOP {
+        fields.remove(name);
+    }
+}
+
 /// The header as text, if it is there.
 #[must_use]
 pub fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
