--- /dev/null
+++ b/crates/core/src/gateway/peers.rs
@@ -0,0 +1,432 @@
+//! What entry hosts know of one another, spread by short datagrams.
+//!
+//! Each host counts its own beats. A datagram carries the sender's record, the newest beats that
+//! it has heard of, and a few records; each round goes to [`FAN_OUT`] hosts, so that the cost of a
+//! host doesn't grow with the fleet beyond [`MAX_PULSES`]. A host whose beat stands still for
+//! [`SILENCE_LIMIT`] is left out of answers to callers until it is heard again.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use serde::{Deserialize, Serialize};
+
+use super::routes::TableVersion;
+use crate::rendezvous;
+use crate::types::{DataCentreId, HostId, Incarnation, Now, RegionId};
+
+/// Time between two rounds.
+pub const ROUND: Duration = Duration::from_millis(500);
+/// Hosts that a round goes to: a beat reaches 100 hosts in four rounds.
+const FAN_OUT: usize = 3;
+/// Time without a new beat after which a host counts as silent: four rounds of spreading, and one
+/// that was lost.
+const SILENCE_LIMIT: Duration = Duration::from_millis(2_500);
+/// Time without a new beat after which a host is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(120);
+/// Beats in one datagram, the latest heard first; they keep it below 1,400 bytes.
+const MAX_PULSES: usize = 48;
+/// Records in one datagram.
+const MAX_RECORDS: usize = 3;
+/// Records in the answer to a host that starts.
+const MAX_JOIN_RECORDS: usize = 64;
+/// Rounds between two datagrams to a seed, which find a part of the fleet that was cut off.
+const SEED_ROUNDS: u32 = 8;
+/// A gap between two rounds that shows that this process was paused.
+const PAUSE: Duration = Duration::from_millis(1_500);
+
+/// Whether a host takes callers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Standing {
+    /// It lacks a configuration or the list of upstreams.
+    #[default]
+    Starting,
+    /// It serves callers.
+    Ready,
+    /// It ends what it holds and takes no new callers.
+    Leaving,
+}
+
+/// What a host says about itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PeerRecord {
+    /// Name.
+    pub host: HostId,
+    /// Life of the process.
+    pub incarnation: Incarnation,
+    /// Number of the record in this life.
+    pub version: u32,
+    /// Region.
+    pub region: RegionId,
+    /// Data centre.
+    pub data_centre: DataCentreId,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where datagrams and pulls of other hosts go.
+    pub peers: SocketAddr,
+    /// Whether it takes callers.
+    pub standing: Standing,
+}
+
+/// The newest beat of a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pulse {
+    /// Hash of its name.
+    pub key: u64,
+    /// Life.
+    pub incarnation: Incarnation,
+    /// Number of its record.
+    pub version: u32,
+    /// Beat in this life.
+    pub beat: u32,
+}
+
+/// A datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Gossip {
+    /// The sender.
+    pub from: PeerRecord,
+    /// Beat of the sender.
+    pub beat: u32,
+    /// The sender knows no other host and asks for records.
+    pub joining: bool,
+    /// Version of the route table that the sender has in force.
+    pub table: TableVersion,
+    /// Beats of others.
+    pub pulses: Vec<Pulse>,
+    /// Records of others.
+    pub records: Vec<PeerRecord>,
+    /// Keys of records that the sender lacks.
+    pub wanted: Vec<u64>,
+}
+
+/// What a host's news did, for logs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PeerChange {
+    /// A host, or a new life of one, was heard of.
+    Seen(HostId),
+    /// A host began to leave.
+    Leaving(HostId),
+    /// A host's beat stands still.
+    Silent(HostId),
+    /// A silent host was heard again.
+    Back(HostId),
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    record: PeerRecord,
+    beat: u32,
+    /// When its beat last rose.
+    heard: Now,
+    silent: bool,
+    table: TableVersion,
+}
+
+/// The hosts that one host knows.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    me: PeerRecord,
+    beat: u32,
+    seeds: Vec<SocketAddr>,
+    others: BTreeMap<u64, Peer>,
+    wanted: BTreeSet<u64>,
+    last_round: Option<Now>,
+    rng: SmallRng,
+}
+
+impl Peers {
+    /// A host that knows only the addresses of a few others.
+    #[must_use]
+    pub fn new(me: PeerRecord, seeds: Vec<SocketAddr>, seed: u64) -> Self {
+        let own = me.peers;
+        Self {
+            me,
+            beat: 0,
+            seeds: seeds.into_iter().filter(|s| *s != own).collect(),
+            others: BTreeMap::new(),
+            wanted: BTreeSet::new(),
+            last_round: None,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// This host's record.
+    #[must_use]
+    pub fn me(&self) -> &PeerRecord {
+        &self.me
+    }
+
+    /// Changes this host's standing.
+    pub fn set_standing(&mut self, standing: Standing) {
+        if self.me.standing != standing {
+            self.me.standing = standing;
+            self.me.version += 1;
+        }
+    }
+
+    /// Adds addresses to ask when no host is known.
+    pub fn add_seeds(&mut self, seeds: impl IntoIterator<Item = SocketAddr>) {
+        for seed in seeds {
+            if seed != self.me.peers && !self.seeds.contains(&seed) {
+                self.seeds.push(seed);
+            }
+        }
+    }
+
+    /// Whether any other host was heard lately.
+    #[must_use]
+    pub fn is_alone(&self) -> bool {
+        self.others.values().all(|p| p.silent)
+    }
+
+    /// Hosts that take part, this one included.
+    #[must_use]
+    pub fn live_count(&self) -> usize {
+        1 + self.others.values().filter(|p| !p.silent).count()
+    }
+
+    /// Makes a round: what to send to whom, and what became silent.
+    pub fn round(
+        &mut self,
+        now: Now,
+        table: TableVersion,
+    ) -> (Vec<(SocketAddr, Gossip)>, Vec<PeerChange>) {
+        self.allow_for_pause(now);
+        self.beat += 1;
+        let changes = self.judge(now);
+        let mut targets: Vec<SocketAddr> = self.random_peers(FAN_OUT);
+        let joining = self.is_alone();
+        if joining {
+            targets.extend(&self.seeds);
+        } else if self.beat.is_multiple_of(SEED_ROUNDS) {
+            targets.extend(self.seeds.choose(&mut self.rng));
+        }
+        targets.sort();
+        targets.dedup();
+        let gossip = self.gossip(table, joining, MAX_RECORDS);
+        let sends = targets.into_iter().map(|t| (t, gossip.clone())).collect();
+        (sends, changes)
+    }
+
+    /// A datagram that tells a change of this host at once, to all that are known.
+    pub fn announce(&mut self, table: TableVersion) -> Vec<(SocketAddr, Gossip)> {
+        self.beat += 1;
+        let gossip = self.gossip(table, false, 0);
+        let live = self.others.values().filter(|p| !p.silent);
+        live.map(|p| (p.record.peers, gossip.clone())).collect()
+    }
+
+    /// Takes a datagram; returns an answer, if one is due, and what changed.
+    pub fn receive(
+        &mut self,
+        now: Now,
+        gossip: &Gossip,
+        table: TableVersion,
+    ) -> (Option<(SocketAddr, Gossip)>, Vec<PeerChange>) {
+        let mut changes = Vec::new();
+        let (to, joining) = (gossip.from.peers, gossip.joining);
+        let sender = key_of(&gossip.from.host);
+        self.merge(now, &gossip.from, gossip.beat, &mut changes);
+        if let Some(peer) = self.others.get_mut(&sender) {
+            peer.table = gossip.table;
+        }
+        for record in &gossip.records {
+            self.merge(now, record, 0, &mut changes);
+        }
+        for pulse in &gossip.pulses {
+            self.merge_pulse(now, *pulse, &mut changes);
+        }
+        let known = |key: &u64| self.others.get(key).map(|p| p.record.clone());
+        let asked: Vec<PeerRecord> = gossip.wanted.iter().filter_map(known).collect();
+        if !joining && asked.is_empty() {
+            return (None, changes);
+        }
+        let mut answer = self.gossip(table, false, if joining { MAX_JOIN_RECORDS } else { 0 });
+        answer.records.extend(asked);
+        (Some((to, answer)), changes)
+    }
+
+    /// Hosts that callers may use, this one included if it is ready.
+    ///
+    /// When most known hosts fell silent, it is likely this one that is cut off, so they are
+    /// named nevertheless.
+    #[must_use]
+    pub fn named(&self) -> Vec<&PeerRecord> {
+        let silent = self.others.values().filter(|p| p.silent).count();
+        let cut_off = silent * 2 > self.others.len();
+        let usable = |p: &&Peer| p.record.standing == Standing::Ready && (cut_off || !p.silent);
+        let mut named: Vec<&PeerRecord> = self
+            .others
+            .values()
+            .filter(usable)
+            .map(|p| &p.record)
+            .collect();
+        if self.me.standing == Standing::Ready {
+            named.push(&self.me);
+        }
+        named
+    }
+
+    /// A live host with a newer route table, if one is known.
+    #[must_use]
+    pub fn with_newer_table(&self, than: TableVersion) -> Option<(TableVersion, SocketAddr)> {
+        let live = self.others.values().filter(|p| !p.silent && p.table > than);
+        live.map(|p| (p.table, p.record.peers)).max()
+    }
+
+    /// Addresses of live hosts for pulls, in random order.
+    pub fn random_peers(&mut self, count: usize) -> Vec<SocketAddr> {
+        let live: Vec<SocketAddr> = self
+            .others
+            .values()
+            .filter(|p| !p.silent)
+            .map(|p| p.record.peers)
+            .collect();
+        live.choose_multiple(&mut self.rng, count)
+            .copied()
+            .collect()
+    }
+
+    fn gossip(&mut self, table: TableVersion, joining: bool, records: usize) -> Gossip {
+        let mut by_age: Vec<(&u64, &Peer)> =
+            self.others.iter().filter(|(_, p)| !p.silent).collect();
+        by_age.sort_by_key(|(_, p)| std::cmp::Reverse(p.heard));
+        let pulse = |(key, p): &(&u64, &Peer)| Pulse {
+            key: **key,
+            incarnation: p.record.incarnation,
+            version: p.record.version,
+            beat: p.beat,
+        };
+        let pulses = by_age.iter().take(MAX_PULSES).map(pulse).collect();
+        let chosen = by_age.choose_multiple(&mut self.rng, records);
+        let records = chosen.map(|(_, p)| p.record.clone()).collect();
+        Gossip {
+            from: self.me.clone(),
+            beat: self.beat,
+            joining,
+            table,
+            pulses,
+            records,
+            wanted: std::mem::take(&mut self.wanted).into_iter().collect(),
+        }
+    }
+
+    /// Takes a record. Only the beats of its host show that it lives, so a record from a third
+    /// host gives a host that was not known a short time to be heard.
+    fn merge(&mut self, now: Now, record: &PeerRecord, beat: u32, changes: &mut Vec<PeerChange>) {
+        if record.host == self.me.host {
+            return;
+        }
+        let key = key_of(&record.host);
+        let Some(peer) = self.others.get_mut(&key) else {
+            changes.push(PeerChange::Seen(record.host.clone()));
+            let peer = Peer {
+                record: record.clone(),
+                beat,
+                heard: now,
+                silent: false,
+                table: 0,
+            };
+            self.others.insert(key, peer);
+            return;
+        };
+        let (known, new) = (&peer.record, record);
+        if new.incarnation > known.incarnation {
+            changes.push(PeerChange::Seen(record.host.clone()));
+            *peer = Peer {
+                record: record.clone(),
+                beat,
+                heard: now,
+                silent: false,
+                table: 0,
+            };
+            return;
+        }
+        if new.incarnation < known.incarnation {
+            return;
+        }
+        if new.version > known.version {
+            if new.standing == Standing::Leaving {
+                changes.push(PeerChange::Leaving(record.host.clone()));
+            }
+            peer.record = record.clone();
+        }
+        if beat > peer.beat {
+            Self::heard(peer, now, beat, changes);
+        }
+    }
+
+    fn merge_pulse(&mut self, now: Now, pulse: Pulse, changes: &mut Vec<PeerChange>) {
+        if pulse.key == key_of(&self.me.host) {
+            // The clock that numbers lives was ahead in an earlier one.
+            if pulse.incarnation > self.me.incarnation {
+                self.me.incarnation = pulse.incarnation + 1;
+            }
+            return;
+        }
+        let Some(peer) = self.others.get_mut(&pulse.key) else {
+            self.wanted.insert(pulse.key);
+            return;
+        };
+        let known = (peer.record.incarnation, peer.record.version);
+        if (pulse.incarnation, pulse.version) > known {
+            self.wanted.insert(pulse.key);
+        }
+        if pulse.incarnation == peer.record.incarnation && pulse.beat > peer.beat {
+            Self::heard(peer, now, pulse.beat, changes);
+        }
+    }
+
+    fn heard(peer: &mut Peer, now: Now, beat: u32, changes: &mut Vec<PeerChange>) {
+        peer.beat = beat;
+        peer.heard = now;
+        if peer.silent {
+            peer.silent = false;
+            changes.push(PeerChange::Back(peer.record.host.clone()));
+        }
+    }
+
+    fn judge(&mut self, now: Now) -> Vec<PeerChange> {
+        let mut changes = Vec::new();
+        for peer in self.others.values_mut() {
+            if !peer.silent && now.saturating_sub(peer.heard) > SILENCE_LIMIT {
+                peer.silent = true;
+                changes.push(PeerChange::Silent(peer.record.host.clone()));
+            }
+        }
+        let forgotten = |p: &Peer| now.saturating_sub(p.heard) > FORGET_AFTER;
+        self.others.retain(|_, p| !forgotten(p));
+        changes
+    }
+
+    /// After a pause of this process, nobody was heard because nobody could be.
+    fn allow_for_pause(&mut self, now: Now) {
+        let Some(last) = self.last_round.replace(now) else {
+            return;
+        };
+        let gap = now.saturating_sub(last);
+        if gap > PAUSE {
+            for peer in self.others.values_mut() {
+                peer.heard = (peer.heard + gap).min(now);
+            }
+        }
+    }
+}
+
+fn key_of(host: &str) -> u64 {
+    rendezvous::hash(host)
+}
+
+/// Jitter of the first round, so that hosts that start together don't beat together.
+#[must_use]
+pub fn first_round(rng: &mut SmallRng) -> Duration {
+    ROUND.mul_f64(rng.random_range(0.0..0.5))
+}
--- /dev/null
+++ b/crates/core/src/gateway/registry.rs
@@ -0,0 +1,196 @@
+//! The upstreams that requests may go to, as the platform's registry lists them.
+//!
+//! An entry that disappears while the registry can be read names an upstream that has left.
+//! During an outage of the registry's store, entries lapse although their upstreams live; they
+//! come back soon after the store does, so upstreams whose entries lapsed then stay usable for
+//! [`LAPSE_GRACE`] after the store's return.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::types::{DataCentreId, Now, ServiceId};
+
+/// Id of one life of an upstream.
+pub type UpstreamId = String;
+
+/// Time after the store's return in which lapsed entries come back; the platform names about two
+/// seconds, and an upstream that has left must get nothing new two seconds after the store knows.
+pub const LAPSE_GRACE: Duration = Duration::from_millis(1_800);
+
+/// An upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Upstream {
+    /// Id of this life.
+    pub id: UpstreamId,
+    /// Service that it runs.
+    pub service: ServiceId,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Data centre.
+    pub data_centre: DataCentreId,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// It is leaving and takes nothing new.
+    pub leaving: bool,
+    /// How much longer it is slow after its start, as of the entry.
+    pub warm_up: Duration,
+}
+
+/// What a change did to the registry, for logs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A new upstream.
+    Joined(UpstreamId),
+    /// An upstream announced that it is leaving.
+    Leaving(UpstreamId),
+    /// The entry disappeared during an outage; the upstream stays usable for a while.
+    Lapsed(UpstreamId),
+    /// A lapsed entry came back.
+    Returned(UpstreamId),
+    /// An upstream is gone.
+    Gone(UpstreamId),
+}
+
+#[derive(Clone, Debug)]
+struct Listed {
+    upstream: Upstream,
+    lapsed: bool,
+}
+
+/// Upstreams by id.
+#[derive(Clone, Debug, Default)]
+pub struct Registry {
+    listed: BTreeMap<UpstreamId, Listed>,
+    /// The store failed, and has been back for less than the grace.
+    outage: Outage,
+    /// Whether a whole list was read in this life.
+    complete: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Outage {
+    #[default]
+    None,
+    Down,
+    Until(Now),
+}
+
+impl Registry {
+    /// Whether a whole list was taken.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        self.complete
+    }
+
+    /// Notes that the store failed; lapses are not believed until it has been back for a while.
+    pub fn store_failed(&mut self) {
+        self.outage = Outage::Down;
+    }
+
+    /// Notes that the store answered.
+    pub fn store_answered(&mut self, now: Now) {
+        if self.outage == Outage::Down {
+            self.outage = Outage::Until(now + LAPSE_GRACE);
+        }
+    }
+
+    /// Takes a whole list.
+    pub fn replace(&mut self, now: Now, list: Vec<Upstream>) -> Vec<Change> {
+        self.complete = true;
+        let mut changes = Vec::new();
+        let new: BTreeMap<UpstreamId, Upstream> =
+            list.into_iter().map(|u| (u.id.clone(), u)).collect();
+        let missing: Vec<UpstreamId> = self
+            .listed
+            .keys()
+            .filter(|id| !new.contains_key(*id))
+            .cloned()
+            .collect();
+        for id in missing {
+            changes.extend(self.remove(now, &id));
+        }
+        for upstream in new.into_values() {
+            changes.extend(self.set(upstream));
+        }
+        changes
+    }
+
+    /// Takes a new or changed entry.
+    pub fn set(&mut self, upstream: Upstream) -> Option<Change> {
+        let id = upstream.id.clone();
+        let leaving = upstream.leaving;
+        let lapsed = false;
+        let before = self.listed.insert(id.clone(), Listed { upstream, lapsed });
+        match before {
+            None if leaving => Some(Change::Leaving(id)),
+            None => Some(Change::Joined(id)),
+            Some(before) if leaving && !before.upstream.leaving => Some(Change::Leaving(id)),
+            Some(before) if before.lapsed => Some(Change::Returned(id)),
+            Some(_) => None,
+        }
+    }
+
+    /// Takes the disappearance of an entry.
+    pub fn remove(&mut self, now: Now, id: &str) -> Option<Change> {
+        let listed = self.listed.get_mut(id)?;
+        let in_doubt = match self.outage {
+            Outage::None => false,
+            Outage::Down => true,
+            Outage::Until(at) => now < at,
+        };
+        if in_doubt && !listed.upstream.leaving {
+            if listed.lapsed {
+                return None;
+            }
+            listed.lapsed = true;
+            return Some(Change::Lapsed(id.to_owned()));
+        }
+        self.listed.remove(id);
+        Some(Change::Gone(id.to_owned()))
+    }
+
+    /// Drops the lapsed entries that did not come back in time.
+    pub fn expire(&mut self, now: Now) -> Vec<Change> {
+        let Outage::Until(at) = self.outage else {
+            return Vec::new();
+        };
+        if now < at {
+            return Vec::new();
+        }
+        self.outage = Outage::None;
+        let lapsed = self.listed.iter().filter(|(_, l)| l.lapsed);
+        let gone: Vec<UpstreamId> = lapsed.map(|(id, _)| id.clone()).collect();
+        self.listed.retain(|_, l| !l.lapsed);
+        gone.into_iter().map(Change::Gone).collect()
+    }
+
+    /// When [`Self::expire`] has something to do, if ever.
+    #[must_use]
+    pub fn expires_at(&self) -> Option<Now> {
+        match self.outage {
+            Outage::Until(at) => Some(at),
+            _ => None,
+        }
+    }
+
+    /// An upstream that may be used or is leaving.
+    #[must_use]
+    pub fn get(&self, id: &str) -> Option<&Upstream> {
+        self.listed.get(id).map(|l| &l.upstream)
+    }
+
+    /// All upstreams, the leaving ones included.
+    pub fn all(&self) -> impl Iterator<Item = &Upstream> {
+        self.listed.values().map(|l| &l.upstream)
+    }
+
+    /// Upstreams of a service that take new requests.
+    pub fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Upstream> {
+        self.all()
+            .filter(move |u| !u.leaving && u.service == service)
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/state.rs
@@ -0,0 +1,335 @@
+//! State that all requests of a gateway share, and the steps of one request.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::budget::{RetryBound, RetryBudget};
+use super::placing::{self, Loads, Work};
+use super::registry::{Registry, Upstream, UpstreamId};
+use super::routes::{Route, RouteTable, TableVersion};
+use super::trust::{Observation, Trust};
+use crate::types::{
+    DataCentreId, Now, Refusal, RefusalKind, RequestId, Run, ServiceId, TeamId, WorkClass,
+};
+
+/// Time left below which a request is not sent any more: it would reach the upstream too late.
+const LEAST_TIME: Duration = Duration::from_millis(5);
+/// Connections that may fail for one request: the next one is likely to fail too, and each takes
+/// up to the time limit of connecting.
+const MAX_UNREACHED: u32 = 4;
+/// Retry-After of a host that is not ready yet.
+const NOT_READY_RETRY: Duration = Duration::from_millis(500);
+/// Retry-After where no upstream takes the request now.
+const BUSY_RETRY: Duration = Duration::from_millis(300);
+/// Deadline of a request that names none; the route's timeout is usually shorter.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+
+/// What a gateway is told at its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatewaySettings {
+    /// Data centre of the host.
+    pub data_centre: DataCentreId,
+    /// Bound on repeated sends.
+    pub retry_bound: RetryBound,
+}
+
+/// What a gateway needs to know of a caller's request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestHead<'a> {
+    /// Id of this attempt of the caller.
+    pub id: &'a str,
+    /// Host name that it asks for; may name a port.
+    pub host: &'a str,
+    /// Path without the query.
+    pub path: &'a str,
+    /// Key, if it carries one.
+    pub key: Option<&'a str>,
+    /// Time that the caller waits.
+    pub deadline: Option<Duration>,
+    /// Tokens of the prompt; 0 if unknown.
+    pub prompt_tokens: u32,
+    /// Tokens that the answer is expected to have; 0 if unknown.
+    pub answer_tokens: u32,
+}
+
+/// A request that is being served.
+#[derive(Clone, Debug)]
+pub struct Admitted {
+    /// Id of this attempt of the caller.
+    pub id: RequestId,
+    /// Version of the route table that chose the route.
+    pub table: TableVersion,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// Service that runs it.
+    pub service: ServiceId,
+    /// Team whose key it carries.
+    pub team: Option<TeamId>,
+    /// Rank among requests, 0 first.
+    pub priority: u8,
+    /// When it arrived.
+    pub arrived: Now,
+    /// When its caller or its route stops waiting.
+    pub ends: Now,
+    /// What it takes, against a usual request.
+    pub work: Work,
+    /// Upstreams that it was sent to.
+    pub tried: BTreeSet<UpstreamId>,
+    /// Some upstream may have run it.
+    pub may_have_run: bool,
+    /// Connections for it that did not come about.
+    pub unreached: u32,
+}
+
+/// What to do next with a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Next {
+    /// Send it to this upstream.
+    Send(Upstream),
+    /// Give it up.
+    Refuse(Refusal),
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// A whole successful answer was passed on.
+    Answered,
+    /// The upstream answered with a failure of its own.
+    Failed,
+    /// The upstream said that it did not run the request.
+    Rejected,
+    /// The request never left this host: no connection came about.
+    Unreachable,
+    /// It was sent, and the answer did not come, broke off or was not one to this request.
+    Broken,
+    /// The caller left or the time ran out while the upstream was at work.
+    GivenUp,
+}
+
+impl Admitted {
+    /// Notes what the end of an attempt means for the request.
+    pub fn note(&mut self, upstream: &str, outcome: Outcome) {
+        match outcome {
+            Outcome::Rejected => {}
+            // It was not sent, so it uses up none of the route's attempts.
+            Outcome::Unreachable => {
+                self.tried.remove(upstream);
+                self.unreached += 1;
+            }
+            _ => self.may_have_run = true,
+        }
+    }
+}
+
+/// What all requests of a gateway share.
+#[derive(Clone, Debug)]
+pub struct Gateway {
+    settings: GatewaySettings,
+    table: Option<Arc<RouteTable>>,
+    /// Upstreams, kept by the follower of the registry.
+    pub registry: Registry,
+    loads: Loads,
+    trust: Trust,
+    budget: RetryBudget,
+    rng: SmallRng,
+}
+
+impl Gateway {
+    /// A gateway without a route table and upstreams.
+    #[must_use]
+    pub fn new(settings: GatewaySettings, seed: u64) -> Self {
+        Self {
+            budget: RetryBudget::new(settings.retry_bound),
+            settings,
+            table: None,
+            registry: Registry::default(),
+            loads: Loads::default(),
+            trust: Trust::default(),
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Puts a route table into force, unless a newer one is; returns whether it did.
+    pub fn set_table(&mut self, table: Arc<RouteTable>) -> bool {
+        let newer = table.version > self.table_version();
+        if newer {
+            self.table = Some(table);
+        }
+        newer
+    }
+
+    /// The route table in force.
+    #[must_use]
+    pub fn table(&self) -> Option<&Arc<RouteTable>> {
+        self.table.as_ref()
+    }
+
+    /// Version of the route table in force; 0 if none is.
+    #[must_use]
+    pub fn table_version(&self) -> TableVersion {
+        self.table.as_ref().map_or(0, |t| t.version)
+    }
+
+    /// Whether callers can be served.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.table.is_some() && self.registry.is_complete()
+    }
+
+    /// Sets the number of hosts that share the retry budget's allowance.
+    pub fn set_hosts(&mut self, hosts: usize) {
+        self.budget.set_hosts(hosts);
+    }
+
+    /// Own requests in flight at an upstream.
+    #[must_use]
+    pub fn in_flight(&self, upstream: &str) -> u32 {
+        self.loads.requests(upstream)
+    }
+
+    /// Admits a request.
+    ///
+    /// # Errors
+    ///
+    /// The refusal to answer with, if the configuration does not allow it.
+    pub fn admit(&mut self, now: Now, head: RequestHead<'_>) -> Result<Admitted, Refusal> {
+        let Some(table) = self.table.clone() else {
+            let detail = "this host has no configuration yet; ask another one";
+            let refusal = Refusal::not_run(RefusalKind::NotReady, detail);
+            return Err(refusal.with_retry_after(NOT_READY_RETRY));
+        };
+        let Some(route) = table.route(head.host, head.path) else {
+            let detail = format!("no route of `{}` takes `{}`", head.host, head.path);
+            return Err(Refusal::not_run(RefusalKind::UnknownRoute, detail));
+        };
+        let team = head.key.and_then(|key| table.team_of(key));
+        if team.is_none() && !table.teams.is_empty() && !route.public {
+            let detail = "the request carries no key that the configuration knows";
+            return Err(Refusal::not_run(RefusalKind::UnknownKey, detail));
+        }
+        let Some(service) = route.choose_service(&mut self.rng) else {
+            let detail = format!("route `{}` has no service", route.name);
+            return Err(Refusal::not_run(RefusalKind::UnknownRoute, detail));
+        };
+        let wait = head.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
+        let of_team = team
+            .and_then(|t| table.teams.get(t))
+            .and_then(|t| t.priority);
+        let profile = table.services.get(service).and_then(|s| s.engine.as_ref());
+        let work = profile.map_or(1.0, |p| {
+            let usual = f64::from(p.usual_prompt + p.usual_answer).max(1.0);
+            let own = f64::from(head.prompt_tokens + head.answer_tokens);
+            if own > 0.0 {
+                (own / usual).clamp(0.1, 10.0)
+            } else {
+                1.0
+            }
+        });
+        let service = service.clone();
+        self.budget.count(now, &service);
+        Ok(Admitted {
+            id: head.id.to_owned(),
+            table: table.version,
+            route: Arc::clone(route),
+            service,
+            team: team.cloned(),
+            priority: of_team.unwrap_or(route.priority),
+            arrived: now,
+            ends: now + wait,
+            work,
+            tried: BTreeSet::new(),
+            may_have_run: false,
+            unreached: 0,
+        })
+    }
+
+    /// Decides on the next send of a request; the chosen upstream counts as loaded with it until
+    /// [`Self::ended`].
+    pub fn next(&mut self, now: Now, request: &mut Admitted) -> Next {
+        if now + LEAST_TIME >= request.ends {
+            return Next::Refuse(given_up(
+                request,
+                RefusalKind::DeadlineExceeded,
+                "the time ran out",
+            ));
+        }
+        if request.unreached >= MAX_UNREACHED {
+            let detail = "no upstream that was tried could be reached";
+            return Next::Refuse(given_up(request, RefusalKind::NoUpstream, detail));
+        }
+        let repeated = !request.tried.is_empty();
+        if repeated {
+            let attempts_left = (request.tried.len() as u32) < request.route.attempts;
+            let repeatable =
+                !request.may_have_run || request.route.kind.class() == WorkClass::Idempotent;
+            if !repeatable || !attempts_left {
+                let detail = "the upstreams that were tried did not serve the request";
+                return Next::Refuse(given_up(request, RefusalKind::UpstreamFailed, detail));
+            }
+        }
+        let usable = self.registry.usable(&request.service);
+        let candidates: Vec<&Upstream> =
+            usable.filter(|u| !request.tried.contains(&u.id)).collect();
+        let here = &self.settings.data_centre;
+        let chosen = placing::choose(
+            &mut self.rng,
+            now,
+            here,
+            &candidates,
+            &self.loads,
+            &self.trust,
+        );
+        let Some(chosen) = chosen.cloned() else {
+            let detail = format!("no upstream of `{}` takes requests now", request.service);
+            return Next::Refuse(given_up(request, RefusalKind::NoUpstream, &detail));
+        };
+        if repeated && !self.budget.take(now, &request.service) {
+            let detail = "the budget of repeated sends is spent";
+            return Next::Refuse(given_up(request, RefusalKind::UpstreamFailed, detail));
+        }
+        request.tried.insert(chosen.id.clone());
+        self.loads.add(&chosen.id, request.work);
+        Next::Send(chosen)
+    }
+
+    /// Takes the end of an attempt that [`Self::next`] decided on; [`Admitted::note`] takes what
+    /// it means for the request.
+    pub fn ended(&mut self, now: Now, upstream: &str, work: Work, outcome: Outcome) {
+        self.loads.sub(upstream, work);
+        let observation = match outcome {
+            Outcome::Answered => Observation::Good,
+            Outcome::Failed => Observation::Failed,
+            Outcome::Rejected => Observation::Refused,
+            Outcome::Unreachable | Outcome::Broken => Observation::Broken,
+            Outcome::GivenUp => return,
+        };
+        self.trust.observe(now, upstream, observation);
+    }
+
+    /// Drops lapsed upstreams whose time is over and forgets what is known of those that left.
+    pub fn expire(&mut self, now: Now) -> Vec<super::registry::Change> {
+        let changes = self.registry.expire(now);
+        let registry = &self.registry;
+        self.trust.retain(|id| registry.get(id).is_some());
+        changes
+    }
+}
+
+/// The refusal of a request that is given up, with what is known of its execution.
+fn given_up(request: &Admitted, kind: RefusalKind, detail: &str) -> Refusal {
+    if request.may_have_run {
+        let kind = match kind {
+            RefusalKind::DeadlineExceeded => kind,
+            _ => RefusalKind::UpstreamFailed,
+        };
+        return Refusal::unknown(kind, detail);
+    }
+    let refusal = Refusal::not_run(RefusalKind::NoUpstream, detail);
+    debug_assert_eq!(refusal.run, Run::NotRun);
+    refusal.with_retry_after(BUSY_RETRY)
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod entry;
 pub mod event;
 pub mod fleet;
+pub mod gateway;
 pub mod group;
 pub mod platform;
 mod rendezvous;
--- a/crates/core/src/platform/mod.rs
+++ b/crates/core/src/platform/mod.rs
@@ -4,8 +4,12 @@
 //! input with the same [`CallId`]. A write whose answer was lost comes back as
 //! [`Reply::Lost`]: it may have taken effect, and only reading back tells.
 
+mod kinds;
+
 use serde::{Deserialize, Serialize};
 
+pub use kinds::{Change, KindCall, KindReply, StoredObject};
+
 /// Number that ties a reply to its call inside one machine.
 pub type CallId = u64;
 /// Version of an object; each write gives a higher one, also after deletion.
--- a/crates/core/src/types/refusal.rs
+++ b/crates/core/src/types/refusal.rs
@@ -24,6 +24,10 @@
     UnknownService,
     /// The team does not exist.
     UnknownTeam,
+    /// No route takes the request.
+    UnknownRoute,
+    /// The request carries no known key.
+    UnknownKey,
     /// Headers or body exceed their limit.
     TooLarge,
     /// The caller sent too slowly.
@@ -54,7 +58,8 @@
     pub fn status(self) -> u16 {
         match self {
             Self::BadRequest => 400,
-            Self::UnknownService => 404,
+            Self::UnknownService | Self::UnknownRoute => 404,
+            Self::UnknownKey => 401,
             Self::UnknownTeam => 403,
             Self::TooLarge => 413,
             Self::TooSlow => 408,
@@ -74,6 +79,8 @@
             Self::BadRequest => "bad-request",
             Self::UnknownService => "unknown-service",
             Self::UnknownTeam => "unknown-team",
+            Self::UnknownRoute => "unknown-route",
+            Self::UnknownKey => "unknown-key",
             Self::TooLarge => "too-large",
             Self::TooSlow => "too-slow",
             Self::TeamLimit => "team-limit",
--- a/crates/daemon/src/run/mod.rs
+++ b/crates/daemon/src/run/mod.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use eelgrasshold_core::gateway::budget::RetryBound;
+use eelgrasshold_net::gateway::{GatewayHost, GatewayOptions};
 use eelgrasshold_net::host::{
     Drained, EngineOptions, EntryHost, HostOptions, StartError, UpstreamHost,
 };
@@ -9,7 +11,13 @@
 use snafu::{ResultExt, Snafu};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-use crate::settings::{EngineSettings, Settings};
+use crate::settings::{EngineSettings, GatewaySettings, Role, Settings};
+
+/// Longest validity of answers about addresses: a host that died is named for so long.
+const ANSWER_VALIDITY: Duration = Duration::from_secs(2);
+/// Descriptors that are left to files, listeners, peers and the platform; half of the others are
+/// for callers and half for upstreams.
+const RESERVED_DESCRIPTORS: usize = 240;
 
 /// Why the process failed.
 #[derive(Debug, Snafu)]
@@ -68,15 +76,22 @@
 ///
 /// If it can't start, or if its shutdown cut requests.
 pub fn run(settings: Settings) -> Result<(), RunError> {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-        .context(SetupSnafu)?;
+    // A gateway's host has a share of one core, so further threads would only add switches.
+    let mut builder = match settings.role {
+        Some(Role::Gateway) => tokio::runtime::Builder::new_current_thread(),
+        _ => tokio::runtime::Builder::new_multi_thread(),
+    };
+    let runtime = builder.enable_all().build().context(SetupSnafu)?;
     runtime.block_on(run_role(settings))
 }
 
 async fn run_role(settings: Settings) -> Result<(), RunError> {
     let mut signals = Signals::new()?;
+    if let Some(gateway) = &settings.gateway {
+        let host = GatewayHost::start(gateway_options(&settings, gateway)).await?;
+        signals.next().await;
+        return whole(host.close(signals.next()).await);
+    }
     let options = options(&settings)?;
     let drained = match settings.engine {
         None => {
@@ -96,12 +111,37 @@
             host.close(signals.next()).await
         }
     };
+    whole(drained)
+}
+
+fn whole(drained: Drained) -> Result<(), RunError> {
     match drained {
         Drained::Whole => Ok(()),
         Drained::Cut(open) => CutSnafu { open }.fail(),
     }
 }
 
+fn gateway_options(settings: &Settings, gateway: &GatewaySettings) -> GatewayOptions {
+    let retry_bound = RetryBound {
+        window: Duration::from_secs_f64(gateway.retry_window_s),
+        ratio: gateway.retry_ratio,
+        allowance: gateway.retry_allowance,
+    };
+    let validity = Duration::from_secs_f64(gateway.answer_validity_s).min(ANSWER_VALIDITY);
+    GatewayOptions::builder(&settings.host, &settings.platform_url)
+        .place(&settings.region, &settings.data_centre)
+        .callers(settings.data_address)
+        .ready(gateway.ready_address)
+        .directory(gateway.directory_address)
+        .peers(settings.control_address, settings.seeds.clone())
+        .metrics(gateway.metrics_address)
+        .retry_bound(retry_bound)
+        .answer_validity(validity)
+        .drain_limit(Duration::from_secs(settings.drain_limit_s))
+        .connections((gateway.max_descriptors - RESERVED_DESCRIPTORS) / 2)
+        .build()
+}
+
 fn options(settings: &Settings) -> Result<HostOptions, RunError> {
     let identity = match &settings.tls {
         None => None,
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -2,11 +2,14 @@
 
 use std::net::SocketAddr;
 
-use super::{Role, Settings};
+use super::{GatewaySettings, Role, Settings};
 
 /// Longest graceful shutdown, in seconds.
 const MAX_DRAIN_LIMIT_S: u64 = 3_600;
 
+/// Fewest descriptors with which a gateway can serve: its listeners, files and some connections.
+const MIN_DESCRIPTORS: usize = 256;
+
 /// All problems of the settings, each with its JSON path.
 pub fn problems(settings: &Settings) -> Vec<String> {
     let mut problems = Vec::new();
@@ -21,13 +24,24 @@
         }
     }
     match (settings.role, &settings.engine) {
-        (None, _) => report("role", "must be `entry` or `upstream`"),
+        (None, _) => report("role", "must be `entry`, `upstream` or `gateway`"),
         (Some(Role::Upstream), None) => report("engine", "the role `upstream` needs an engine"),
-        (Some(Role::Entry), Some(_)) => {
-            report("engine", "the role `entry` has no engine; remove it");
+        (Some(Role::Entry | Role::Gateway), Some(_)) => {
+            report(
+                "engine",
+                "only the role `upstream` has an engine; remove it",
+            );
         }
         _ => {}
     }
+    match (settings.role, &settings.gateway) {
+        (Some(Role::Gateway), None) => {
+            report("gateway", "the role `gateway` needs this section");
+        }
+        (Some(Role::Gateway), Some(gateway)) => gateway_problems(gateway, &mut report),
+        (_, Some(_)) => report("gateway", "only the role `gateway` has it; remove it"),
+        _ => {}
+    }
     if let Some(engine) = &settings.engine {
         if engine.service.is_empty() {
             report("engine.service", "must name the service");
@@ -74,3 +88,21 @@
     }
     problems
 }
+
+fn gateway_problems(gateway: &GatewaySettings, report: &mut impl FnMut(&str, &str)) {
+    if !(0.1..=3_600.0).contains(&gateway.answer_validity_s) {
+        report("gateway.answer_validity_s", "must be 0.1 to 3600");
+    }
+    if !(0.0..=10.0).contains(&gateway.retry_ratio) {
+        report("gateway.retry_ratio", "must be 0 to 10");
+    }
+    if !(0.0..=1e6).contains(&gateway.retry_allowance) {
+        report("gateway.retry_allowance", "must be 0 to 1000000");
+    }
+    if !(0.1..=3_600.0).contains(&gateway.retry_window_s) {
+        report("gateway.retry_window_s", "must be 0.1 to 3600");
+    }
+    if gateway.max_descriptors < MIN_DESCRIPTORS {
+        report("gateway.max_descriptors", "must be 256 or more");
+    }
+}
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -10,7 +10,7 @@
 
 use snafu::{ResultExt, Snafu};
 
-pub use model::{EngineSettings, Role, Settings};
+pub use model::{EngineSettings, GatewaySettings, Role, Settings};
 
 /// Why settings can't be used.
 #[derive(Debug, Snafu)]
--- a/crates/daemon/src/settings/model.rs
+++ b/crates/daemon/src/settings/model.rs
@@ -15,6 +15,8 @@
     Entry,
     /// Stands next to an upstream.
     Upstream,
+    /// Takes callers' requests and passes them straight to the upstreams of a registry.
+    Gateway,
 }
 
 /// Settings of a process.
@@ -51,6 +53,31 @@
     pub allow_plain_links: bool,
     /// The engine or plain service, for the role `upstream`.
     pub engine: Option<EngineSettings>,
+    /// What only the role `gateway` has.
+    pub gateway: Option<GatewaySettings>,
+}
+
+/// What only gateways have. Callers use `data_address`, other hosts `control_address`.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    /// Listener that tells whether the host takes callers, `IP:PORT`.
+    pub ready_address: SocketAddr,
+    /// Listener that tells callers where to connect, `IP:PORT`.
+    pub directory_address: SocketAddr,
+    /// Listener for metrics, `IP:PORT`.
+    #[serde(default)]
+    pub metrics_address: Option<SocketAddr>,
+    /// Longest time that callers may use an answer about addresses, in seconds.
+    pub answer_validity_s: f64,
+    /// Further sends for each request that the upstreams of a service may get in a window.
+    pub retry_ratio: f64,
+    /// Further sends in a window beside those, over all hosts.
+    pub retry_allowance: f64,
+    /// Length of that window, in seconds.
+    pub retry_window_s: f64,
+    /// Files, sockets and pipes that the process may have open.
+    pub max_descriptors: usize,
 }
 
 /// Certificates.
@@ -95,6 +122,7 @@
             tls: None,
             allow_plain_links: false,
             engine: None,
+            gateway: None,
         }
     }
 }
--- /dev/null
+++ b/crates/net/src/gateway/directory.rs
@@ -0,0 +1,48 @@
+//! Answers to callers who ask where to connect, and to the platform who asks whether the host
+//! takes callers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use eelgrasshold_platform::callers::{READY_PATH, RESOLVE_PATH, resolve_answer};
+use http::{Method, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+
+use super::shared::Shared;
+use crate::http::{Body, empty, full};
+
+/// Answers `GET` of whether the host takes callers.
+pub(super) fn ready(shared: &Shared, request: &Request<Incoming>) -> Response<Body> {
+    if request.method() != Method::GET || request.uri().path() != READY_PATH {
+        return status(StatusCode::NOT_FOUND);
+    }
+    let ready = shared.core().is_ready() && !shared.draining.load(Ordering::Relaxed);
+    status(if ready {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    })
+}
+
+/// Answers `GET` of where to connect.
+pub(super) fn resolve(shared: &Arc<Shared>, request: &Request<Incoming>) -> Response<Body> {
+    if request.method() != Method::GET || request.uri().path() != RESOLVE_PATH {
+        return status(StatusCode::NOT_FOUND);
+    }
+    let addresses: Vec<SocketAddr> = shared.peers().named().iter().map(|p| p.callers).collect();
+    if addresses.is_empty() {
+        return status(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let body = resolve_answer(&addresses, shared.options.answer_validity);
+    let mut response = Response::new(full(body));
+    let json = http::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
+
+fn status(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(empty());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/net/src/gateway/gossip.rs
@@ -0,0 +1,94 @@
+//! Datagrams between entry hosts.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use eelgrasshold_core::gateway::peers::{Gossip, PeerChange, ROUND, Standing};
+use tokio::net::UdpSocket;
+use tokio::time::MissedTickBehavior;
+
+use super::shared::Shared;
+
+/// Largest datagram that is read, in bytes.
+const MAX_DATAGRAM: usize = 16 << 10;
+
+/// Makes rounds and answers other hosts; never returns.
+pub(super) async fn run(shared: Arc<Shared>, socket: UdpSocket) {
+    let mut rounds = tokio::time::interval(ROUND);
+    rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut buf = vec![0; MAX_DATAGRAM];
+    loop {
+        tokio::select! {
+            _ = rounds.tick() => round(&shared, &socket),
+            () = shared.standing_changed.notified() => announce(&shared, &socket),
+            received = socket.recv_from(&mut buf) => match received {
+                Ok((length, from)) => receive(&shared, &socket, &buf[..length], from),
+                Err(error) => log::debug!("a datagram can't be received: {error}"),
+            },
+        }
+    }
+}
+
+fn update_standing(shared: &Shared) {
+    let ready = shared.core().is_ready();
+    let standing = match (shared.draining.load(Ordering::Relaxed), ready) {
+        (true, _) => Standing::Leaving,
+        (false, true) => Standing::Ready,
+        (false, false) => Standing::Starting,
+    };
+    shared.peers().set_standing(standing);
+}
+
+fn round(shared: &Shared, socket: &UdpSocket) {
+    update_standing(shared);
+    let table = shared.core().table_version();
+    let mut peers = shared.peers();
+    let (sends, changes) = peers.round(shared.now(), table);
+    let hosts = peers.live_count();
+    drop(peers);
+    shared.core().set_hosts(hosts);
+    note(&changes);
+    for (to, gossip) in sends {
+        send(socket, to, &gossip);
+    }
+}
+
+fn announce(shared: &Shared, socket: &UdpSocket) {
+    update_standing(shared);
+    let table = shared.core().table_version();
+    let sends = shared.peers().announce(table);
+    for (to, gossip) in sends {
+        send(socket, to, &gossip);
+    }
+}
+
+fn receive(shared: &Shared, socket: &UdpSocket, bytes: &[u8], from: SocketAddr) {
+    let gossip: Gossip = match bincode::deserialize(bytes) {
+        Ok(gossip) => gossip,
+        Err(error) => {
+            log::debug!("a datagram of {from} can't be read: {error}");
+            return;
+        }
+    };
+    let table = shared.core().table_version();
+    let (answer, changes) = shared.peers().receive(shared.now(), &gossip, table);
+    note(&changes);
+    if let Some((to, gossip)) = answer {
+        send(socket, to, &gossip);
+    }
+}
+
+fn send(socket: &UdpSocket, to: SocketAddr, gossip: &Gossip) {
+    match bincode::serialize(gossip) {
+        // A full socket loses the datagram, as the network may.
+        Ok(bytes) => drop(socket.try_send_to(&bytes, to)),
+        Err(error) => log::warn!("a datagram can't be written: {error}"),
+    }
+}
+
+fn note(changes: &[PeerChange]) {
+    for change in changes {
+        log::info!("{change:?}");
+    }
+}
--- /dev/null
+++ b/crates/net/src/gateway/host.rs
@@ -0,0 +1,228 @@
+//! Start and end of a gateway.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use eelgrasshold_core::fleet::platform_policy::PlatformLimits;
+use eelgrasshold_core::gateway::peers::{PeerRecord, Peers, Standing};
+use eelgrasshold_core::gateway::{Gateway, GatewaySettings};
+use eelgrasshold_platform::store;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use super::pool::Pool;
+use super::shared::Shared;
+use super::{GatewayOptions, callers, directory, follow, gossip};
+use crate::host::{Drained, StartError, new_incarnation};
+use crate::http::Body;
+use crate::platform::{Dialect, Platform};
+use crate::runtime::Clock;
+
+/// Longest time that a question about addresses or readiness may take to arrive; they are short.
+const QUESTION_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time after the start of a shutdown in which requests of callers that have not yet heard of it
+/// are served as usual: an answer about addresses and a margin.
+const SERVE_WHILE_LEAVING: Duration = Duration::from_millis(3_500);
+/// The calls of the store's followers are spread by their own pauses, so the client's breaker
+/// stays closed.
+const NEVER_OPEN: u32 = u32::MAX;
+
+/// A running gateway.
+#[derive(Debug)]
+pub struct GatewayHost {
+    shared: Arc<Shared>,
+    tasks: Vec<JoinHandle<()>>,
+    closing: CancellationToken,
+    callers: SocketAddr,
+    directory: SocketAddr,
+    ready: SocketAddr,
+}
+
+impl GatewayHost {
+    /// Binds the listeners and starts the host.
+    ///
+    /// # Errors
+    ///
+    /// If a listener can't be bound.
+    pub async fn start(mut options: GatewayOptions) -> Result<Self, StartError> {
+        let callers = bind(options.callers).await?;
+        let ready = bind(options.ready).await?;
+        let directory = bind(options.directory).await?;
+        let peers = UdpSocket::bind(options.peers)
+            .await
+            .map_err(|source| StartError::Listen {
+                address: options.peers,
+                source,
+            })?;
+        options.callers = callers.local_addr().unwrap_or(options.callers);
+        options.ready = ready.local_addr().unwrap_or(options.ready);
+        options.directory = directory.local_addr().unwrap_or(options.directory);
+        options.peers = peers.local_addr().unwrap_or(options.peers);
+        let shared = Arc::new(shared(options));
+        let closing = CancellationToken::new();
+        let tasks = vec![
+            tokio::spawn(follow::configuration(Arc::clone(&shared))),
+            tokio::spawn(follow::registry(Arc::clone(&shared))),
+            tokio::spawn(follow::expire(Arc::clone(&shared))),
+            tokio::spawn(gossip::run(Arc::clone(&shared), peers)),
+            tokio::spawn(answer(Arc::clone(&shared), ready, |shared, request| {
+                directory::ready(shared, request)
+            })),
+            tokio::spawn(answer(Arc::clone(&shared), directory, directory::resolve)),
+            tokio::spawn(callers::serve(
+                Arc::clone(&shared),
+                callers,
+                closing.clone(),
+            )),
+        ];
+        let options = &shared.options;
+        Ok(Self {
+            callers: options.callers,
+            directory: options.directory,
+            ready: options.ready,
+            shared,
+            tasks,
+            closing,
+        })
+    }
+
+    /// Address for callers.
+    #[must_use]
+    pub fn callers_address(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Address for questions about where to connect.
+    #[must_use]
+    pub fn directory_address(&self) -> SocketAddr {
+        self.directory
+    }
+
+    /// Address for questions about readiness.
+    #[must_use]
+    pub fn ready_address(&self) -> SocketAddr {
+        self.ready
+    }
+
+    /// Leaves the answers about addresses, serves on until callers have gone elsewhere, lets
+    /// open requests end and stops. `hurry` ends the wait before the drain limit does.
+    pub async fn close(self, hurry: impl Future<Output = ()>) -> Drained {
+        let limit = self.shared.options.drain_limit;
+        tokio::select! {
+            _ = tokio::time::timeout(limit, self.drain()) => {}
+            () = hurry => {}
+        }
+        let open = self.shared.held.load(Ordering::Relaxed) as u64;
+        for task in self.tasks {
+            task.abort();
+        }
+        if open == 0 {
+            Drained::Whole
+        } else {
+            Drained::Cut(open)
+        }
+    }
+
+    async fn drain(&self) {
+        self.shared.draining.store(true, Ordering::Relaxed);
+        self.shared.standing_changed.notify_one();
+        tokio::time::sleep(SERVE_WHILE_LEAVING).await;
+        self.closing.cancel();
+        loop {
+            let ended = self.shared.ended.notified();
+            if self.shared.held.load(Ordering::Relaxed) == 0 {
+                return;
+            }
+            ended.await;
+        }
+    }
+}
+
+fn shared(options: GatewayOptions) -> Shared {
+    let clock = Clock::start();
+    let settings = GatewaySettings {
+        data_centre: options.data_centre.clone(),
+        retry_bound: options.retry_bound,
+    };
+    let me = PeerRecord {
+        host: options.host.clone(),
+        incarnation: new_incarnation(),
+        version: 0,
+        region: options.region.clone(),
+        data_centre: options.data_centre.clone(),
+        callers: options.callers,
+        peers: options.peers,
+        standing: Standing::Starting,
+    };
+    let limits = PlatformLimits {
+        failures_to_open: NEVER_OPEN,
+        ..PlatformLimits::default()
+    };
+    let dialect = Dialect {
+        object_request: store::object_request,
+        object_reply: store::object_reply,
+        kind_request: store::kind_request,
+        kind_reply: store::kind_reply,
+    };
+    let platform = Platform::new(&options.platform, clock, limits, options.seed);
+    Shared {
+        core: Mutex::new(Gateway::new(settings, options.seed)),
+        peers: Mutex::new(Peers::new(me, options.seeds.clone(), options.seed)),
+        pool: Pool::default(),
+        platform: platform.speaking(dialect),
+        draining: AtomicBool::new(false),
+        held: AtomicUsize::new(0),
+        ended: Notify::new(),
+        standing_changed: Notify::new(),
+        clock,
+        options,
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| StartError::Listen { address, source })
+}
+
+/// Answers short questions on a listener; never returns.
+async fn answer<F>(shared: Arc<Shared>, listener: TcpListener, handler: F)
+where
+    F: Fn(&Arc<Shared>, &Request<Incoming>) -> Response<Body> + Clone + Send + Sync + 'static,
+{
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("a connection can't be accepted: {error}");
+                tokio::time::sleep(callers::ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        super::connect::watch_silence(&stream);
+        let (shared, handler) = (Arc::clone(&shared), handler.clone());
+        tokio::spawn(async move {
+            let service = service_fn(move |request| {
+                let response = handler(&shared, &request);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(QUESTION_TIMEOUT)
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                log::debug!("a question ended with an error: {error}");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/net/src/gateway/mod.rs
@@ -0,0 +1,21 @@
+//! An entry host that passes requests straight to upstreams.
+//!
+//! Listeners, connections and timers around [`eelgrasshold_core::gateway`]: callers ask it which
+//! addresses to use, connect and send requests; it follows the platform's store for the
+//! configuration and the registry of upstreams, and exchanges datagrams with other entry hosts.
+
+mod callers;
+mod connect;
+mod directory;
+mod follow;
+mod forward;
+mod gossip;
+mod host;
+mod options;
+mod pool;
+mod relay;
+mod shared;
+mod sse;
+
+pub use host::GatewayHost;
+pub use options::{GatewayOptions, GatewayOptionsBuilder};
--- a/crates/net/src/host/mod.rs
+++ b/crates/net/src/host/mod.rs
@@ -56,7 +56,7 @@
 }
 
 /// A life that is later than all earlier ones of the same process.
-fn new_incarnation() -> Incarnation {
+pub(crate) fn new_incarnation() -> Incarnation {
     let since_epoch = SystemTime::now()
         .duration_since(SystemTime::UNIX_EPOCH)
         .unwrap_or(Duration::ZERO);
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod control;
 pub mod entry;
 
+pub mod gateway;
 pub mod host;
 pub mod http;
 pub mod metrics;
--- a/crates/net/src/platform/mod.rs
+++ b/crates/net/src/platform/mod.rs
@@ -1,8 +1,12 @@
 //! Client of the platform's object API.
+//!
+//! One client serves all platforms; a [`Dialect`] writes the calls of one and reads its answers.
 
 mod config;
+mod dialect;
 
 pub use config::{ReadError, publish_config, read_config};
+pub use dialect::Dialect;
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -10,16 +14,15 @@
 
 use bytes::Bytes;
 use eelgrasshold_core::fleet::platform_policy::{PlatformLimits, PlatformPolicy};
-use eelgrasshold_core::platform::{Call, Condition, MAX_VALUE_BYTES, Reply, Version};
-use http::{HeaderName, Method, Request, Response, StatusCode, header};
+use eelgrasshold_core::platform::{Call, KindCall, KindReply, MAX_VALUE_BYTES, Reply};
+use http::Response;
 use hyper::body::Incoming;
 
-use crate::http::{Client, collect, empty, full, plain_client};
+use crate::http::{Client, collect, full, plain_client};
 use crate::runtime::Clock;
-use crate::wire::headers;
 
-/// Version of an object, in answers.
-const VERSION: HeaderName = HeaderName::from_static("x-version");
+/// Largest answer about a kind, in bytes: a page or a batch of changes of full-size objects.
+const MAX_KIND_BYTES: usize = 16 << 20;
 /// Longest time that the platform may take to answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time that a watch waits on the platform's side.
@@ -33,6 +36,7 @@
     clock: Clock,
     policy: Arc<Mutex<PlatformPolicy>>,
     calls: Arc<AtomicU64>,
+    dialect: Dialect,
 }
 
 impl Platform {
@@ -45,9 +49,16 @@
             clock,
             policy: Arc::new(Mutex::new(PlatformPolicy::new(limits, seed))),
             calls: Arc::default(),
+            dialect: Dialect::own(),
         }
     }
 
+    /// The same client for another platform's dialect.
+    #[must_use]
+    pub fn speaking(self, dialect: Dialect) -> Self {
+        Self { dialect, ..self }
+    }
+
     /// A client for one command of an operator, which may read and write all shards at once.
     #[must_use]
     pub fn for_operator(base: &str) -> Self {
@@ -78,16 +89,56 @@
         reply
     }
 
+    /// Makes a call about a kind of objects.
+    pub async fn call_kind(&self, call: &KindCall) -> KindReply {
+        let failed = |reason: String| KindReply::Failed { reason };
+        if self.lock_policy().ask(self.clock.now()).is_err() {
+            return failed("the budget of calls is spent".to_owned());
+        }
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        let reply = self.send_kind(call).await;
+        let answered = !matches!(reply, KindReply::Failed { .. });
+        self.lock_policy().report(self.clock.now(), answered);
+        reply
+    }
+
+    async fn send_kind(&self, call: &KindCall) -> KindReply {
+        let failed = |reason: String| KindReply::Failed { reason };
+        let limit = match call {
+            KindCall::Follow { wait, .. } => *wait + CALL_TIMEOUT,
+            KindCall::List { .. } => CALL_TIMEOUT,
+        };
+        let request = match (self.dialect.kind_request)(&self.base, call) {
+            Ok(request) => request.map(full),
+            Err(error) => return failed(format!("the call can't be written: {error}")),
+        };
+        match tokio::time::timeout(limit, self.client.request(request)).await {
+            Ok(Ok(response)) => match whole(response, MAX_KIND_BYTES).await {
+                Some(response) => (self.dialect.kind_reply)(call, &response),
+                None => failed("the answer broke off".to_owned()),
+            },
+            Ok(Err(error)) => failed(format!("no answer: {error}")),
+            Err(_) => failed(format!("no answer within {limit:?}")),
+        }
+    }
+
     async fn send(&self, call: &Call) -> Reply {
         let limit = match call {
             Call::Watch { .. } => WATCH_TIMEOUT + CALL_TIMEOUT,
             _ => CALL_TIMEOUT,
         };
-        let Some(request) = self.request(call) else {
-            return Reply::Unavailable;
+        let request = match (self.dialect.object_request)(&self.base, call) {
+            Ok(request) => request.map(full),
+            Err(error) => {
+                log::warn!("a call to the platform can't be written: {error}");
+                return Reply::Unavailable;
+            }
         };
         match tokio::time::timeout(limit, self.client.request(request)).await {
-            Ok(Ok(response)) => read_reply(call, response).await,
+            Ok(Ok(response)) => match whole(response, MAX_VALUE_BYTES).await {
+                Some(response) => (self.dialect.object_reply)(call, &response),
+                None => Reply::Lost,
+            },
             Ok(Err(error)) if error.is_connect() => Reply::Unavailable,
             Ok(Err(_)) | Err(_) => Reply::Lost,
         }
@@ -96,59 +147,11 @@
     fn lock_policy(&self) -> MutexGuard<'_, PlatformPolicy> {
         self.policy.lock().unwrap_or_else(PoisonError::into_inner)
     }
-
-    fn request(&self, call: &Call) -> Option<Request<crate::http::Body>> {
-        let object = |key: &str| format!("{}/v1/objects/{key}", self.base);
-        let builder = Request::builder();
-        let request = match call {
-            Call::Get { key } => builder.uri(object(key)).body(empty()),
-            Call::Put {
-                key,
-                value,
-                condition,
-            } => {
-                let builder = builder.method(Method::PUT).uri(object(key));
-                let builder = match condition {
-                    Condition::Absent => builder.header(header::IF_NONE_MATCH, "*"),
-                    Condition::Version(v) => builder.header(header::IF_MATCH, v.to_string()),
-                };
-                builder.body(full(value.clone()))
-            }
-            Call::Delete { key, version } => builder
-                .method(Method::DELETE)
-                .uri(object(key))
-                .header(header::IF_MATCH, version.to_string())
-                .body(empty()),
-            Call::Watch { key, after } => {
-                let timeout_ms = WATCH_TIMEOUT.as_millis();
-                let uri = format!("{}?watch={after}&timeout_ms={timeout_ms}", object(key));
-                builder.uri(uri).body(empty())
-            }
-        };
-        request.ok()
-    }
 }
 
-async fn read_reply(call: &Call, response: Response<Incoming>) -> Reply {
-    let is_write = matches!(call, Call::Put { .. } | Call::Delete { .. });
-    let version = headers::parsed::<Version>(response.headers(), &VERSION)
-        .ok()
-        .flatten();
-    let version = version.unwrap_or(0);
-    match response.status() {
-        StatusCode::NOT_FOUND => Reply::Missing,
-        StatusCode::NOT_MODIFIED => Reply::Unchanged,
-        StatusCode::PRECONDITION_FAILED => Reply::Conflict { version },
-        StatusCode::TOO_MANY_REQUESTS | StatusCode::PAYLOAD_TOO_LARGE => Reply::Unavailable,
-        status if status.is_success() && is_write => Reply::Written { version },
-        status if status.is_success() => {
-            let value = collect(response.into_body(), MAX_VALUE_BYTES, CALL_TIMEOUT).await;
-            value.map_or(Reply::Lost, |value: Bytes| Reply::Object {
-                version,
-                value: value.into(),
-            })
-        }
-        // Other errors don't say whether a write took effect.
-        _ => Reply::Lost,
-    }
+/// The response with its body; none if that broke off or is too large.
+async fn whole(response: Response<Incoming>, limit: usize) -> Option<Response<Bytes>> {
+    let (parts, body) = response.into_parts();
+    let body = collect(body, limit, CALL_TIMEOUT).await.ok()?;
+    Some(Response::from_parts(parts, body))
 }
