Share configuration and registry between gateways; finish streams in a shutdown

Hosts that know more for 0.9 s are asked over tarpc. Ruled out: pushing each configuration to all, which costs more than the store's own watch.

--- a/crates/core/src/gateway/follow.rs
+++ b/crates/core/src/gateway/follow.rs
@@ -25,8 +25,8 @@
 pub enum News {
     /// All objects of the kind.
     All(Vec<StoredObject>),
-    /// Changes in their order.
-    Changes(Vec<Change>),
+    /// Changes in their order, up to a revision.
+    Changes(Vec<Change>, Version),
     /// The store did not answer as it should.
     Failed {
         /// What went wrong.
@@ -124,7 +124,7 @@
             (Phase::Watch(at), KindReply::Changes { changes, revision }) => {
                 self.failures = 0;
                 *at = revision.max(*at);
-                Some(News::Changes(changes))
+                Some(News::Changes(changes, *at))
             }
             (_, KindReply::HistoryGone) => {
                 self.phase = Self::first_page();
--- a/crates/core/src/gateway/peers.rs
+++ b/crates/core/src/gateway/peers.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::routes::TableVersion;
+use crate::platform::Version;
 use crate::rendezvous;
 use crate::types::{DataCentreId, HostId, Incarnation, Now, RegionId};
 
@@ -33,6 +34,9 @@
 const MAX_RECORDS: usize = 3;
 /// Records in the answer to a host that starts.
 const MAX_JOIN_RECORDS: usize = 64;
+/// Time for which another host must have known more before it is asked: two rounds, in which the
+/// store's own news arrive unless it can't be reached.
+const PULL_AFTER: Duration = Duration::from_millis(900);
 /// Rounds between two datagrams to a seed, which find a part of the fleet that was cut off.
 const SEED_ROUNDS: u32 = 8;
 /// A gap between two rounds that shows that this process was paused.
@@ -87,6 +91,25 @@
     pub beat: u32,
 }
 
+/// What a host knows of the platform's store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Knowledge {
+    /// Version of the route table in force; 0 if none is.
+    pub table: TableVersion,
+    /// Revision of the last change of the registry that it knows; 0 if it has no list.
+    pub registry: Version,
+}
+
+/// What to ask another host for, since it has known more for a while.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pull {
+    /// Its route table.
+    Table(SocketAddr),
+    /// Its list of upstreams.
+    Registry(SocketAddr),
+}
+
 /// A datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -97,8 +120,8 @@
     pub beat: u32,
     /// The sender knows no other host and asks for records.
     pub joining: bool,
-    /// Version of the route table that the sender has in force.
-    pub table: TableVersion,
+    /// What the sender knows of the platform's store.
+    pub knowledge: Knowledge,
     /// Beats of others.
     pub pulses: Vec<Pulse>,
     /// Records of others.
@@ -127,7 +150,7 @@
     /// When its beat last rose.
     heard: Now,
     silent: bool,
-    table: TableVersion,
+    knowledge: Knowledge,
 }
 
 /// The hosts that one host knows.
@@ -138,6 +161,9 @@
     seeds: Vec<SocketAddr>,
     others: BTreeMap<u64, Peer>,
     wanted: BTreeSet<u64>,
+    /// Since when another host has had a newer route table, and a newer list of upstreams.
+    table_behind: Option<Now>,
+    registry_behind: Option<Now>,
     last_round: Option<Now>,
     rng: SmallRng,
 }
@@ -153,6 +179,8 @@
             seeds: seeds.into_iter().filter(|s| *s != own).collect(),
             others: BTreeMap::new(),
             wanted: BTreeSet::new(),
+            table_behind: None,
+            registry_behind: None,
             last_round: None,
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -197,7 +225,7 @@
     pub fn round(
         &mut self,
         now: Now,
-        table: TableVersion,
+        knowledge: Knowledge,
     ) -> (Vec<(SocketAddr, Gossip)>, Vec<PeerChange>) {
         self.allow_for_pause(now);
         self.beat += 1;
@@ -211,15 +239,15 @@
         }
         targets.sort();
         targets.dedup();
-        let gossip = self.gossip(table, joining, MAX_RECORDS);
+        let gossip = self.gossip(knowledge, joining, MAX_RECORDS);
         let sends = targets.into_iter().map(|t| (t, gossip.clone())).collect();
         (sends, changes)
     }
 
     /// A datagram that tells a change of this host at once, to all that are known.
-    pub fn announce(&mut self, table: TableVersion) -> Vec<(SocketAddr, Gossip)> {
+    pub fn announce(&mut self, knowledge: Knowledge) -> Vec<(SocketAddr, Gossip)> {
         self.beat += 1;
-        let gossip = self.gossip(table, false, 0);
+        let gossip = self.gossip(knowledge, false, 0);
         let live = self.others.values().filter(|p| !p.silent);
         live.map(|p| (p.record.peers, gossip.clone())).collect()
     }
@@ -229,14 +257,14 @@
         &mut self,
         now: Now,
         gossip: &Gossip,
-        table: TableVersion,
+        knowledge: Knowledge,
     ) -> (Option<(SocketAddr, Gossip)>, Vec<PeerChange>) {
         let mut changes = Vec::new();
         let (to, joining) = (gossip.from.peers, gossip.joining);
         let sender = key_of(&gossip.from.host);
         self.merge(now, &gossip.from, gossip.beat, &mut changes);
         if let Some(peer) = self.others.get_mut(&sender) {
-            peer.table = gossip.table;
+            peer.knowledge = gossip.knowledge;
         }
         for record in &gossip.records {
             self.merge(now, record, 0, &mut changes);
@@ -249,7 +277,7 @@
         if !joining && asked.is_empty() {
             return (None, changes);
         }
-        let mut answer = self.gossip(table, false, if joining { MAX_JOIN_RECORDS } else { 0 });
+        let mut answer = self.gossip(knowledge, false, if joining { MAX_JOIN_RECORDS } else { 0 });
         answer.records.extend(asked);
         (Some((to, answer)), changes)
     }
@@ -275,11 +303,24 @@
         named
     }
 
-    /// A live host with a newer route table, if one is known.
-    #[must_use]
-    pub fn with_newer_table(&self, than: TableVersion) -> Option<(TableVersion, SocketAddr)> {
-        let live = self.others.values().filter(|p| !p.silent && p.table > than);
-        live.map(|p| (p.table, p.record.peers)).max()
+    /// What to pull from a host that has known more than this one for [`PULL_AFTER`]. The store
+    /// tells each host by itself, so a host that stays behind can't see it.
+    pub fn pull(&mut self, now: Now, own: Knowledge) -> Option<Pull> {
+        let live = || self.others.values().filter(|p| !p.silent);
+        let newest_table = live().max_by_key(|p| p.knowledge.table);
+        let table = newest_table.filter(|p| p.knowledge.table > own.table);
+        let newest_registry = live().max_by_key(|p| p.knowledge.registry);
+        let registry = newest_registry.filter(|p| p.knowledge.registry > own.registry);
+        let table = table.map(|p| Pull::Table(p.record.peers));
+        let registry = registry.map(|p| Pull::Registry(p.record.peers));
+        let has_none = own.table == 0 || own.registry == 0;
+        if is_due(&mut self.table_behind, now, table.is_some(), has_none) {
+            return table;
+        }
+        if is_due(&mut self.registry_behind, now, registry.is_some(), has_none) {
+            return registry;
+        }
+        None
     }
 
     /// Addresses of live hosts for pulls, in random order.
@@ -295,7 +336,7 @@
             .collect()
     }
 
-    fn gossip(&mut self, table: TableVersion, joining: bool, records: usize) -> Gossip {
+    fn gossip(&mut self, knowledge: Knowledge, joining: bool, records: usize) -> Gossip {
         let mut by_age: Vec<(&u64, &Peer)> =
             self.others.iter().filter(|(_, p)| !p.silent).collect();
         by_age.sort_by_key(|(_, p)| std::cmp::Reverse(p.heard));
@@ -312,7 +353,7 @@
             from: self.me.clone(),
             beat: self.beat,
             joining,
-            table,
+            knowledge,
             pulses,
             records,
             wanted: std::mem::take(&mut self.wanted).into_iter().collect(),
@@ -333,7 +374,7 @@
                 beat,
                 heard: now,
                 silent: false,
-                table: 0,
+                knowledge: Knowledge::default(),
             };
             self.others.insert(key, peer);
             return;
@@ -346,7 +387,7 @@
                 beat,
                 heard: now,
                 silent: false,
-                table: 0,
+                knowledge: Knowledge::default(),
             };
             return;
         }
@@ -421,6 +462,20 @@
     }
 }
 
+/// Whether a host has been behind for long enough to ask another; it is asked once in that time.
+fn is_due(behind: &mut Option<Now>, now: Now, is_behind: bool, at_once: bool) -> bool {
+    if !is_behind {
+        *behind = None;
+        return false;
+    }
+    let since = *behind.get_or_insert(now);
+    let due = at_once || now.saturating_sub(since) >= PULL_AFTER;
+    if due {
+        *behind = Some(now);
+    }
+    due
+}
+
 fn key_of(host: &str) -> u64 {
     rendezvous::hash(host)
 }
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -11,6 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::platform::Version;
 use crate::types::{DataCentreId, Now, ServiceId};
 
 /// Id of one life of an upstream.
@@ -38,6 +39,8 @@
     pub leaving: bool,
     /// How much longer it is slow after its start, as of the entry.
     pub warm_up: Duration,
+    /// Revision of the entry.
+    pub version: Version,
 }
 
 /// What a change did to the registry, for logs.
@@ -69,6 +72,8 @@
     outage: Outage,
     /// Whether a whole list was read in this life.
     complete: bool,
+    /// Revision of the last change that is known.
+    revision: Version,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -98,9 +103,17 @@
         }
     }
 
-    /// Takes a whole list.
-    pub fn replace(&mut self, now: Now, list: Vec<Upstream>) -> Vec<Change> {
+    /// Revision of the last change that is known; 0 without a list.
+    #[must_use]
+    pub fn revision(&self) -> Version {
+        self.revision
+    }
+
+    /// Takes a whole list whose last change has a revision. The revision of a list tells nothing
+    /// of deletions before it, so it is that of its newest entry.
+    pub fn replace(&mut self, now: Now, list: Vec<Upstream>, revision: Version) -> Vec<Change> {
         self.complete = true;
+        self.revision = self.revision.max(revision);
         let mut changes = Vec::new();
         let new: BTreeMap<UpstreamId, Upstream> =
             list.into_iter().map(|u| (u.id.clone(), u)).collect();
@@ -111,7 +124,7 @@
             .cloned()
             .collect();
         for id in missing {
-            changes.extend(self.remove(now, &id));
+            changes.extend(self.remove(now, &id, revision));
         }
         for upstream in new.into_values() {
             changes.extend(self.set(upstream));
@@ -122,6 +135,14 @@
     /// Takes a new or changed entry.
     pub fn set(&mut self, upstream: Upstream) -> Option<Change> {
         let id = upstream.id.clone();
+        self.revision = self.revision.max(upstream.version);
+        if self
+            .listed
+            .get(&id)
+            .is_some_and(|l| l.upstream.version > upstream.version)
+        {
+            return None;
+        }
         let leaving = upstream.leaving;
         let lapsed = false;
         let before = self.listed.insert(id.clone(), Listed { upstream, lapsed });
@@ -134,8 +155,9 @@
         }
     }
 
-    /// Takes the disappearance of an entry.
-    pub fn remove(&mut self, now: Now, id: &str) -> Option<Change> {
+    /// Takes the disappearance of an entry by a revision.
+    pub fn remove(&mut self, now: Now, id: &str, revision: Version) -> Option<Change> {
+        self.revision = self.revision.max(revision);
         let listed = self.listed.get_mut(id)?;
         let in_doubt = match self.outage {
             Outage::None => false,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -24,7 +24,7 @@
         eprintln!("eelgrassholdd: can't set up the log: {error}");
         return ExitCode::FAILURE;
     }
-    match run::run(settings) {
+    match run::run(&args.settings, settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(run::RunError::Cut { open }) => {
             eprintln!("eelgrassholdd: {open} requests were cut");
--- a/crates/daemon/src/run/mod.rs
+++ b/crates/daemon/src/run/mod.rs
@@ -1,5 +1,6 @@
 //! Runs a role until a signal or an operator ends it.
 
+use std::path::Path;
 use std::time::Duration;
 
 use eelgrasshold_core::gateway::budget::RetryBound;
@@ -11,7 +12,7 @@
 use snafu::{ResultExt, Snafu};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-use crate::settings::{EngineSettings, GatewaySettings, Role, Settings};
+use crate::settings::{self, EngineSettings, GatewaySettings, Role, Settings};
 
 /// Longest validity of answers about addresses: a host that died is named for so long.
 const ANSWER_VALIDITY: Duration = Duration::from_secs(2);
@@ -52,6 +53,7 @@
 struct Signals {
     terminate: Signal,
     interrupt: Signal,
+    hangup: Signal,
 }
 
 impl Signals {
@@ -59,15 +61,31 @@
         Ok(Self {
             terminate: signal(SignalKind::terminate()).context(SetupSnafu)?,
             interrupt: signal(SignalKind::interrupt()).context(SetupSnafu)?,
+            hangup: signal(SignalKind::hangup()).context(SetupSnafu)?,
         })
     }
 
-    async fn next(&mut self) {
+    async fn next(&mut self) -> Wanted {
         tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
+            _ = self.terminate.recv() => Wanted::End,
+            _ = self.interrupt.recv() => Wanted::End,
+            _ = self.hangup.recv() => Wanted::Reload,
         }
     }
+
+    /// Waits for a signal that ends the process.
+    async fn end(&mut self) {
+        while self.next().await != Wanted::End {}
+    }
+}
+
+/// What a signal asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Wanted {
+    /// A graceful shutdown.
+    End,
+    /// Reading the settings again.
+    Reload,
 }
 
 /// Runs the process that the settings describe.
@@ -75,45 +93,58 @@
 /// # Errors
 ///
 /// If it can't start, or if its shutdown cut requests.
-pub fn run(settings: Settings) -> Result<(), RunError> {
+pub fn run(path: &Path, settings: Settings) -> Result<(), RunError> {
     // A gateway's host has a share of one core, so further threads would only add switches.
     let mut builder = match settings.role {
         Some(Role::Gateway) => tokio::runtime::Builder::new_current_thread(),
         _ => tokio::runtime::Builder::new_multi_thread(),
     };
     let runtime = builder.enable_all().build().context(SetupSnafu)?;
-    runtime.block_on(run_role(settings))
+    runtime.block_on(run_role(path, settings))
 }
 
-async fn run_role(settings: Settings) -> Result<(), RunError> {
+async fn run_role(path: &Path, settings: Settings) -> Result<(), RunError> {
     let mut signals = Signals::new()?;
     if let Some(gateway) = &settings.gateway {
         let host = GatewayHost::start(gateway_options(&settings, gateway)).await?;
-        signals.next().await;
-        return whole(host.close(signals.next()).await);
+        while signals.next().await == Wanted::Reload {
+            reload(path, &host);
+        }
+        return whole(host.close(signals.end()).await);
     }
     let options = options(&settings)?;
     let drained = match settings.engine {
         None => {
             let host = EntryHost::start(options).await?;
             tokio::select! {
-                () = signals.next() => {}
+                () = signals.end() => {}
                 () = host.drain_wanted() => {}
             }
-            host.close(signals.next()).await
+            host.close(signals.end()).await
         }
         Some(engine) => {
             let host = UpstreamHost::start(options, engine_options(engine)).await?;
             tokio::select! {
-                () = signals.next() => {}
+                () = signals.end() => {}
                 () = host.drain_wanted() => {}
             }
-            host.close(signals.next()).await
+            host.close(signals.end()).await
         }
     };
     whole(drained)
 }
 
+/// Reads the settings again. Settings that can't be used leave the process as it is.
+fn reload(path: &Path, host: &GatewayHost) {
+    match settings::read(path) {
+        Ok(settings) => {
+            log::info!("the settings were read again");
+            host.reload(settings.seeds);
+        }
+        Err(error) => log::warn!("the settings stay as they are: {error}"),
+    }
+}
+
 fn whole(drained: Drained) -> Result<(), RunError> {
     match drained {
         Drained::Whole => Ok(()),
--- a/crates/net/src/gateway/follow.rs
+++ b/crates/net/src/gateway/follow.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use eelgrasshold_core::gateway::follow::{Follower, News};
+use eelgrasshold_core::gateway::registry::Upstream;
 use eelgrasshold_core::platform::{Change, StoredObject};
 use eelgrasshold_platform::store::{CONFIG_KIND, CONFIG_NAME, SERVERS_KIND};
 use eelgrasshold_platform::{route_table, servers};
@@ -17,7 +18,7 @@
 pub(super) async fn configuration(shared: Arc<Shared>) {
     follow(&shared, CONFIG_KIND, |news| match news {
         News::All(objects) => objects.iter().for_each(|o| take_table(&shared, o)),
-        News::Changes(changes) => {
+        News::Changes(changes, _) => {
             for change in &changes {
                 if let Change::Set(object) = change {
                     take_table(&shared, object);
@@ -31,22 +32,29 @@
 }
 
 fn take_table(shared: &Shared, object: &StoredObject) {
-    if object.name != CONFIG_NAME {
-        return;
+    if object.name == CONFIG_NAME {
+        set_table(shared, &object.value, "the store");
     }
-    match route_table::route_table(&object.value) {
-        Ok(table) => {
-            let version = table.version;
-            let mut core = shared.core();
-            let was_ready = core.is_ready();
-            if core.set_table(Arc::new(table)) {
-                log::info!("configuration {version} is in force");
-            }
-            if core.is_ready() != was_ready {
-                shared.standing_changed.notify_one();
-            }
+}
+
+/// Puts a configuration into force, unless a newer one is.
+pub(super) fn set_table(shared: &Shared, document: &[u8], source: &str) {
+    let table = match route_table::route_table(document) {
+        Ok(table) => table,
+        Err(error) => {
+            log::warn!("a configuration of {source} can't be read: {error}");
+            return;
         }
-        Err(error) => log::warn!("a configuration can't be read: {error}"),
+    };
+    let version = table.version;
+    let mut core = shared.core();
+    let was_ready = core.is_ready();
+    if core.set_table(Arc::new(table)) {
+        shared.keep_document(version, document);
+        log::info!("configuration {version} of {source} is in force");
+    }
+    if core.is_ready() != was_ready {
+        shared.standing_changed.notify_one();
     }
 }
 
@@ -59,18 +67,19 @@
         let changes = match news {
             News::All(objects) => {
                 core.registry.store_answered(now);
-                let list = objects.iter().filter_map(read_upstream).collect();
-                core.registry.replace(now, list)
+                let list: Vec<Upstream> = objects.iter().filter_map(read_upstream).collect();
+                let revision = objects.iter().map(|o| o.version).max().unwrap_or(1);
+                core.registry.replace(now, list, revision)
             }
-            News::Changes(changes) => {
+            News::Changes(changes, revision) => {
                 core.registry.store_answered(now);
                 let registry = &mut core.registry;
                 let apply = |change| match change {
                     Change::Set(object) => match read_upstream(&object) {
                         Some(upstream) => registry.set(upstream),
-                        None => registry.remove(now, &object.name),
+                        None => registry.remove(now, &object.name, object.version),
                     },
-                    Change::Deleted(name) => registry.remove(now, &name),
+                    Change::Deleted(name) => registry.remove(now, &name, revision),
                 };
                 changes.into_iter().filter_map(apply).collect()
             }
@@ -94,7 +103,7 @@
 }
 
 fn read_upstream(object: &StoredObject) -> Option<eelgrasshold_core::gateway::registry::Upstream> {
-    match servers::upstream(&object.name, &object.value) {
+    match servers::upstream(object) {
         Ok(upstream) => Some(upstream),
         Err(error) => {
             log::info!("the entry `{}` names no upstream: {error}", object.name);
--- a/crates/net/src/gateway/forward.rs
+++ b/crates/net/src/gateway/forward.rs
@@ -31,7 +31,7 @@
 
 /// Serves a caller's request.
 pub(super) async fn serve(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
-    let _held = Held::new(&shared);
+    let guard = Held::new(&shared);
     let (parts, body) = request.into_parts();
     let id = text(&parts.headers, &names::REQUEST_ID)
         .unwrap_or_default()
@@ -62,6 +62,7 @@
         uri: parts.uri,
         headers: parts.headers,
         body,
+        _held: guard,
     };
     exchange.run().await
 }
@@ -189,6 +190,7 @@
     uri: Uri,
     headers: HeaderMap,
     body: Bytes,
+    _held: Held,
 }
 
 impl Exchange {
--- a/crates/net/src/gateway/gossip.rs
+++ b/crates/net/src/gateway/gossip.rs
@@ -8,6 +8,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
 
+use super::pulls;
 use super::shared::Shared;
 
 /// Largest datagram that is read, in bytes.
@@ -40,13 +41,17 @@
     shared.peers().set_standing(standing);
 }
 
-fn round(shared: &Shared, socket: &UdpSocket) {
+fn round(shared: &Arc<Shared>, socket: &UdpSocket) {
     update_standing(shared);
-    let table = shared.core().table_version();
+    let knowledge = shared.knowledge();
     let mut peers = shared.peers();
-    let (sends, changes) = peers.round(shared.now(), table);
+    let (sends, changes) = peers.round(shared.now(), knowledge);
     let hosts = peers.live_count();
+    let pull = peers.pull(shared.now(), knowledge);
     drop(peers);
+    if let Some(pull) = pull {
+        tokio::spawn(pulls::pull(Arc::clone(shared), pull));
+    }
     shared.core().set_hosts(hosts);
     note(&changes);
     for (to, gossip) in sends {
@@ -56,8 +61,8 @@
 
 fn announce(shared: &Shared, socket: &UdpSocket) {
     update_standing(shared);
-    let table = shared.core().table_version();
-    let sends = shared.peers().announce(table);
+    let knowledge = shared.knowledge();
+    let sends = shared.peers().announce(knowledge);
     for (to, gossip) in sends {
         send(socket, to, &gossip);
     }
@@ -71,8 +76,8 @@
             return;
         }
     };
-    let table = shared.core().table_version();
-    let (answer, changes) = shared.peers().receive(shared.now(), &gossip, table);
+    let knowledge = shared.knowledge();
+    let (answer, changes) = shared.peers().receive(shared.now(), &gossip, knowledge);
     note(&changes);
     if let Some((to, gossip)) = answer {
         send(socket, to, &gossip);
--- a/crates/net/src/gateway/host.rs
+++ b/crates/net/src/gateway/host.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use bytes::Bytes;
 use eelgrasshold_core::fleet::platform_policy::PlatformLimits;
 use eelgrasshold_core::gateway::peers::{PeerRecord, Peers, Standing};
 use eelgrasshold_core::gateway::{Gateway, GatewaySettings};
@@ -22,7 +23,7 @@
 
 use super::pool::Pool;
 use super::shared::Shared;
-use super::{GatewayOptions, callers, directory, follow, gossip};
+use super::{GatewayOptions, callers, directory, follow, gossip, pulls};
 use crate::host::{Drained, StartError, new_incarnation};
 use crate::http::Body;
 use crate::platform::{Dialect, Platform};
@@ -33,6 +34,8 @@
 /// Time after the start of a shutdown in which requests of callers that have not yet heard of it
 /// are served as usual: an answer about addresses and a margin.
 const SERVE_WHILE_LEAVING: Duration = Duration::from_millis(3_500);
+/// Time for the last bytes of answers to leave the process.
+const FLUSH_TIME: Duration = Duration::from_millis(50);
 /// The calls of the store's followers are spread by their own pauses, so the client's breaker
 /// stays closed.
 const NEVER_OPEN: u32 = u32::MAX;
@@ -68,6 +71,7 @@
         options.ready = ready.local_addr().unwrap_or(options.ready);
         options.directory = directory.local_addr().unwrap_or(options.directory);
         options.peers = peers.local_addr().unwrap_or(options.peers);
+        let links = bind(options.peers).await?;
         let shared = Arc::new(shared(options));
         let closing = CancellationToken::new();
         let tasks = vec![
@@ -75,6 +79,7 @@
             tokio::spawn(follow::registry(Arc::clone(&shared))),
             tokio::spawn(follow::expire(Arc::clone(&shared))),
             tokio::spawn(gossip::run(Arc::clone(&shared), peers)),
+            tokio::spawn(pulls::serve(Arc::clone(&shared), links)),
             tokio::spawn(answer(Arc::clone(&shared), ready, |shared, request| {
                 directory::ready(shared, request)
             })),
@@ -133,6 +138,11 @@
         }
     }
 
+    /// Takes new settings as far as they can change while the process runs.
+    pub fn reload(&self, seeds: Vec<SocketAddr>) {
+        self.shared.peers().add_seeds(seeds);
+    }
+
     async fn drain(&self) {
         self.shared.draining.store(true, Ordering::Relaxed);
         self.shared.standing_changed.notify_one();
@@ -141,10 +151,12 @@
         loop {
             let ended = self.shared.ended.notified();
             if self.shared.held.load(Ordering::Relaxed) == 0 {
-                return;
+                break;
             }
             ended.await;
         }
+        // What ended last is still on its way through the connections.
+        tokio::time::sleep(FLUSH_TIME).await;
     }
 }
 
@@ -180,6 +192,7 @@
         peers: Mutex::new(Peers::new(me, options.seeds.clone(), options.seed)),
         pool: Pool::default(),
         platform: platform.speaking(dialect),
+        document: Mutex::new((0, Bytes::new())),
         draining: AtomicBool::new(false),
         held: AtomicUsize::new(0),
         ended: Notify::new(),
--- a/crates/net/src/gateway/mod.rs
+++ b/crates/net/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod host;
 mod options;
 mod pool;
+mod pulls;
 mod relay;
 mod shared;
 mod sse;
--- /dev/null
+++ b/crates/net/src/gateway/pulls.rs
@@ -0,0 +1,138 @@
+//! Asking another entry host for what it knows of the platform's store.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, PoisonError};
+use std::time::Duration;
+
+use eelgrasshold_core::gateway::peers::Pull;
+use eelgrasshold_core::gateway::registry::Upstream;
+use eelgrasshold_core::platform::Version;
+use futures::StreamExt;
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use super::callers::ACCEPT_PAUSE;
+use super::connect::{connect, watch_silence};
+use super::follow::set_table;
+use super::shared::Shared;
+
+/// Longest time of a pull; a configuration of a megabyte takes a fraction of it.
+const PULL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest message, in bytes: a configuration is at most as large as a value of the store.
+const MAX_MESSAGE_BYTES: usize = 8 << 20;
+
+/// What an entry host tells another that can't see the store.
+#[tarpc::service]
+trait Knowledge {
+    /// Document of the configuration in force; empty if there is none.
+    async fn table() -> Vec<u8>;
+    /// The upstreams and the revision of the last change; none without a list.
+    async fn registry() -> Option<(Vec<Upstream>, Version)>;
+}
+
+#[derive(Clone)]
+struct Answerer(Arc<Shared>);
+
+impl Knowledge for Answerer {
+    async fn table(self, _: Context) -> Vec<u8> {
+        let document = &self.0.document;
+        let kept = document.lock().unwrap_or_else(PoisonError::into_inner);
+        kept.1.to_vec()
+    }
+
+    async fn registry(self, _: Context) -> Option<(Vec<Upstream>, Version)> {
+        let core = self.0.core();
+        let registry = &core.registry;
+        let list = registry.all().cloned().collect();
+        registry.is_complete().then(|| (list, registry.revision()))
+    }
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_MESSAGE_BYTES)
+        .new_codec()
+}
+
+/// Answers other hosts; never returns.
+pub(super) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("a connection of another host can't be accepted: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        watch_silence(&stream);
+        let answerer = Answerer(Arc::clone(&shared));
+        tokio::spawn(async move {
+            let framed = Framed::new(stream, codec());
+            let transport = tarpc::serde_transport::new(framed, Bincode::default());
+            let handled = BaseChannel::with_defaults(transport).execute(answerer.serve());
+            let serving = handled.for_each(|handled| handled);
+            // A link carries one question, so one that stays open is of no use.
+            if tokio::time::timeout(PULL_TIMEOUT * 2, serving)
+                .await
+                .is_err()
+            {
+                log::debug!("a link of another host was closed after its time");
+            }
+        });
+    }
+}
+
+/// Asks a host and takes what it says.
+pub(super) async fn pull(shared: Arc<Shared>, pull: Pull) {
+    let (Pull::Table(address) | Pull::Registry(address)) = pull;
+    let stream = match connect(address).await {
+        Ok(stream) => stream,
+        Err(error) => {
+            log::info!("entry host at {address} can't be asked: {error}");
+            return;
+        }
+    };
+    let client = client(stream);
+    let mut cx = tarpc::context::current();
+    cx.deadline = std::time::Instant::now() + PULL_TIMEOUT;
+    match pull {
+        Pull::Table(_) => match client.table(cx).await {
+            Ok(document) if document.is_empty() => {}
+            Ok(document) => set_table(&shared, &document, &source(address)),
+            Err(error) => log::info!("entry host at {address} did not answer: {error}"),
+        },
+        Pull::Registry(_) => match client.registry(cx).await {
+            Ok(Some((list, revision))) => take_registry(&shared, list, revision, address),
+            Ok(None) => {}
+            Err(error) => log::info!("entry host at {address} did not answer: {error}"),
+        },
+    }
+}
+
+fn source(address: SocketAddr) -> String {
+    format!("the entry host at {address}")
+}
+
+fn client(stream: TcpStream) -> KnowledgeClient {
+    let framed = Framed::new(stream, codec());
+    let transport = tarpc::serde_transport::new(framed, Bincode::default());
+    KnowledgeClient::new(tarpc::client::Config::default(), transport).spawn()
+}
+
+fn take_registry(shared: &Shared, list: Vec<Upstream>, revision: Version, from: SocketAddr) {
+    let now = shared.now();
+    let mut core = shared.core();
+    if revision <= core.registry.revision() {
+        return;
+    }
+    let was_ready = core.is_ready();
+    let changes = core.registry.replace(now, list, revision);
+    log::info!("took {} upstreams of {}", changes.len(), source(from));
+    if core.is_ready() != was_ready {
+        shared.standing_changed.notify_one();
+    }
+}
--- a/crates/net/src/gateway/shared.rs
+++ b/crates/net/src/gateway/shared.rs
@@ -3,8 +3,10 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use bytes::Bytes;
 use eelgrasshold_core::gateway::Gateway;
-use eelgrasshold_core::gateway::peers::Peers;
+use eelgrasshold_core::gateway::peers::{Knowledge, Peers};
+use eelgrasshold_core::gateway::routes::TableVersion;
 use eelgrasshold_core::types::Now;
 use tokio::sync::Notify;
 
@@ -22,6 +24,8 @@
     pub(super) peers: Mutex<Peers>,
     pub(super) pool: Pool,
     pub(super) platform: Platform,
+    /// Version and document of the configuration in force, for hosts that can't see the store.
+    pub(super) document: Mutex<(TableVersion, Bytes)>,
     /// The host takes no new callers.
     pub(super) draining: AtomicBool,
     /// Requests that are being served.
@@ -41,6 +45,21 @@
         self.core.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// What this host knows of the store.
+    pub(super) fn knowledge(&self) -> Knowledge {
+        let core = self.core();
+        Knowledge {
+            table: core.table_version(),
+            registry: core.registry.revision(),
+        }
+    }
+
+    /// Keeps the document of the configuration in force.
+    pub(super) fn keep_document(&self, version: TableVersion, document: &[u8]) {
+        let mut kept = self.document.lock().unwrap_or_else(PoisonError::into_inner);
+        *kept = (version, Bytes::copy_from_slice(document));
+    }
+
     pub(super) fn peers(&self) -> MutexGuard<'_, Peers> {
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
