--- a/crates/core/src/gateway/follow.rs
+++ b/crates/core/src/gateway/follow.rs
@@ -136,9 +136,9 @@
     }
 
     fn failed(&mut self, now: Now, reason: String) -> News {
-        if matches!(self.phase, Phase::List { .. }) {
-            self.phase = Self::first_page();
-        }
+        // A store that dropped its history may leave a watch from before it waiting for the next
+        // change, so what happened meanwhile is read.
+        self.phase = Self::first_page();
         self.failures = self.failures.saturating_add(1);
         let doublings = (self.failures - 1).min(16);
         let pause = (FIRST_PAUSE * (1 << doublings)).min(LONGEST_PAUSE);
