Plan even expert maps and roll them out under late orders

core::ranks plans from the map in use (changes that lower the most loaded rank, within the time that loading may take) and rolls a version out with the platform's orders: prepare, hold, arm, go.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod gateway;
 pub mod group;
 pub mod platform;
+pub mod ranks;
 mod rendezvous;
 pub mod serving;
 pub mod types;
--- /dev/null
+++ b/crates/core/src/ranks/leader.rs
@@ -0,0 +1,587 @@
+//! The process beside a rank: when it leads, what it reads, and when it plans.
+//!
+//! The process of the lowest rank that is alive leads. It reads the others' ranks through their
+//! own processes, which is free; those that are asked by a lower rank stay passive. Two leaders
+//! at once do no harm, see [`super::rollout`].
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::even::{self, Limits};
+use super::rollout::{Ended, Order, OrderResult, RankOrder, Rollout, Start};
+use super::{
+    Expert, GroupEpoch, GroupMap, MapVersion, NEVER_ARMED, Pass, RankIndex, RankView, Seen,
+    VERSION_STEP,
+};
+use crate::gateway::routes::ExpertLayout;
+use crate::types::Now;
+
+/// Time between two readings of all ranks.
+const POLL: Duration = Duration::from_millis(400);
+/// Time between two readings while a rollout loads.
+const POLL_LOADING: Duration = Duration::from_millis(150);
+/// Time without a question of a lower rank after which a process leads: three readings.
+const LEADER_SILENCE: Duration = Duration::from_millis(1_300);
+/// Further time for each rank, so that the lowest one that is alive leads alone.
+const LEADER_STAGGER: Duration = Duration::from_millis(150);
+/// Time for which a held pass may wait before another process finishes the rollout.
+const HELD_LIMIT: Duration = Duration::from_millis(600);
+/// Half-life of the counts that a plan is made from. Popularity changes within a few seconds.
+const COUNT_HALF_LIFE: Duration = Duration::from_millis(2_500);
+/// Counts below which a set is not planned: a few prompts say nothing about the next ones.
+const LEAST_COUNTS: f64 = 20_000.0;
+/// Time that one rollout may spend on loading.
+const LOAD_TIME: Duration = Duration::from_millis(1_600);
+/// Time between the choice of a pass and its beginning, in which all ranks are armed.
+const ARM_TIME: Duration = Duration::from_millis(250);
+/// Part by which passes are slower while experts are loaded.
+const LOADING_SLOWDOWN: f64 = 0.15;
+/// Time over which a better map pays, since popularity changes.
+const HORIZON: Duration = Duration::from_secs(4);
+/// Part of a pass that the experts' work takes under load; the rest does not depend on the map.
+const EXPERT_PART: f64 = 0.5;
+/// Time of passes that a rollout must save beyond its cost, in seconds, so that noise moves nothing.
+const LEAST_SAVING_S: f64 = 0.05;
+/// Pause after a rollout that was given up.
+const PAUSE: Duration = Duration::from_millis(800);
+/// What a process is told at its start.
+#[derive(Clone, Debug)]
+pub struct LeaderSettings {
+    /// Experts of the group.
+    pub layout: ExpertLayout,
+    /// Milliseconds since 1970 at the start. Versions come from it, so that two lives of a
+    /// process never use the same one.
+    pub started_ms: u64,
+    /// Seed.
+    pub seed: u64,
+}
+
+/// What is read of a rank.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Sight {
+    /// Its state.
+    View,
+    /// Its state and the counts of its experts.
+    Counts,
+    /// Its state and the experts that it holds.
+    Held,
+}
+
+/// What the machine is told.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// State of the own rank at the start, or after it was unknown.
+    Own(RankView),
+    /// A process of this rank asked for the state of the own rank.
+    AskedBy(RankIndex),
+    /// A rank's state, with what else was read.
+    Read {
+        /// When it was asked for; the state is not older.
+        asked: Now,
+        /// State.
+        view: RankView,
+        /// How often each expert was chosen since the rank started, by set.
+        counts: Option<Vec<Vec<u64>>>,
+        /// Experts that it holds, by set.
+        held: Option<Vec<BTreeSet<Expert>>>,
+    },
+    /// What became of an order.
+    Result(RankOrder, OrderResult),
+    /// Time passed.
+    Tick,
+}
+
+/// What the driver shall do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Read a rank; [`Input::Read`] follows unless it can't be reached.
+    Read(RankIndex, Sight),
+    /// Give an order; [`Input::Result`] always follows.
+    Send(RankOrder),
+    /// Something to log.
+    Note(Note),
+}
+
+/// Decisions and beliefs, for logs.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Note {
+    /// The process leads the group, or does so no more.
+    Leads(bool),
+    /// A map was planned: work of the most loaded rank against the mean before and after, and the
+    /// most experts that a rank loads.
+    Planned {
+        /// Version.
+        version: MapVersion,
+        /// Before.
+        before: f64,
+        /// After.
+        after: f64,
+        /// Loads.
+        loads: usize,
+    },
+    /// A rollout of another process is finished.
+    TakesOver {
+        /// Rank that holds.
+        holder: RankIndex,
+        /// Held pass.
+        pass: Pass,
+    },
+    /// A rollout ended.
+    RolledOut {
+        /// Version.
+        version: MapVersion,
+        /// Pass that was held.
+        pass: Pass,
+        /// How.
+        ended: Ended,
+    },
+}
+
+#[derive(Clone, Debug, Default)]
+struct Counted {
+    last: Vec<Vec<u64>>,
+}
+
+/// The process beside a rank.
+#[derive(Clone, Debug)]
+pub struct Leader {
+    settings: LeaderSettings,
+    rng: SmallRng,
+    me: Option<RankIndex>,
+    size: usize,
+    epoch: GroupEpoch,
+    seen: BTreeMap<RankIndex, Seen>,
+    held: BTreeMap<RankIndex, (MapVersion, Vec<BTreeSet<Expert>>)>,
+    counted: BTreeMap<RankIndex, Counted>,
+    /// Decayed counts by set.
+    demand: Vec<Vec<f64>>,
+    demand_at: Now,
+    /// Map in use, with its version.
+    present: Option<(MapVersion, Arc<GroupMap>)>,
+    /// Map of a rollout that was released.
+    expected: Option<(MapVersion, Arc<GroupMap>)>,
+    rollout: Option<Rollout>,
+    highest: MapVersion,
+    asked_at: Now,
+    leads: bool,
+    next_poll: Now,
+    next_plan: Now,
+    /// The last pass and when it began, for stalls and the time of a pass.
+    last_pass: (Pass, Now),
+    pass_time: Duration,
+    out: Vec<Output>,
+}
+
+impl Leader {
+    /// A process that knows nothing of its group yet.
+    #[must_use]
+    pub fn new(settings: LeaderSettings) -> Self {
+        Self {
+            rng: SmallRng::seed_from_u64(settings.seed),
+            me: None,
+            size: 0,
+            epoch: 0,
+            seen: BTreeMap::new(),
+            held: BTreeMap::new(),
+            counted: BTreeMap::new(),
+            demand: Vec::new(),
+            demand_at: Now::ZERO,
+            present: None,
+            expected: None,
+            rollout: None,
+            highest: 0,
+            asked_at: Now::ZERO,
+            leads: false,
+            next_poll: Now::ZERO,
+            next_plan: Now::ZERO,
+            last_pass: (0, Now::ZERO),
+            pass_time: Duration::from_millis(60),
+            out: Vec::new(),
+            settings,
+        }
+    }
+
+    /// Takes an input at the time `now` and returns what the driver shall do.
+    pub fn handle(&mut self, now: Now, input: Input) -> Vec<Output> {
+        match input {
+            Input::Own(view) => {
+                if self.me.is_none() {
+                    // Gives the processes of lower ranks time to ask first.
+                    self.asked_at = now;
+                }
+                self.me = Some(view.rank);
+                self.size = view.size;
+                self.read(now, now, view, None, None);
+            }
+            Input::AskedBy(rank) => {
+                if self.me.is_some_and(|me| rank < me) {
+                    self.asked_at = now;
+                }
+            }
+            Input::Read {
+                asked,
+                view,
+                counts,
+                held,
+            } => self.read(now, asked, view, counts, held),
+            Input::Result(order, result) => {
+                if let Some(rollout) = &mut self.rollout {
+                    rollout.result(now, &order, result);
+                }
+            }
+            Input::Tick => {}
+        }
+        self.step(now);
+        std::mem::take(&mut self.out)
+    }
+
+    /// When the next [`Input::Tick`] is due at the latest.
+    #[must_use]
+    pub fn next_tick(&self, now: Now) -> Now {
+        let step = if self.rollout.as_ref().is_some_and(Rollout::holds) {
+            Duration::from_millis(20)
+        } else {
+            Duration::from_millis(100)
+        };
+        now + step
+    }
+
+    /// Whether this process leads its group.
+    #[must_use]
+    pub fn leads(&self) -> bool {
+        self.leads
+    }
+
+    fn step(&mut self, now: Now) {
+        let Some(me) = self.me else {
+            return;
+        };
+        let silence = LEADER_SILENCE + LEADER_STAGGER * u32::try_from(me).unwrap_or(u32::MAX);
+        let leads = me == 0 || now.saturating_sub(self.asked_at) >= silence;
+        if leads != self.leads {
+            self.leads = leads;
+            self.out.push(Output::Note(Note::Leads(leads)));
+        }
+        // A rollout that may hold the group is finished also by a process that leads no more.
+        if self.rollout.is_some() {
+            self.advance(now);
+        }
+        if !leads {
+            return;
+        }
+        self.poll(now);
+        if self.rollout.is_none() && !self.finish_other(now, me) {
+            self.plan(now, me);
+        }
+    }
+
+    fn poll(&mut self, now: Now) {
+        let loading = self.rollout.as_ref().is_some_and(|r| !r.holds());
+        if now < self.next_poll {
+            return;
+        }
+        self.next_poll = now + if loading { POLL_LOADING } else { POLL };
+        let known = |rank: &RankIndex| {
+            let version = self.seen.get(rank).map(|s| s.view.map);
+            self.held.get(rank).map(|h| h.0) == version
+        };
+        let needs_maps = self.present.is_none();
+        for rank in 0..self.size {
+            let sight = if loading {
+                Sight::View
+            } else if needs_maps && !known(&rank) {
+                Sight::Held
+            } else {
+                Sight::Counts
+            };
+            self.out.push(Output::Read(rank, sight));
+        }
+    }
+
+    fn advance(&mut self, now: Now) {
+        let begun = self.last_pass.0;
+        let Some(rollout) = &mut self.rollout else {
+            return;
+        };
+        for order in rollout.orders(now, begun) {
+            self.out.push(Output::Send(order));
+        }
+        for rank in rollout.unclear() {
+            self.out.push(Output::Read(rank, Sight::View));
+        }
+        let Some(ended) = rollout.ended() else {
+            return;
+        };
+        let (version, pass) = (rollout.version(), rollout.pass());
+        if ended == Ended::Switched && !rollout.map().sets.is_empty() {
+            self.expected = Some((version, Arc::clone(rollout.map())));
+        }
+        if ended != Ended::Switched {
+            self.next_plan = now + PAUSE.mul_f64(self.rng.random_range(0.7..1.3));
+        }
+        self.rollout = None;
+        self.out.push(Output::Note(Note::RolledOut {
+            version,
+            pass,
+            ended,
+        }));
+    }
+
+    fn read(
+        &mut self,
+        now: Now,
+        asked: Now,
+        view: RankView,
+        counts: Option<Vec<Vec<u64>>>,
+        held: Option<Vec<BTreeSet<Expert>>>,
+    ) {
+        let rank = view.rank;
+        if view.epoch < self.epoch {
+            return;
+        }
+        if view.epoch > self.epoch {
+            self.new_epoch(now, &view);
+        }
+        let versions = [Some(view.map), view.prepared, view.armed.map(|a| a.0)];
+        self.highest = versions.into_iter().flatten().fold(self.highest, u64::max);
+        if view.pass > self.last_pass.0 {
+            self.note_pass(now, view.pass);
+        }
+        if let Some(rollout) = &mut self.rollout {
+            rollout.look(now, asked, rank, &view);
+        }
+        if let Some(held) = held {
+            self.held.insert(rank, (view.map, held));
+        }
+        if let Some(counts) = counts {
+            self.count(now, rank, counts);
+        }
+        self.note_map(view.map);
+        // Answers may overtake one another.
+        if self.seen.get(&rank).is_none_or(|s| s.at <= asked) {
+            self.seen.insert(rank, Seen { view, at: asked });
+        }
+    }
+
+    fn new_epoch(&mut self, now: Now, view: &RankView) {
+        self.epoch = view.epoch;
+        self.size = view.size;
+        self.seen.clear();
+        self.held.clear();
+        self.expected = None;
+        self.present = None;
+        self.last_pass = (0, now);
+        self.note_map(view.map);
+    }
+
+    fn note_pass(&mut self, now: Now, pass: Pass) {
+        let (last, at) = self.last_pass;
+        let passes = u32::try_from(pass - last).unwrap_or(u32::MAX);
+        let each = now.saturating_sub(at) / passes;
+        if last > 0 {
+            let each = each.clamp(Duration::from_millis(10), Duration::from_millis(300));
+            self.pass_time = (self.pass_time * 3 + each) / 4;
+        }
+        self.last_pass = (pass, now);
+    }
+
+    /// Finds the content of the map in use.
+    fn note_map(&mut self, version: MapVersion) {
+        // A view from before a switch may arrive after it; versions only rise.
+        if self.present.as_ref().is_some_and(|p| p.0 >= version) {
+            return;
+        }
+        let layout = &self.settings.layout;
+        if version == 0 {
+            let (sets, experts) = (layout.sets as usize, layout.experts as usize);
+            let map = GroupMap::dealt(sets, self.size, experts);
+            self.present = Some((0, Arc::new(map)));
+        } else if let Some((_, map)) = self.expected.take_if(|e| e.0 == version) {
+            self.present = Some((version, map));
+        } else {
+            let of_rank = |r: RankIndex| self.held.get(&r).filter(|h| h.0 == version);
+            let held: Option<Vec<_>> = (0..self.size)
+                .map(|r| of_rank(r).map(|h| h.1.clone()))
+                .collect();
+            let map = held.and_then(|held| GroupMap::of_ranks(&held));
+            self.present = map.map(|map| (version, Arc::new(map)));
+        }
+    }
+
+    fn count(&mut self, now: Now, rank: RankIndex, counts: Vec<Vec<u64>>) {
+        let layout = &self.settings.layout;
+        self.demand
+            .resize(layout.sets as usize, vec![0.0; layout.experts as usize]);
+        let gap = now.saturating_sub(self.demand_at).as_secs_f64();
+        self.demand_at = now;
+        let decay = 0.5_f64.powf(gap / COUNT_HALF_LIFE.as_secs_f64());
+        for demand in self.demand.iter_mut().flatten() {
+            *demand *= decay;
+        }
+        let counted = self.counted.entry(rank).or_default();
+        let same_shape = counted.last.len() == counts.len();
+        for (set, counts) in counts.iter().enumerate().filter(|_| same_shape) {
+            let (Some(demand), Some(last)) = (self.demand.get_mut(set), counted.last.get(set))
+            else {
+                continue;
+            };
+            // A rank that started again counts from nothing.
+            let restarted = last.iter().sum::<u64>() > counts.iter().sum();
+            for (expert, (count, last)) in counts.iter().zip(last).enumerate() {
+                let new = if restarted {
+                    *count
+                } else {
+                    count.saturating_sub(*last)
+                };
+                if let Some(demand) = demand.get_mut(expert) {
+                    *demand += new as f64;
+                }
+            }
+        }
+        counted.last = counts;
+    }
+
+    /// Views of all ranks, if they are fresh and agree on the group's life.
+    fn fresh(&self, now: Now, limit: Duration) -> Option<Vec<RankView>> {
+        let fresh = |rank| {
+            let seen: &Seen = self.seen.get(&rank)?;
+            let usable = now.saturating_sub(seen.at) <= limit && seen.view.open;
+            (usable && seen.view.epoch == self.epoch).then(|| seen.view.clone())
+        };
+        (0..self.size).map(fresh).collect()
+    }
+
+    /// Finishes a rollout of another process that lets the group wait. True if there is one.
+    fn finish_other(&mut self, now: Now, me: RankIndex) -> bool {
+        let held = self.seen.values().find_map(|s| {
+            let pass = s.view.held.filter(|_| s.view.epoch == self.epoch)?;
+            Some((s.view.rank, pass))
+        });
+        let Some((holder, pass)) = held else {
+            return false;
+        };
+        let (begun, since) = self.last_pass;
+        let waits = begun + 1 >= pass && now.saturating_sub(since) >= HELD_LIMIT;
+        // The views have to be from after the wait began.
+        let Some(views) = self.fresh(now, HELD_LIMIT).filter(|_| waits) else {
+            return true;
+        };
+        let Some(start) = self.start(now, me) else {
+            return true;
+        };
+        self.out
+            .push(Output::Note(Note::TakesOver { holder, pass }));
+        self.rollout = Some(Rollout::take_over(now, start, holder, pass, &views));
+        self.advance(now);
+        true
+    }
+
+    fn plan(&mut self, now: Now, me: RankIndex) {
+        if now < self.next_plan {
+            return;
+        }
+        let Some(views) = self.fresh(now, POLL * 2) else {
+            return;
+        };
+        let at_rest = |v: &RankView| v.armed.is_none() && v.held.is_none();
+        let idle = now.saturating_sub(self.last_pass.1) > POLL * 2;
+        let version = self.present.as_ref().map(|p| p.0);
+        let one_map = views.iter().all(|v| Some(v.map) == version);
+        if idle || !one_map || !views.iter().all(at_rest) {
+            return;
+        }
+        let Some(shares) = self.shares() else {
+            return;
+        };
+        self.next_plan = now + POLL;
+        let Some(start) = self.start(now, me) else {
+            return;
+        };
+        let limits = self.limits();
+        let Some(plan) = even::plan(&start.present, &shares, limits) else {
+            return;
+        };
+        if !self.pays(plan.before, plan.after, plan.loads) {
+            return;
+        }
+        self.out.push(Output::Note(Note::Planned {
+            version: start.version,
+            before: plan.before,
+            after: plan.after,
+            loads: plan.loads,
+        }));
+        self.rollout = Some(Rollout::new(now, start, Arc::new(plan.map)));
+        self.next_poll = now + POLL_LOADING;
+        self.advance(now);
+    }
+
+    /// Each expert's part of the work, by set; none while too little was counted.
+    fn shares(&self) -> Option<Vec<Vec<f64>>> {
+        let share = |set: &Vec<f64>| {
+            let total: f64 = set.iter().sum();
+            (total >= LEAST_COUNTS).then(|| set.iter().map(|d| d / total).collect())
+        };
+        let sets: Option<Vec<Vec<f64>>> = self.demand.iter().map(share).collect();
+        sets.filter(|s| !s.is_empty())
+    }
+
+    fn load_time(&self) -> Duration {
+        let layout = &self.settings.layout;
+        Duration::from_secs_f64(layout.expert_mb * 8.0 / layout.link_mbps.max(1.0))
+    }
+
+    fn limits(&self) -> Limits {
+        let layout = &self.settings.layout;
+        let each = self.load_time().as_secs_f64().max(1e-6);
+        Limits {
+            slots_per_rank: layout.slots_per_rank as usize,
+            loads_per_set: layout.spare as usize,
+            loads_per_rank: ((LOAD_TIME.as_secs_f64() / each) as usize).max(1),
+        }
+    }
+
+    /// Whether the passes that are saved over the horizon outweigh the slower ones while loading.
+    fn pays(&self, before: f64, after: f64, loads: usize) -> bool {
+        let gain = EXPERT_PART * (before - after) / before.max(f64::MIN_POSITIVE);
+        let loading = self.load_time().as_secs_f64() * loads as f64;
+        gain * HORIZON.as_secs_f64() > LOADING_SLOWDOWN * loading + LEAST_SAVING_S
+    }
+
+    fn start(&mut self, now: Now, me: RankIndex) -> Option<Start> {
+        let (_, present) = self.present.clone()?;
+        let lead = ARM_TIME.as_secs_f64() / self.pass_time.as_secs_f64().max(1e-3);
+        Some(Start {
+            rank: me,
+            size: self.size,
+            epoch: self.epoch,
+            version: self.new_version(now, me as MapVersion),
+            kill_version: self.new_version(now, me as MapVersion + NEVER_ARMED),
+            present,
+            lead: (lead.ceil() as Pass).max(2),
+        })
+    }
+
+    /// A version above all that were seen, which no other process and no earlier life uses.
+    fn new_version(&mut self, now: Now, rest: MapVersion) -> MapVersion {
+        let clock_ms = self.settings.started_ms + u64::try_from(now.as_millis()).unwrap_or(0);
+        let next = (self.highest / VERSION_STEP + 1).max(clock_ms);
+        self.highest = next * VERSION_STEP + rest;
+        self.highest
+    }
+}
+
+/// Orders by name, for logs.
+#[must_use]
+pub fn order_name(order: &Order) -> &'static str {
+    match order {
+        Order::Prepare { .. } => "prepare",
+        Order::Arm { .. } => "arm",
+        Order::Disarm { .. } => "disarm",
+        Order::Hold { .. } => "hold",
+        Order::Go { .. } => "go",
+    }
+}
--- /dev/null
+++ b/crates/core/src/ranks/map.rs
@@ -0,0 +1,100 @@
+//! Maps of a group: which ranks hold which experts.
+
+use std::collections::BTreeSet;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Expert, RankIndex};
+
+/// Experts of one set by rank.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct SetMap {
+    /// Experts by rank, each list in order.
+    pub ranks: Vec<BTreeSet<Expert>>,
+}
+
+impl SetMap {
+    /// Experts dealt to the ranks in turn: the map of a group that was just formed.
+    #[must_use]
+    pub fn dealt(ranks: usize, experts: usize) -> Self {
+        let mut map = Self {
+            ranks: vec![BTreeSet::new(); ranks],
+        };
+        for expert in 0..experts {
+            map.ranks[expert % ranks.max(1)].insert(expert);
+        }
+        map
+    }
+
+    /// Number of ranks that hold each expert.
+    #[must_use]
+    pub fn copies(&self, experts: usize) -> Vec<usize> {
+        let mut copies = vec![0; experts];
+        for expert in self.ranks.iter().flatten() {
+            if let Some(count) = copies.get_mut(*expert) {
+                *count += 1;
+            }
+        }
+        copies
+    }
+
+    /// Part of the set's work that each rank does, given each expert's part of it.
+    #[must_use]
+    pub fn loads(&self, shares: &[f64]) -> Vec<f64> {
+        let copies = self.copies(shares.len());
+        let part = |expert: &Expert| {
+            let share = shares.get(*expert).copied().unwrap_or_default();
+            share / copies.get(*expert).copied().unwrap_or(1).max(1) as f64
+        };
+        let load = |held: &BTreeSet<Expert>| held.iter().map(part).sum();
+        self.ranks.iter().map(load).collect()
+    }
+}
+
+/// Maps of all sets.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct GroupMap {
+    /// Maps by set.
+    pub sets: Vec<SetMap>,
+}
+
+impl GroupMap {
+    /// The map of a group that was just formed.
+    #[must_use]
+    pub fn dealt(sets: usize, ranks: usize, experts: usize) -> Self {
+        Self {
+            sets: vec![SetMap::dealt(ranks, experts); sets],
+        }
+    }
+
+    /// A map from what each rank holds, by rank and set; none if a rank is missing.
+    #[must_use]
+    pub fn of_ranks(ranks: &[Vec<BTreeSet<Expert>>]) -> Option<Self> {
+        let sets = ranks.first()?.len();
+        if ranks.iter().any(|r| r.len() != sets) {
+            return None;
+        }
+        let set = |s: usize| SetMap {
+            ranks: ranks.iter().map(|r| r[s].clone()).collect(),
+        };
+        Some(Self {
+            sets: (0..sets).map(set).collect(),
+        })
+    }
+
+    /// Experts that a rank has to load to go from this map to another, over all sets.
+    #[must_use]
+    pub fn loads_of(&self, to: &Self, rank: RankIndex) -> usize {
+        let pairs = self.sets.iter().zip(&to.sets);
+        pairs
+            .map(
+                |(from, to)| match (from.ranks.get(rank), to.ranks.get(rank)) {
+                    (Some(from), Some(to)) => to.difference(from).count(),
+                    _ => 0,
+                },
+            )
+            .sum()
+    }
+}
--- /dev/null
+++ b/crates/core/src/ranks/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of planning and of rollouts on an emulated group.
