--- a/crates/core/src/ranks/even.rs
+++ b/crates/core/src/ranks/even.rs
@@ -5,6 +5,7 @@
 //! makes the changes that lower the most loaded rank of a set most, until the copies take as long
 //! as is worth it. What is left is done by the next plan.
 
+use std::cmp::Ordering;
 use std::collections::BTreeSet;
 
 use super::{Expert, GroupMap, RankIndex, SetMap};
@@ -14,6 +15,13 @@
 /// Least part by which a change must lower a set's most loaded rank.
 const LEAST_GAIN: f64 = 0.004;
 
+/// Experts of the most loaded rank that are tried elsewhere.
+const HEAVY_EXPERTS: usize = 4;
+/// Ranks that they are tried on, the least loaded first.
+const TARGETS: usize = 6;
+/// Experts that are given up for them, those with least work first.
+const LIGHT_EXPERTS: usize = 4;
+
 /// Limits of a plan.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -119,16 +127,26 @@
         self.loads.iter().copied().fold(0.0, f64::max)
     }
 
+    /// Work that one copy of an expert brings.
+    fn part(&self, expert: Expert) -> f64 {
+        self.shares[expert] / self.copies[expert].max(1) as f64
+    }
+
     /// Makes the best change; false if none gains enough.
     fn improve(&mut self, left: &mut [usize]) -> bool {
         let by_load = |a: &usize, b: &usize| self.loads[*a].total_cmp(&self.loads[*b]);
-        let Some(top) = (0..self.loads.len()).max_by(by_load) else {
+        let mut ranks: Vec<RankIndex> = (0..self.loads.len()).collect();
+        ranks.sort_by(by_load);
+        let Some((top, targets)) = ranks.split_last() else {
             return false;
         };
+        let targets = &targets[..targets.len().min(TARGETS)];
         let before = score(&self.loads);
         let mut best: Option<(f64, Change)> = None;
-        for change in self.candidates(top, left) {
-            let score = score(&self.loads_after(change));
+        let mut loads = Vec::with_capacity(self.loads.len());
+        for change in self.candidates(*top, targets, left) {
+            self.loads_after(change, &mut loads);
+            let score = score(&loads);
             if best.is_none_or(|(least, _)| score < least) {
                 best = Some((score, change));
             }
@@ -143,51 +161,65 @@
         true
     }
 
-    /// Changes that take work off the most loaded rank.
-    fn candidates(&self, top: RankIndex, left: &[usize]) -> Vec<Change> {
+    /// Changes that take work off the most loaded rank: of its experts with most work, to the
+    /// ranks with least, in place of the experts that these miss least.
+    fn candidates(&self, top: RankIndex, targets: &[RankIndex], left: &[usize]) -> Vec<Change> {
         let mut changes = Vec::new();
-        for &expert in &self.map.ranks[top] {
-            for to in 0..self.map.ranks.len() {
-                if to == top
-                    || self.map.ranks[to].contains(&expert)
-                    || !self.may_load(to, expert, left)
-                {
-                    continue;
-                }
-                let plain = Change {
-                    expert,
-                    to,
-                    from: None,
-                    evicted: None,
-                    swapped: false,
-                };
-                let moved = Change {
-                    from: Some(top),
-                    ..plain
-                };
-                if self.map.ranks[to].len() < self.limits.slots_per_rank {
-                    changes.extend([plain, moved]);
+        let heavy = self.ordered(top, |a, b| b.total_cmp(&a));
+        for &expert in heavy.iter().take(HEAVY_EXPERTS) {
+            for &to in targets {
+                if self.map.ranks[to].contains(&expert) || !self.may_load(to, expert, left) {
                     continue;
                 }
-                for &other in &self.map.ranks[to] {
-                    let evicted = Some(other);
-                    if self.copies[other] > 1 {
-                        changes.extend([Change { evicted, ..plain }, Change { evicted, ..moved }]);
-                    } else if self.may_swap(top, other, left) {
-                        changes.push(Change {
-                            evicted,
-                            swapped: true,
-                            ..moved
-                        });
-                    }
-                }
+                self.changes_to(top, expert, to, left, &mut changes);
             }
         }
         changes
     }
 
-    fn may_swap(&self, top: RankIndex, evicted: Expert, left: &[usize]) -> bool {
-        !self.map.ranks[top].contains(&evicted) && self.may_load(top, evicted, left)
+    fn changes_to(
+        &self,
+        top: RankIndex,
+        expert: Expert,
+        to: RankIndex,
+        left: &[usize],
+        changes: &mut Vec<Change>,
+    ) {
+        let plain = Change {
+            expert,
+            to,
+            from: None,
+            evicted: None,
+            swapped: false,
+        };
+        let moved = Change {
+            from: Some(top),
+            ..plain
+        };
+        if self.map.ranks[to].len() < self.limits.slots_per_rank {
+            changes.extend([plain, moved]);
+            return;
+        }
+        let light = self.ordered(to, |a, b| a.total_cmp(&b));
+        for &other in light.iter().take(LIGHT_EXPERTS) {
+            let evicted = Some(other);
+            if self.copies[other] > 1 {
+                changes.extend([Change { evicted, ..plain }, Change { evicted, ..moved }]);
+            } else if !self.map.ranks[top].contains(&other) && self.may_load(top, other, left) {
+                changes.push(Change {
+                    evicted,
+                    swapped: true,
+                    ..moved
+                });
+            }
+        }
+    }
+
+    /// Experts of a rank by the work that they bring it.
+    fn ordered(&self, rank: RankIndex, by: impl Fn(f64, f64) -> Ordering) -> Vec<Expert> {
+        let mut experts: Vec<Expert> = self.map.ranks[rank].iter().copied().collect();
+        experts.sort_by(|a, b| by(self.part(*a), self.part(*b)));
+        experts
     }
 
     /// Whether a rank may get an expert; one that it held at first costs nothing.
@@ -196,48 +228,49 @@
             || (left[rank] > 0 && self.loaded[rank] < self.limits.loads_per_set)
     }
 
-    fn loads_after(&self, change: Change) -> Vec<f64> {
-        let mut loads = self.loads.clone();
+    fn loads_after(&self, change: Change, loads: &mut Vec<f64>) {
+        loads.clone_from(&self.loads);
         let expert = change.expert;
-        let (share, copies) = (self.shares[expert], self.copies[expert] as f64);
+        let part = self.part(expert);
         if let Some(from) = change.from {
-            loads[from] -= share / copies;
-            loads[change.to] += share / copies;
+            loads[from] -= part;
+            loads[change.to] += part;
         } else {
-            let (before, after) = (share / copies, share / (copies + 1.0));
-            for (rank, held) in self.map.ranks.iter().enumerate() {
-                if held.contains(&expert) {
-                    loads[rank] += after - before;
-                }
-            }
+            let after = self.shares[expert] / (self.copies[expert] + 1) as f64;
+            self.shift(expert, after - part, loads);
             loads[change.to] += after;
         }
         let Some(evicted) = change.evicted else {
-            return loads;
+            return;
         };
-        let (share, copies) = (self.shares[evicted], self.copies[evicted] as f64);
-        loads[change.to] -= share / copies;
+        let part = self.part(evicted);
         if change.swapped {
+            loads[change.to] -= part;
             if let Some(from) = change.from {
-                loads[from] += share / copies;
+                loads[from] += part;
             }
-            return loads;
+            return;
         }
-        let (before, after) = (share / copies, share / (copies - 1.0).max(1.0));
-        for (rank, held) in self.map.ranks.iter().enumerate() {
-            if rank != change.to && held.contains(&evicted) {
-                loads[rank] += after - before;
+        let after = self.shares[evicted] / (self.copies[evicted] - 1).max(1) as f64;
+        self.shift(evicted, after - part, loads);
+        loads[change.to] -= after;
+    }
+
+    /// Adds to the loads of all ranks that hold an expert.
+    fn shift(&self, expert: Expert, by: f64, loads: &mut [f64]) {
+        for (load, held) in loads.iter_mut().zip(&self.map.ranks) {
+            if held.contains(&expert) {
+                *load += by;
             }
         }
-        loads
     }
 
     fn apply(&mut self, change: Change, left: &mut [usize]) {
         if let Some(from) = change.from {
-            self.remove(from, change.expert);
+            self.remove(from, change.expert, left);
         }
         if let Some(evicted) = change.evicted {
-            self.remove(change.to, evicted);
+            self.remove(change.to, evicted, left);
             if let Some(from) = change.from.filter(|_| change.swapped) {
                 self.add(from, evicted, left);
             }
@@ -255,10 +288,11 @@
         }
     }
 
-    fn remove(&mut self, rank: RankIndex, expert: Expert) {
+    fn remove(&mut self, rank: RankIndex, expert: Expert, left: &mut [usize]) {
         let held: &mut BTreeSet<Expert> = &mut self.map.ranks[rank];
         if held.remove(&expert) && !self.original.ranks[rank].contains(&expert) {
             self.loaded[rank] = self.loaded[rank].saturating_sub(1);
+            left[rank] += 1;
         }
     }
 }
--- a/crates/core/src/ranks/leader.rs
+++ b/crates/core/src/ranks/leader.rs
@@ -11,48 +11,61 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::even::{self, Limits};
+use super::even::{self, EvenPlan, Limits};
 use super::rollout::{Ended, Order, OrderResult, RankOrder, Rollout, Start};
 use super::{
-    Expert, GroupEpoch, GroupMap, MapVersion, NEVER_ARMED, Pass, RankIndex, RankView, Seen,
-    VERSION_STEP,
+    Expert, GroupEpoch, GroupMap, MapVersion, NEVER_ARMED, ORDER_LATENESS, Pass, RankIndex,
+    RankView, Seen, VERSION_STEP,
 };
 use crate::gateway::routes::ExpertLayout;
+use crate::group::popularity::Popularity;
 use crate::types::Now;
 
-/// Time between two readings of all ranks.
-const POLL: Duration = Duration::from_millis(400);
-/// Time between two readings while a rollout loads.
-const POLL_LOADING: Duration = Duration::from_millis(150);
-/// Time without a question of a lower rank after which a process leads: three readings.
+/// Time between two readings of all ranks. Popularity jumps every few seconds, and what is lost
+/// until a jump is seen can't be made good.
+const POLL: Duration = Duration::from_millis(250);
+/// Time between two readings when ranks should have loaded.
+const POLL_LOADED: Duration = Duration::from_millis(50);
+/// Time without a question of a lower rank after which a process leads: five readings.
 const LEADER_SILENCE: Duration = Duration::from_millis(1_300);
 /// Further time for each rank, so that the lowest one that is alive leads alone.
 const LEADER_STAGGER: Duration = Duration::from_millis(150);
 /// Time for which a held pass may wait before another process finishes the rollout.
 const HELD_LIMIT: Duration = Duration::from_millis(600);
-/// Half-life of the counts that a plan is made from. Popularity changes within a few seconds.
-const COUNT_HALF_LIFE: Duration = Duration::from_millis(2_500);
-/// Counts below which a set is not planned: a few prompts say nothing about the next ones.
-const LEAST_COUNTS: f64 = 20_000.0;
-/// Time that one rollout may spend on loading.
-const LOAD_TIME: Duration = Duration::from_millis(1_600);
-/// Time between the choice of a pass and its beginning, in which all ranks are armed.
-const ARM_TIME: Duration = Duration::from_millis(250);
+/// Counts in a reading below which nothing is concluded: a few prompts say nothing about the next.
+const LEAST_COUNTS: u64 = 20_000;
+/// Part of the counts that must have moved between two readings for a jump to be under way. The
+/// requests of two readings differ by chance in less, and a jump moves more.
+const JUMP: f64 = 0.25;
+/// Numbers of experts that a rank may load in one rollout, of which the best is taken: a few bring
+/// the most popular ones to more ranks soon, more even out the rest.
+const LOAD_CHOICES: [usize; 3] = [1, 2, 4];
+/// Passes between the choice of a pass and its beginning, in which all ranks are armed.
+const ARM_PASSES: Pass = 2;
+/// Passes that a new life of a process stays clear of, since orders of an earlier life may still
+/// be carried out for them.
+const CLEAR_PASSES: Pass = 48;
+/// Time from a plan to its effect beside the loading.
+const SWITCH_TIME: Duration = Duration::from_millis(250);
 /// Part by which passes are slower while experts are loaded.
 const LOADING_SLOWDOWN: f64 = 0.15;
 /// Time over which a better map pays, since popularity changes.
 const HORIZON: Duration = Duration::from_secs(4);
-/// Part of a pass that the experts' work takes under load; the rest does not depend on the map.
+/// Part of a pass that the experts' work takes when it is even and the group is well loaded; it
+/// grows with the work of the most loaded rank.
 const EXPERT_PART: f64 = 0.5;
 /// Time of passes that a rollout must save beyond its cost, in seconds, so that noise moves nothing.
-const LEAST_SAVING_S: f64 = 0.05;
+const LEAST_SAVING_S: f64 = 0.08;
 /// Pause after a rollout that was given up.
 const PAUSE: Duration = Duration::from_millis(800);
+
 /// What a process is told at its start.
 #[derive(Clone, Debug)]
 pub struct LeaderSettings {
     /// Experts of the group.
     pub layout: ExpertLayout,
+    /// The group's processes start for the first time, so no order of an earlier life is on its way.
+    pub first_start: bool,
     /// Milliseconds since 1970 at the start. Versions come from it, so that two lives of a
     /// process never use the same one.
     pub started_ms: u64,
@@ -141,25 +154,25 @@
     },
 }
 
-#[derive(Clone, Debug, Default)]
-struct Counted {
-    last: Vec<Vec<u64>>,
-}
-
 /// The process beside a rank.
 #[derive(Clone, Debug)]
 pub struct Leader {
     settings: LeaderSettings,
+    born: Now,
     rng: SmallRng,
     me: Option<RankIndex>,
     size: usize,
     epoch: GroupEpoch,
     seen: BTreeMap<RankIndex, Seen>,
     held: BTreeMap<RankIndex, (MapVersion, Vec<BTreeSet<Expert>>)>,
-    counted: BTreeMap<RankIndex, Counted>,
-    /// Decayed counts by set.
-    demand: Vec<Vec<f64>>,
-    demand_at: Now,
+    counted: BTreeMap<RankIndex, Vec<Vec<u64>>>,
+    /// Counts since the last reading, by set.
+    window: Vec<Vec<u64>>,
+    /// Each expert's part of the last reading, by set.
+    last_shares: Vec<Vec<f64>>,
+    popularity: Vec<Popularity>,
+    /// The last two readings agree.
+    steady: bool,
     /// Map in use, with its version.
     present: Option<(MapVersion, Arc<GroupMap>)>,
     /// Map of a rollout that was released.
@@ -170,17 +183,19 @@
     leads: bool,
     next_poll: Now,
     next_plan: Now,
-    /// The last pass and when it began, for stalls and the time of a pass.
+    /// The last pass and when it began, for stalls.
     last_pass: (Pass, Now),
-    pass_time: Duration,
+    /// The last pass that this process held.
+    last_held: Pass,
     out: Vec<Output>,
 }
 
 impl Leader {
-    /// A process that knows nothing of its group yet.
+    /// A process that starts at `now` and knows nothing of its group yet.
     #[must_use]
-    pub fn new(settings: LeaderSettings) -> Self {
+    pub fn new(now: Now, settings: LeaderSettings) -> Self {
         Self {
+            born: now,
             rng: SmallRng::seed_from_u64(settings.seed),
             me: None,
             size: 0,
@@ -188,8 +203,10 @@
             seen: BTreeMap::new(),
             held: BTreeMap::new(),
             counted: BTreeMap::new(),
-            demand: Vec::new(),
-            demand_at: Now::ZERO,
+            window: Vec::new(),
+            last_shares: Vec::new(),
+            popularity: Vec::new(),
+            steady: false,
             present: None,
             expected: None,
             rollout: None,
@@ -199,7 +216,7 @@
             next_poll: Now::ZERO,
             next_plan: Now::ZERO,
             last_pass: (0, Now::ZERO),
-            pass_time: Duration::from_millis(60),
+            last_held: 0,
             out: Vec::new(),
             settings,
         }
@@ -280,18 +297,21 @@
     }
 
     fn poll(&mut self, now: Now) {
-        let loading = self.rollout.as_ref().is_some_and(|r| !r.holds());
+        let loaded = self.rollout.as_ref().is_some_and(|r| r.is_loaded(now));
         if now < self.next_poll {
             return;
         }
-        self.next_poll = now + if loading { POLL_LOADING } else { POLL };
+        self.next_poll = now + if loaded { POLL_LOADED } else { POLL };
+        if !loaded {
+            self.fold_counts();
+        }
         let known = |rank: &RankIndex| {
             let version = self.seen.get(rank).map(|s| s.view.map);
             self.held.get(rank).map(|h| h.0) == version
         };
         let needs_maps = self.present.is_none();
         for rank in 0..self.size {
-            let sight = if loading {
+            let sight = if loaded {
                 Sight::View
             } else if needs_maps && !known(&rank) {
                 Sight::Held
@@ -317,6 +337,9 @@
             return;
         };
         let (version, pass) = (rollout.version(), rollout.pass());
+        if Some(rollout.holder()) == self.me {
+            self.last_held = self.last_held.max(pass);
+        }
         if ended == Ended::Switched && !rollout.map().sets.is_empty() {
             self.expected = Some((version, Arc::clone(rollout.map())));
         }
@@ -349,7 +372,7 @@
         let versions = [Some(view.map), view.prepared, view.armed.map(|a| a.0)];
         self.highest = versions.into_iter().flatten().fold(self.highest, u64::max);
         if view.pass > self.last_pass.0 {
-            self.note_pass(now, view.pass);
+            self.last_pass = (view.pass, now);
         }
         if let Some(rollout) = &mut self.rollout {
             rollout.look(now, asked, rank, &view);
@@ -358,7 +381,7 @@
             self.held.insert(rank, (view.map, held));
         }
         if let Some(counts) = counts {
-            self.count(now, rank, counts);
+            self.count(rank, counts);
         }
         self.note_map(view.map);
         // Answers may overtake one another.
@@ -375,20 +398,10 @@
         self.expected = None;
         self.present = None;
         self.last_pass = (0, now);
+        self.last_held = 0;
         self.note_map(view.map);
     }
 
-    fn note_pass(&mut self, now: Now, pass: Pass) {
-        let (last, at) = self.last_pass;
-        let passes = u32::try_from(pass - last).unwrap_or(u32::MAX);
-        let each = now.saturating_sub(at) / passes;
-        if last > 0 {
-            let each = each.clamp(Duration::from_millis(10), Duration::from_millis(300));
-            self.pass_time = (self.pass_time * 3 + each) / 4;
-        }
-        self.last_pass = (pass, now);
-    }
-
     /// Finds the content of the map in use.
     fn note_map(&mut self, version: MapVersion) {
         // A view from before a switch may arrive after it; versions only rise.
@@ -412,37 +425,46 @@
         }
     }
 
-    fn count(&mut self, now: Now, rank: RankIndex, counts: Vec<Vec<u64>>) {
+    fn count(&mut self, rank: RankIndex, counts: Vec<Vec<u64>>) {
         let layout = &self.settings.layout;
-        self.demand
-            .resize(layout.sets as usize, vec![0.0; layout.experts as usize]);
-        let gap = now.saturating_sub(self.demand_at).as_secs_f64();
-        self.demand_at = now;
-        let decay = 0.5_f64.powf(gap / COUNT_HALF_LIFE.as_secs_f64());
-        for demand in self.demand.iter_mut().flatten() {
-            *demand *= decay;
-        }
-        let counted = self.counted.entry(rank).or_default();
-        let same_shape = counted.last.len() == counts.len();
-        for (set, counts) in counts.iter().enumerate().filter(|_| same_shape) {
-            let (Some(demand), Some(last)) = (self.demand.get_mut(set), counted.last.get(set))
-            else {
-                continue;
-            };
+        let (sets, experts) = (layout.sets as usize, layout.experts as usize);
+        self.window.resize(sets, vec![0; experts]);
+        // The first reading counts what lies too far back.
+        let last = self.counted.get(&rank).filter(|l| l.len() == counts.len());
+        let pairs = counts.iter().zip(last.into_iter().flatten());
+        for (window, (counts, last)) in self.window.iter_mut().zip(pairs) {
             // A rank that started again counts from nothing.
             let restarted = last.iter().sum::<u64>() > counts.iter().sum();
-            for (expert, (count, last)) in counts.iter().zip(last).enumerate() {
-                let new = if restarted {
-                    *count
-                } else {
-                    count.saturating_sub(*last)
-                };
-                if let Some(demand) = demand.get_mut(expert) {
-                    *demand += new as f64;
-                }
+            for ((window, count), last) in window.iter_mut().zip(counts).zip(last) {
+                let before = if restarted { 0 } else { *last };
+                *window += count.saturating_sub(before);
             }
         }
-        counted.last = counts;
+        self.counted.insert(rank, counts);
+    }
+
+    /// Takes the counts since the last reading into the popularity.
+    fn fold_counts(&mut self) {
+        let enough = |set: &Vec<u64>| set.iter().sum::<u64>() >= LEAST_COUNTS;
+        if self.window.is_empty() || !self.window.iter().all(enough) {
+            return;
+        }
+        let window = std::mem::take(&mut self.window);
+        self.popularity.resize(window.len(), Popularity::default());
+        let mut moved = 0.0;
+        let mut shares = Vec::with_capacity(window.len());
+        for (set, counts) in window.iter().enumerate() {
+            self.popularity[set].observe(counts);
+            let total = counts.iter().sum::<u64>().max(1) as f64;
+            let new: Vec<f64> = counts.iter().map(|c| *c as f64 / total).collect();
+            moved += self
+                .last_shares
+                .get(set)
+                .map_or(1.0, |old| distance(old, &new));
+            shares.push(new);
+        }
+        self.steady = moved / (window.len() as f64) < JUMP;
+        self.last_shares = shares;
     }
 
     /// Views of all ranks, if they are fresh and agree on the group's life.
@@ -494,66 +516,66 @@
         if idle || !one_map || !views.iter().all(at_rest) {
             return;
         }
-        let Some(shares) = self.shares() else {
+        if !self.steady {
             return;
-        };
+        }
         self.next_plan = now + POLL;
         let Some(start) = self.start(now, me) else {
             return;
         };
-        let limits = self.limits();
-        let Some(plan) = even::plan(&start.present, &shares, limits) else {
+        let Some(plan) = self.best_plan(&start.present) else {
             return;
         };
-        if !self.pays(plan.before, plan.after, plan.loads) {
-            return;
-        }
         self.out.push(Output::Note(Note::Planned {
             version: start.version,
             before: plan.before,
             after: plan.after,
             loads: plan.loads,
         }));
-        self.rollout = Some(Rollout::new(now, start, Arc::new(plan.map)));
-        self.next_poll = now + POLL_LOADING;
+        let loading = self.load_time() * u32::try_from(plan.loads).unwrap_or(1);
+        let rollout = Rollout::new(now, start, Arc::new(plan.map), loading);
+        self.rollout = Some(rollout);
+        self.next_poll = self.next_poll.min(now + loading);
         self.advance(now);
     }
 
-    /// Each expert's part of the work, by set; none while too little was counted.
-    fn shares(&self) -> Option<Vec<Vec<f64>>> {
-        let share = |set: &Vec<f64>| {
-            let total: f64 = set.iter().sum();
-            (total >= LEAST_COUNTS).then(|| set.iter().map(|d| d / total).collect())
-        };
-        let sets: Option<Vec<Vec<f64>>> = self.demand.iter().map(share).collect();
-        sets.filter(|s| !s.is_empty())
-    }
-
-    fn load_time(&self) -> Duration {
+    /// The plan that saves most time of passes, if one saves enough.
+    fn best_plan(&self, present: &GroupMap) -> Option<EvenPlan> {
+        // A plan takes effect two readings after it was made.
+        let shares: Vec<Vec<f64>> = self.popularity.iter().map(|p| p.expected(2.0)).collect();
         let layout = &self.settings.layout;
-        Duration::from_secs_f64(layout.expert_mb * 8.0 / layout.link_mbps.max(1.0))
+        let plans = LOAD_CHOICES.iter().filter_map(|loads_per_rank| {
+            let limits = Limits {
+                slots_per_rank: layout.slots_per_rank as usize,
+                loads_per_set: layout.spare as usize,
+                loads_per_rank: *loads_per_rank,
+            };
+            let plan = even::plan(present, &shares, limits)?;
+            Some((self.saving(&plan), plan))
+        });
+        let best = plans.max_by(|a, b| a.0.total_cmp(&b.0))?;
+        (best.0 > LEAST_SAVING_S).then_some(best.1)
     }
 
-    fn limits(&self) -> Limits {
-        let layout = &self.settings.layout;
-        let each = self.load_time().as_secs_f64().max(1e-6);
-        Limits {
-            slots_per_rank: layout.slots_per_rank as usize,
-            loads_per_set: layout.spare as usize,
-            loads_per_rank: ((LOAD_TIME.as_secs_f64() / each) as usize).max(1),
-        }
+    /// Time of passes that a plan saves over the horizon, in seconds.
+    fn saving(&self, plan: &EvenPlan) -> f64 {
+        let loading = self.load_time().as_secs_f64() * plan.loads as f64;
+        let effective = HORIZON.saturating_sub(SWITCH_TIME).as_secs_f64() - loading;
+        let pass = 1.0 - EXPERT_PART + EXPERT_PART * plan.before;
+        let gain = EXPERT_PART * (plan.before - plan.after) / pass;
+        gain * effective.max(0.0) - LOADING_SLOWDOWN * loading
     }
 
-    /// Whether the passes that are saved over the horizon outweigh the slower ones while loading.
-    fn pays(&self, before: f64, after: f64, loads: usize) -> bool {
-        let gain = EXPERT_PART * (before - after) / before.max(f64::MIN_POSITIVE);
-        let loading = self.load_time().as_secs_f64() * loads as f64;
-        gain * HORIZON.as_secs_f64() > LOADING_SLOWDOWN * loading + LEAST_SAVING_S
+    fn load_time(&self) -> Duration {
+        let layout = &self.settings.layout;
+        Duration::from_secs_f64(layout.expert_mb * 8.0 / layout.link_mbps.max(1.0))
     }
 
     fn start(&mut self, now: Now, me: RankIndex) -> Option<Start> {
         let (_, present) = self.present.clone()?;
-        let lead = ARM_TIME.as_secs_f64() / self.pass_time.as_secs_f64().max(1e-3);
+        let age = now.saturating_sub(self.born);
+        let clear = !self.settings.first_start && age < ORDER_LATENESS;
+        let begun = self.last_pass.0 + if clear { CLEAR_PASSES } else { 0 };
         Some(Start {
             rank: me,
             size: self.size,
@@ -561,13 +583,15 @@
             version: self.new_version(now, me as MapVersion),
             kill_version: self.new_version(now, me as MapVersion + NEVER_ARMED),
             present,
-            lead: (lead.ceil() as Pass).max(2),
+            lead: ARM_PASSES,
+            after: begun.max(self.last_held),
         })
     }
 
     /// A version above all that were seen, which no other process and no earlier life uses.
     fn new_version(&mut self, now: Now, rest: MapVersion) -> MapVersion {
-        let clock_ms = self.settings.started_ms + u64::try_from(now.as_millis()).unwrap_or(0);
+        let age = now.saturating_sub(self.born);
+        let clock_ms = self.settings.started_ms + u64::try_from(age.as_millis()).unwrap_or(0);
         let next = (self.highest / VERSION_STEP + 1).max(clock_ms);
         self.highest = next * VERSION_STEP + rest;
         self.highest
@@ -585,3 +609,8 @@
         Order::Go { .. } => "go",
     }
 }
+
+/// Part of the whole that two distributions differ in, 0 to 1.
+fn distance(a: &[f64], b: &[f64]) -> f64 {
+    a.iter().zip(b).map(|(a, b)| (a - b).abs()).sum::<f64>() / 2.0
+}
--- a/crates/core/src/ranks/rollout.rs
+++ b/crates/core/src/ranks/rollout.rs
@@ -7,7 +7,8 @@
 //! ones, and any number of processes may give orders at the same time.
 //!
 //! A rollout prepares a version on all ranks, holds a pass, arms all ranks for it and releases it.
-//! Each version and each held pass belongs to one process and is used once, so:
+//! Each version belongs to one process, each pass is held at the rank of one process, and both are
+//! used once, so:
 //!
 //! - A late `Prepare` of a lower version and a late `Arm` for a pass that has begun are refused.
 //! - A late `Arm` before that does what is wanted anyway, for no version is armed for two passes.
@@ -164,9 +165,13 @@
     pass: Pass,
     /// Passes between the choice of a pass and its beginning.
     lead: Pass,
+    /// The held pass is later than this one.
+    after: Pass,
     holds: u32,
     phase: Phase,
     began: Now,
+    /// When all ranks should have loaded.
+    loaded_at: Now,
     /// When the present phase began.
     entered: Now,
     ranks: Vec<Progress>,
@@ -193,13 +198,16 @@
     pub present: Arc<GroupMap>,
     /// Passes between the choice of a pass and its beginning, in which all ranks are armed.
     pub lead: Pass,
+    /// The held pass is later than this one, which orders of earlier rollouts may name.
+    pub after: Pass,
 }
 
 impl Rollout {
-    /// A rollout of a map.
+    /// A rollout of a map whose loading takes a time.
     #[must_use]
-    pub fn new(now: Now, start: Start, map: Arc<GroupMap>) -> Self {
+    pub fn new(now: Now, start: Start, map: Arc<GroupMap>, loading: Duration) -> Self {
         Self {
+            loaded_at: now + loading,
             holder: start.rank,
             epoch: start.epoch,
             version: start.version,
@@ -208,6 +216,7 @@
             kill_version: start.kill_version,
             pass: 0,
             lead: start.lead,
+            after: start.after,
             holds: 0,
             phase: Phase::Prepare,
             began: now,
@@ -235,10 +244,10 @@
         let versions = views.iter().flat_map(visible).flatten();
         let version = versions.filter(of_holder).max().unwrap_or(NO_VERSION);
         let mut rollout = Self {
-            pass,
             holder,
             version,
-            ..Self::new(now, start, Arc::default())
+            pass,
+            ..Self::new(now, start, Arc::default(), Duration::ZERO)
         };
         let has = |v: &RankView| v.prepared == Some(version) || v.armed == Some((version, pass));
         rollout.prepared = views.iter().map(has).collect();
@@ -279,6 +288,18 @@
         }
     }
 
+    /// Rank whose hold is used.
+    #[must_use]
+    pub fn holder(&self) -> RankIndex {
+        self.holder
+    }
+
+    /// Whether the ranks should have loaded, so that their states are worth reading often.
+    #[must_use]
+    pub fn is_loaded(&self, now: Now) -> bool {
+        self.holds() || now >= self.loaded_at
+    }
+
     /// How it ended, if it did.
     #[must_use]
     pub fn ended(&self) -> Option<Ended> {
@@ -561,13 +582,12 @@
         });
     }
 
-    /// Chooses a pass that no other process uses: passes are dealt to the ranks' processes in turn.
+    /// Chooses a pass that no order of an earlier rollout of this process names. Those of other
+    /// processes are held at other ranks.
     fn choose_pass(&mut self, now: Now, begun: Pass) {
         self.holds += 1;
-        let size = self.ranks.len().max(1) as Pass;
-        let earliest = begun + self.lead.max(1) + 1;
-        let own = self.holder as Pass % size;
-        self.pass = earliest + (own + size - earliest % size) % size;
+        self.pass = (begun + self.lead.max(1) + 1).max(self.after + 1);
+        self.after = self.pass;
         self.ranks[self.holder] = Progress {
             due: now,
             ..Progress::default()
--- a/crates/core/tests/rank_fuzz.rs
+++ b/crates/core/tests/rank_fuzz.rs
@@ -60,7 +60,7 @@
         let experts = size * 3;
         let actors = (0..size)
             .map(|rank| Actor {
-                leader: leader(&mut rng, experts, Now::ZERO),
+                leader: leader(&mut rng, experts, Now::ZERO, true),
                 paused_until: Now::ZERO,
                 cut: vec![Now::ZERO; size],
                 next_tick: Duration::from_millis(rank as u64 * 7),
@@ -124,7 +124,7 @@
         if self.rng.random_bool(0.001) {
             let actor = self.rng.random_range(0..size);
             let experts = size * 3;
-            self.actors[actor].leader = leader(&mut self.rng, experts, now);
+            self.actors[actor].leader = leader(&mut self.rng, experts, now, false);
             let down = Duration::from_millis(self.rng.random_range(500..3_000));
             self.actors[actor].paused_until = now + down;
             self.events
@@ -266,8 +266,8 @@
     }
 }
 
-fn leader(rng: &mut SmallRng, experts: usize, now: Now) -> Leader {
-    Leader::new(LeaderSettings {
+fn leader(rng: &mut SmallRng, experts: usize, now: Now, first_start: bool) -> Leader {
+    let settings = LeaderSettings {
         layout: ExpertLayout {
             sets: 2,
             experts: experts as u32,
@@ -278,9 +278,11 @@
             link_mbps: 44_000.0,
             form_time: Duration::from_millis(600),
         },
+        first_start,
         started_ms: 1_770_000_000_000 + u64::try_from(now.as_millis()).unwrap(),
         seed: rng.random(),
-    })
+    };
+    Leader::new(now, settings)
 }
 
 fn setting(name: &str, default: u64) -> u64 {
--- a/crates/daemon/src/run/mod.rs
+++ b/crates/daemon/src/run/mod.rs
@@ -8,6 +8,7 @@
 use eelgrasshold_net::host::{
     Drained, EngineOptions, EntryHost, HostOptions, StartError, UpstreamHost,
 };
+use eelgrasshold_net::ranks::{RankHost, RankOptions};
 use eelgrasshold_net::tls::{Identity, TlsError};
 use snafu::{ResultExt, Snafu};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -94,9 +95,9 @@
 ///
 /// If it can't start, or if its shutdown cut requests.
 pub fn run(path: &Path, settings: Settings) -> Result<(), RunError> {
-    // A gateway's host has a share of one core, so further threads would only add switches.
+    // On the users' platform each host has a share of one core, so further threads would only add switches.
     let mut builder = match settings.role {
-        Some(Role::Gateway) => tokio::runtime::Builder::new_current_thread(),
+        Some(Role::Gateway | Role::Rank) => tokio::runtime::Builder::new_current_thread(),
         _ => tokio::runtime::Builder::new_multi_thread(),
     };
     let runtime = builder.enable_all().build().context(SetupSnafu)?;
@@ -112,6 +113,12 @@
         }
         return whole(host.close(signals.end()).await);
     }
+    if let (Some(Role::Rank), Some(engine)) = (settings.role, &settings.engine) {
+        let host = RankHost::start(rank_options(&settings, engine)).await?;
+        signals.end().await;
+        host.close();
+        return Ok(());
+    }
     let options = options(&settings)?;
     let drained = match settings.engine {
         None => {
@@ -152,6 +159,16 @@
     }
 }
 
+fn rank_options(settings: &Settings, engine: &EngineSettings) -> RankOptions {
+    RankOptions {
+        engine: engine.address,
+        service: engine.service.clone(),
+        peers: settings.control_address,
+        platform: settings.platform_url.clone(),
+        first_start: engine.first_start,
+    }
+}
+
 fn gateway_options(settings: &Settings, gateway: &GatewaySettings) -> GatewayOptions {
     let retry_bound = RetryBound {
         window: Duration::from_secs_f64(gateway.retry_window_s),
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -24,8 +24,10 @@
         }
     }
     match (settings.role, &settings.engine) {
-        (None, _) => report("role", "must be `entry`, `upstream` or `gateway`"),
-        (Some(Role::Upstream), None) => report("engine", "the role `upstream` needs an engine"),
+        (None, _) => report("role", "must be `entry`, `upstream`, `gateway` or `rank`"),
+        (Some(Role::Upstream | Role::Rank), None) => {
+            report("engine", "the roles `upstream` and `rank` need an engine");
+        }
         (Some(Role::Entry | Role::Gateway), Some(_)) => {
             report(
                 "engine",
@@ -67,7 +69,9 @@
         ("control_address", settings.control_address),
         ("admin_address", settings.admin_address),
     ] {
-        if address.ip().is_unspecified() {
+        // Callers don't come to a process beside a rank.
+        let needed = settings.role != Some(Role::Rank) || path != "data_address";
+        if needed && address.ip().is_unspecified() {
             report(
                 path,
                 "must be set to an address of this host that others can reach",
--- a/crates/daemon/src/settings/model.rs
+++ b/crates/daemon/src/settings/model.rs
@@ -17,6 +17,8 @@
     Upstream,
     /// Takes callers' requests and passes them straight to the upstreams of a registry.
     Gateway,
+    /// Stands next to an engine that is a rank of a group and takes orders itself.
+    Rank,
 }
 
 /// Settings of a process.
@@ -102,6 +104,8 @@
     pub service: String,
     /// What it is: `model` or `plain`.
     pub kind: ServiceKind,
+    /// The fleet starts for the first time, for the role `rank`.
+    pub first_start: bool,
 }
 
 impl Default for Settings {
@@ -133,6 +137,7 @@
             address: SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
             service: String::new(),
             kind: ServiceKind::Model,
+            first_start: false,
         }
     }
 }
--- a/crates/net/src/gateway/connect.rs
+++ b/crates/net/src/connect/mod.rs
@@ -18,7 +18,7 @@
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(4);
 
 /// Makes a connection notice by itself that its peer or the way there is gone.
-pub(super) fn watch_silence(stream: &TcpStream) {
+pub(crate) fn watch_silence(stream: &TcpStream) {
     let keepalive = TcpKeepalive::new()
         .with_time(PROBE_INTERVAL)
         .with_interval(PROBE_INTERVAL)
@@ -38,7 +38,7 @@
 /// # Errors
 ///
 /// If the peer refuses or does not answer in time.
-pub(super) async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+pub(crate) async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let connecting = TcpStream::connect(address);
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
         .await
--- a/crates/net/src/gateway/callers.rs
+++ b/crates/net/src/gateway/callers.rs
@@ -3,7 +3,6 @@
 use std::convert::Infallible;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
 
 use eelgrasshold_core::gateway::routes::CallerLimits;
 use eelgrasshold_core::types::Now;
@@ -14,12 +13,11 @@
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 
-use super::connect::watch_silence;
 use super::forward;
 use super::shared::Shared;
+use crate::connect::watch_silence;
+use crate::rpc::ACCEPT_PAUSE;
 
-/// Pause after a failed accept, so that a lack of file descriptors causes no busy loop.
-pub(super) const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Smallest buffer of a connection that the HTTP library allows, in bytes.
 const MIN_BUFFER: usize = 8 << 10;
 
--- a/crates/net/src/gateway/host.rs
+++ b/crates/net/src/gateway/host.rs
@@ -27,6 +27,7 @@
 use crate::host::{Drained, StartError, new_incarnation};
 use crate::http::Body;
 use crate::platform::{Dialect, Platform};
+use crate::rpc::ACCEPT_PAUSE;
 use crate::runtime::Clock;
 
 /// Longest time that a question about addresses or readiness may take to arrive; they are short.
@@ -180,18 +181,12 @@
         failures_to_open: NEVER_OPEN,
         ..PlatformLimits::default()
     };
-    let dialect = Dialect {
-        object_request: store::object_request,
-        object_reply: store::object_reply,
-        kind_request: store::kind_request,
-        kind_reply: store::kind_reply,
-    };
     let platform = Platform::new(&options.platform, clock, limits, options.seed);
     Shared {
         core: Mutex::new(Gateway::new(settings, options.seed)),
         peers: Mutex::new(Peers::new(me, options.seeds.clone(), options.seed)),
         pool: Pool::default(),
-        platform: platform.speaking(dialect),
+        platform: platform.speaking(users_dialect()),
         document: Mutex::new((0, Bytes::new())),
         draining: AtomicBool::new(false),
         held: AtomicUsize::new(0),
@@ -202,6 +197,16 @@
     }
 }
 
+/// How the users' platform speaks.
+pub(crate) fn users_dialect() -> Dialect {
+    Dialect {
+        object_request: store::object_request,
+        object_reply: store::object_reply,
+        kind_request: store::kind_request,
+        kind_reply: store::kind_reply,
+    }
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address)
         .await
@@ -218,11 +223,11 @@
             Ok((stream, _)) => stream,
             Err(error) => {
                 log::warn!("a connection can't be accepted: {error}");
-                tokio::time::sleep(callers::ACCEPT_PAUSE).await;
+                tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
-        super::connect::watch_silence(&stream);
+        crate::connect::watch_silence(&stream);
         let (shared, handler) = (Arc::clone(&shared), handler.clone());
         tokio::spawn(async move {
             let service = service_fn(move |request| {
--- a/crates/net/src/gateway/mod.rs
+++ b/crates/net/src/gateway/mod.rs
@@ -5,7 +5,6 @@
 //! configuration and the registry of upstreams, and exchanges datagrams with other entry hosts.
 
 mod callers;
-mod connect;
 mod directory;
 mod follow;
 mod forward;
@@ -19,4 +18,5 @@
 mod sse;
 
 pub use host::GatewayHost;
+pub(crate) use host::users_dialect;
 pub use options::{GatewayOptions, GatewayOptionsBuilder};
--- a/crates/net/src/gateway/pool.rs
+++ b/crates/net/src/gateway/pool.rs
@@ -18,7 +18,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 
-use super::connect::connect;
+use crate::connect::connect;
 
 /// Time for which an idle connection is kept if the upstream names none.
 const UNNAMED_IDLE_LIMIT: Duration = Duration::from_millis(800);
--- a/crates/net/src/gateway/pulls.rs
+++ b/crates/net/src/gateway/pulls.rs
@@ -10,20 +10,14 @@
 use futures::StreamExt;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
-use tarpc::tokio_serde::formats::Bincode;
 use tokio::net::{TcpListener, TcpStream};
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use super::callers::ACCEPT_PAUSE;
-use super::connect::{connect, watch_silence};
 use super::follow::set_table;
 use super::shared::Shared;
+use crate::rpc;
 
 /// Longest time of a pull; a configuration of a megabyte takes a fraction of it.
 const PULL_TIMEOUT: Duration = Duration::from_secs(2);
-/// Largest message, in bytes: a configuration is at most as large as a value of the store.
-const MAX_MESSAGE_BYTES: usize = 8 << 20;
-
 /// What an entry host tells another that can't see the store.
 #[tarpc::service]
 trait Knowledge {
@@ -51,54 +45,38 @@
     }
 }
 
-fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_MESSAGE_BYTES)
-        .new_codec()
-}
-
 /// Answers other hosts; never returns.
 pub(super) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!("a connection of another host can't be accepted: {error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        watch_silence(&stream);
-        let answerer = Answerer(Arc::clone(&shared));
-        tokio::spawn(async move {
-            let framed = Framed::new(stream, codec());
-            let transport = tarpc::serde_transport::new(framed, Bincode::default());
-            let handled = BaseChannel::with_defaults(transport).execute(answerer.serve());
-            let serving = handled.for_each(|handled| handled);
-            // A link carries one question, so one that stays open is of no use.
-            if tokio::time::timeout(PULL_TIMEOUT * 2, serving)
-                .await
-                .is_err()
-            {
-                log::debug!("a link of another host was closed after its time");
-            }
-        });
+    rpc::accept(listener, |stream| {
+        answer(Answerer(Arc::clone(&shared)), stream)
+    })
+    .await;
+}
+
+async fn answer(answerer: Answerer, stream: TcpStream) {
+    let handled = BaseChannel::with_defaults(rpc::link(stream)).execute(answerer.serve());
+    let serving = handled.for_each(|handled| handled);
+    // A link carries one question, so one that stays open is of no use.
+    if tokio::time::timeout(PULL_TIMEOUT * 2, serving)
+        .await
+        .is_err()
+    {
+        log::debug!("a link of another host was closed after its time");
     }
 }
 
 /// Asks a host and takes what it says.
 pub(super) async fn pull(shared: Arc<Shared>, pull: Pull) {
     let (Pull::Table(address) | Pull::Registry(address)) = pull;
-    let stream = match connect(address).await {
-        Ok(stream) => stream,
+    let link = match rpc::open(address).await {
+        Ok(link) => link,
         Err(error) => {
             log::info!("entry host at {address} can't be asked: {error}");
             return;
         }
     };
-    let client = client(stream);
-    let mut cx = tarpc::context::current();
-    cx.deadline = std::time::Instant::now() + PULL_TIMEOUT;
+    let client = KnowledgeClient::new(tarpc::client::Config::default(), link).spawn();
+    let cx = rpc::within(PULL_TIMEOUT);
     match pull {
         Pull::Table(_) => match client.table(cx).await {
             Ok(document) if document.is_empty() => {}
@@ -117,12 +95,6 @@
     format!("the entry host at {address}")
 }
 
-fn client(stream: TcpStream) -> KnowledgeClient {
-    let framed = Framed::new(stream, codec());
-    let transport = tarpc::serde_transport::new(framed, Bincode::default());
-    KnowledgeClient::new(tarpc::client::Config::default(), transport).spawn()
-}
-
 fn take_registry(shared: &Shared, list: Vec<Upstream>, revision: Version, from: SocketAddr) {
     let now = shared.now();
     let mut core = shared.core();
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,6 +1,7 @@
 //! Sockets and timers around the core.
 
 pub mod admin;
+mod connect;
 pub mod control;
 pub mod entry;
 
@@ -9,6 +10,8 @@
 pub mod http;
 pub mod metrics;
 pub mod platform;
+pub mod ranks;
+mod rpc;
 pub mod runtime;
 pub mod tls;
 pub mod upstream;
--- /dev/null
+++ b/crates/net/src/ranks/engine.rs
@@ -0,0 +1,137 @@
+//! Calls to an engine about its rank.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eelgrasshold_core::ranks::{Expert, MapVersion, OrderResult, RankOrder, RankView, Sight};
+use eelgrasshold_platform::engine;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use serde::{Deserialize, Serialize};
+use tokio::sync::Mutex;
+
+use crate::connect::connect;
+use crate::http::collect;
+
+/// Longest time of a call; an engine answers in a millisecond.
+const CALL_TIMEOUT: Duration = Duration::from_millis(150);
+/// Largest answer, in bytes: counts of tens of thousands of experts.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
+
+/// What was read of a rank.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct Look {
+    /// State.
+    pub(super) view: RankView,
+    /// How often each expert was chosen, by set.
+    pub(super) counts: Option<Vec<Vec<u64>>>,
+    /// Version of the map in use and the experts that the rank holds, by set.
+    pub(super) held: Option<(MapVersion, Vec<BTreeSet<Expert>>)>,
+}
+
+/// An engine at one address, with a kept connection.
+#[derive(Debug)]
+pub(super) struct Engine {
+    address: SocketAddr,
+    experts: usize,
+    connection: Mutex<Option<SendRequest<Full<Bytes>>>>,
+}
+
+impl Engine {
+    /// An engine whose sets have so many experts.
+    pub(super) fn new(address: SocketAddr, experts: usize) -> Self {
+        Self {
+            address,
+            experts,
+            connection: Mutex::new(None),
+        }
+    }
+
+    /// Reads the rank; none if the engine does not answer or is no rank.
+    pub(super) async fn look(&self, sight: Sight) -> Option<Look> {
+        let name = self.address.to_string();
+        let report = self.ask(engine::report_request(&name).ok()?).await?;
+        let view = match engine::rank_view(&report) {
+            Ok(view) => view,
+            Err(error) => {
+                log::debug!("the engine at {name} reports no rank: {error}");
+                return None;
+            }
+        };
+        let mut look = Look {
+            view,
+            counts: None,
+            held: None,
+        };
+        match sight {
+            Sight::View => {}
+            Sight::Counts => {
+                let body = self.ask(engine::counts_request(&name).ok()?).await?;
+                look.counts = engine::counts(&body, self.experts).ok();
+            }
+            Sight::Held => {
+                let body = self.ask(engine::held_request(&name).ok()?).await?;
+                look.held = engine::held(&body).ok();
+            }
+        }
+        Some(look)
+    }
+
+    /// Gives the rank an order.
+    pub(super) async fn carry(&self, order: &RankOrder) -> OrderResult {
+        let request = match engine::order_request(&self.address.to_string(), order) {
+            Ok(request) => request,
+            Err(error) => {
+                log::warn!("an order can't be written: {error}");
+                return OrderResult::Refused;
+            }
+        };
+        match self.call(request).await {
+            Some((status, _)) => engine::order_result(status),
+            None => OrderResult::Unknown,
+        }
+    }
+
+    async fn ask(&self, request: Request<Bytes>) -> Option<Bytes> {
+        let (status, body) = self.call(request).await?;
+        (status == StatusCode::OK).then_some(body)
+    }
+
+    /// Makes a call; none without an answer, whatever became of the call.
+    async fn call(&self, request: Request<Bytes>) -> Option<(StatusCode, Bytes)> {
+        let mut kept = self.connection.lock().await;
+        let calling = async {
+            let ready = kept.as_ref().is_some_and(SendRequest::is_ready);
+            let mut sender = match kept.take().filter(|_| ready) {
+                Some(sender) => sender,
+                None => self.open().await?,
+            };
+            let response = sender.send_request(request.map(Full::new)).await.ok()?;
+            let (parts, body) = response.into_parts();
+            let body = collect(body, MAX_ANSWER_BYTES, CALL_TIMEOUT).await.ok()?;
+            Some((sender, parts.status, body))
+        };
+        // A call that takes too long leaves no connection behind, so its answer can't be taken
+        // for another's.
+        let called = tokio::time::timeout(CALL_TIMEOUT, calling).await;
+        let (sender, status, body) = called.ok().flatten()?;
+        *kept = Some(sender);
+        Some((status, body))
+    }
+
+    async fn open(&self) -> Option<SendRequest<Full<Bytes>>> {
+        let stream = connect(self.address).await.ok()?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!("a connection to an engine ended with an error: {error}");
+            }
+        });
+        Some(sender)
+    }
+}
--- /dev/null
+++ b/crates/net/src/ranks/group.rs
@@ -0,0 +1,235 @@
+//! The group of one rank: who the other ranks are, and the machine that leads.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use eelgrasshold_core::ranks::{
+    Input, Leader, LeaderSettings, Note, Output, RankIndex, RankOrder, RankView, Sight,
+};
+use eelgrasshold_core::types::Now;
+
+use super::engine::{Engine, Look};
+use super::links::Other;
+use crate::runtime::Clock;
+
+/// Time between two readings of the own rank by a process that does not lead.
+const OWN_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two searches for the ranks of the group.
+const SEARCH_INTERVAL: Duration = Duration::from_secs(2);
+/// Time for which a rank may be silent before it is looked for again, since it may have moved.
+const SILENCE_LIMIT: Duration = Duration::from_secs(4);
+
+/// An engine of the service, which may be a rank of the own group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Candidate {
+    /// Address of the engine.
+    pub(super) engine: SocketAddr,
+    /// Address of the process beside it.
+    pub(super) process: SocketAddr,
+}
+
+#[derive(Debug)]
+struct Known {
+    other: Arc<Other>,
+    heard: Now,
+}
+
+/// The group.
+#[derive(Debug)]
+pub(super) struct Group {
+    clock: Clock,
+    own: Engine,
+    own_process: SocketAddr,
+    experts: usize,
+    leader: Mutex<Leader>,
+    view: Mutex<Option<RankView>>,
+    ranks: Mutex<BTreeMap<RankIndex, Known>>,
+    outputs: tokio::sync::mpsc::UnboundedSender<Output>,
+}
+
+impl Group {
+    /// The group of the engine at an address. The outputs of its machine go to [`Self::act`].
+    pub(super) fn new(
+        clock: Clock,
+        engine: SocketAddr,
+        process: SocketAddr,
+        settings: LeaderSettings,
+        outputs: tokio::sync::mpsc::UnboundedSender<Output>,
+    ) -> Self {
+        let experts = settings.layout.experts as usize;
+        Self {
+            clock,
+            own: Engine::new(engine, experts),
+            own_process: process,
+            experts,
+            leader: Mutex::new(Leader::new(clock.now(), settings)),
+            view: Mutex::new(None),
+            ranks: Mutex::new(BTreeMap::new()),
+            outputs,
+        }
+    }
+
+    /// The own rank's engine.
+    pub(super) fn own(&self) -> &Engine {
+        &self.own
+    }
+
+    /// Gives the machine an input.
+    pub(super) fn feed(&self, input: Input) {
+        for output in lock(&self.leader).handle(self.clock.now(), input) {
+            // The receiver lives as long as the process.
+            let _ = self.outputs.send(output);
+        }
+    }
+
+    /// Reads the own rank and gives the machine its time; never returns.
+    pub(super) async fn run(self: Arc<Self>) {
+        let mut own_at = Now::ZERO;
+        loop {
+            let now = self.clock.now();
+            let leads = lock(&self.leader).leads();
+            if now >= own_at && !leads {
+                own_at = now + OWN_INTERVAL;
+                if let Some(look) = self.own.look(Sight::View).await {
+                    *lock(&self.view) = Some(look.view.clone());
+                    self.feed(Input::Own(look.view));
+                }
+            }
+            self.feed(Input::Tick);
+            let at = lock(&self.leader).next_tick(self.clock.now());
+            tokio::time::sleep_until(self.clock.instant(at)).await;
+        }
+    }
+
+    /// Carries out an output of the machine.
+    pub(super) fn act(self: &Arc<Self>, output: Output) {
+        let group = Arc::clone(self);
+        match output {
+            Output::Read(rank, sight) => {
+                tokio::spawn(async move { group.read(rank, sight).await });
+            }
+            Output::Send(order) => {
+                tokio::spawn(async move { group.send(order).await });
+            }
+            Output::Note(note) => log_note(&note),
+        }
+    }
+
+    async fn read(&self, rank: RankIndex, sight: Sight) {
+        let asked = self.clock.now();
+        let me = lock(&self.view).as_ref().map(|v| v.rank);
+        let look = if Some(rank) == me {
+            self.own.look(sight).await
+        } else {
+            let Some(other) = self.other(rank) else {
+                return;
+            };
+            other.look(me, sight).await
+        };
+        let Some(Look { view, counts, held }) = look else {
+            return;
+        };
+        if let Some(known) = lock(&self.ranks).get_mut(&rank) {
+            known.heard = self.clock.now();
+        }
+        if view.rank != rank {
+            // Its engine has taken another place.
+            lock(&self.ranks).remove(&rank);
+            return;
+        }
+        let held = held.filter(|h| h.0 == view.map).map(|h| h.1);
+        self.feed(Input::Read {
+            asked,
+            view,
+            counts,
+            held,
+        });
+    }
+
+    async fn send(&self, order: RankOrder) {
+        let me = lock(&self.view).as_ref().map(|v| v.rank);
+        let result = if Some(order.rank) == me {
+            self.own.carry(&order).await
+        } else {
+            match self.other(order.rank) {
+                Some(other) => other.carry(&order).await,
+                None => eelgrasshold_core::ranks::OrderResult::Unknown,
+            }
+        };
+        log::info!(
+            "order {} to rank {} of life {}: {result:?}",
+            eelgrasshold_core::ranks::order_name(&order.order),
+            order.rank,
+            order.epoch
+        );
+        self.feed(Input::Result(order, result));
+    }
+
+    fn other(&self, rank: RankIndex) -> Option<Arc<Other>> {
+        lock(&self.ranks).get(&rank).map(|k| Arc::clone(&k.other))
+    }
+
+    /// Looks for the ranks of the group among the engines of the service while some are unknown
+    /// or silent; never returns. `list` reads the registry.
+    pub(super) async fn search<F, R>(self: Arc<Self>, list: F)
+    where
+        F: Fn() -> R + Send,
+        R: Future<Output = Vec<Candidate>> + Send,
+    {
+        loop {
+            tokio::time::sleep(SEARCH_INTERVAL.mul_f64(rand::random_range(0.2..0.6))).await;
+            if let Some(own) = self.missing() {
+                self.search_once(&own, list().await).await;
+            }
+            tokio::time::sleep(SEARCH_INTERVAL).await;
+        }
+    }
+
+    /// The own rank's state if the process leads and misses ranks.
+    fn missing(&self) -> Option<RankView> {
+        let own = lock(&self.view).clone()?;
+        if !lock(&self.leader).leads() {
+            return None;
+        }
+        let now = self.clock.now();
+        let mut ranks = lock(&self.ranks);
+        ranks.retain(|_, k| now.saturating_sub(k.heard) < SILENCE_LIMIT);
+        (ranks.len() + 1 < own.size).then_some(own)
+    }
+
+    async fn search_once(&self, own: &RankView, candidates: Vec<Candidate>) {
+        let others = candidates
+            .into_iter()
+            .filter(|c| c.process != self.own_process);
+        let asking = others.map(|candidate| async move {
+            let other = Other::new(candidate.engine, candidate.process, self.experts);
+            let look = other.look(Some(own.rank), Sight::View).await?;
+            Some((look.view, other))
+        });
+        let found = futures::future::join_all(asking).await;
+        let now = self.clock.now();
+        let mut ranks = lock(&self.ranks);
+        for (view, other) in found.into_iter().flatten() {
+            if view.group == own.group && !ranks.contains_key(&view.rank) {
+                let other = Arc::new(other);
+                ranks.insert(view.rank, Known { other, heard: now });
+            }
+        }
+        log::info!(
+            "knows {} of {} ranks of {}",
+            ranks.len() + 1,
+            own.size,
+            own.group
+        );
+    }
+}
+
+fn log_note(note: &Note) {
+    log::info!("{note:?}");
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/net/src/ranks/host.rs
@@ -0,0 +1,177 @@
+//! Start and end of the process beside a rank.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+use eelgrasshold_core::fleet::platform_policy::PlatformLimits;
+use eelgrasshold_core::gateway::routes::ExpertLayout;
+use eelgrasshold_core::platform::{Call, KindCall, KindReply, Reply, StoredObject};
+use eelgrasshold_core::ranks::LeaderSettings;
+use eelgrasshold_core::types::ServiceId;
+use eelgrasshold_platform::store::{CONFIG_KIND, CONFIG_NAME, SERVERS_KIND};
+use eelgrasshold_platform::{route_table, servers};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+use super::group::{Candidate, Group};
+use super::links;
+use crate::gateway::users_dialect;
+use crate::host::StartError;
+use crate::platform::Platform;
+use crate::runtime::Clock;
+
+/// Pause between two questions for the layout of the experts.
+const LAYOUT_PAUSE: Duration = Duration::from_millis(700);
+/// Pages of the registry that are read at most.
+const MAX_PAGES: usize = 64;
+
+/// Options of a process beside a rank.
+#[derive(Clone, Debug)]
+pub struct RankOptions {
+    /// Address of the engine.
+    pub engine: SocketAddr,
+    /// Service of the engine.
+    pub service: ServiceId,
+    /// Address for the processes beside other ranks; they use the same port.
+    pub peers: SocketAddr,
+    /// Base address of the platform's store.
+    pub platform: String,
+    /// The fleet starts for the first time.
+    pub first_start: bool,
+}
+
+/// A running process beside a rank.
+#[derive(Debug)]
+pub struct RankHost {
+    tasks: Vec<JoinHandle<()>>,
+    address: SocketAddr,
+}
+
+impl RankHost {
+    /// Binds the listener and starts.
+    ///
+    /// # Errors
+    ///
+    /// If the listener can't be bound.
+    pub async fn start(options: RankOptions) -> Result<Self, StartError> {
+        let address = options.peers;
+        let listener = TcpListener::bind(address)
+            .await
+            .map_err(|source| StartError::Listen { address, source })?;
+        let address = listener.local_addr().unwrap_or(address);
+        let running = run(options, listener);
+        Ok(Self {
+            tasks: vec![tokio::spawn(running)],
+            address,
+        })
+    }
+
+    /// Address for the processes beside other ranks.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops. A rollout that is under way is finished by another process.
+    pub fn close(self) {
+        for task in self.tasks {
+            task.abort();
+        }
+    }
+}
+
+async fn run(options: RankOptions, listener: TcpListener) {
+    let clock = Clock::start();
+    let limits = PlatformLimits {
+        failures_to_open: u32::MAX,
+        ..PlatformLimits::default()
+    };
+    let platform =
+        Platform::new(&options.platform, clock, limits, rand::random()).speaking(users_dialect());
+    let layout = layout(&platform, &options.service).await;
+    let settings = LeaderSettings {
+        layout,
+        first_start: options.first_start,
+        started_ms: unix_ms(),
+        seed: rand::random(),
+    };
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    let group = Group::new(clock, options.engine, options.peers, settings, tx);
+    let group = Arc::new(group);
+    let acting = {
+        let group = Arc::clone(&group);
+        async move {
+            while let Some(output) = rx.recv().await {
+                group.act(output);
+            }
+        }
+    };
+    let list = || candidates(&platform, &options);
+    tokio::join!(
+        Arc::clone(&group).run(),
+        Arc::clone(&group).search(list),
+        links::serve(Arc::clone(&group), listener),
+        acting,
+    );
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
+
+/// Asks for the layout of the experts until the configuration has one.
+async fn layout(platform: &Platform, service: &str) -> ExpertLayout {
+    let key = format!("{CONFIG_KIND}/{CONFIG_NAME}");
+    loop {
+        let reply = platform.call(&Call::Get { key: key.clone() }).await;
+        if let Reply::Object { value, .. } = reply {
+            match route_table::route_table(&value) {
+                Ok(table) => {
+                    let engine = table.services.get(service).and_then(|s| s.engine.clone());
+                    if let Some(layout) = engine.and_then(|e| e.experts) {
+                        return layout;
+                    }
+                    log::info!("service {service} has no experts in the configuration yet");
+                }
+                Err(error) => log::warn!("the configuration can't be read: {error}"),
+            }
+        }
+        tokio::time::sleep(LAYOUT_PAUSE.mul_f64(rand::random_range(0.7..1.5))).await;
+    }
+}
+
+/// The engines of the service that the registry lists.
+async fn candidates(platform: &Platform, options: &RankOptions) -> Vec<Candidate> {
+    let mut objects: Vec<StoredObject> = Vec::new();
+    for _ in 0..MAX_PAGES {
+        let call = KindCall::List {
+            kind: SERVERS_KIND.to_owned(),
+            after: objects.last().map(|o| o.name.clone()),
+            // An old entry only means another search.
+            stale: true,
+        };
+        match platform.call_kind(&call).await {
+            KindReply::Items { items, more, .. } => {
+                let ended = !more || items.is_empty();
+                objects.extend(items);
+                if ended {
+                    break;
+                }
+            }
+            other => {
+                log::info!("the registry can't be read: {other:?}");
+                break;
+            }
+        }
+    }
+    let listed = objects.iter().filter_map(|o| servers::upstream(o).ok());
+    let of_service = listed.filter(|u| u.service == options.service);
+    let candidate = |engine: SocketAddr| Candidate {
+        engine,
+        process: SocketAddr::new(engine.ip(), options.peers.port()),
+    };
+    of_service.map(|u| candidate(u.address)).collect()
+}
