Compute popularity after a jump from the reading in which it fell

Cause: a plan waited for two readings that agree, half a second of each three. The part of a reading that lies after a jump follows from what the popular experts lost. Plans are weighed by the measured time of a pass. A released map is awaited before the next plan, which had been refused by ranks that were still armed.

--- a/crates/core/src/ranks/leader.rs
+++ b/crates/core/src/ranks/leader.rs
@@ -11,6 +11,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use super::demand::Demand;
 use super::even::{self, EvenPlan, Limits};
 use super::rollout::{Ended, Order, OrderResult, RankOrder, Rollout, Start};
 use super::{
@@ -18,7 +19,6 @@
     RankView, Seen, VERSION_STEP,
 };
 use crate::gateway::routes::ExpertLayout;
-use crate::group::popularity::Popularity;
 use crate::types::Now;
 
 /// Time between two readings of all ranks. Popularity jumps every few seconds, and what is lost
@@ -32,16 +32,11 @@
 const LEADER_STAGGER: Duration = Duration::from_millis(150);
 /// Time for which a held pass may wait before another process finishes the rollout.
 const HELD_LIMIT: Duration = Duration::from_millis(600);
-/// Counts in a reading below which nothing is concluded: a few prompts say nothing about the next.
-const LEAST_COUNTS: u64 = 20_000;
-/// Part of the counts that must have moved between two readings for a jump to be under way. The
-/// requests of two readings differ by chance in less, and a jump moves more.
-const JUMP: f64 = 0.25;
 /// Numbers of experts that a rank may load in one rollout, of which the best is taken: a few bring
 /// the most popular ones to more ranks soon, more even out the rest.
 const LOAD_CHOICES: [usize; 3] = [1, 2, 4];
 /// Passes between the choice of a pass and its beginning, in which all ranks are armed.
-const ARM_PASSES: Pass = 2;
+const ARM_PASSES: Pass = 1;
 /// Passes that a new life of a process stays clear of, since orders of an earlier life may still
 /// be carried out for them.
 const CLEAR_PASSES: Pass = 48;
@@ -51,11 +46,13 @@
 const LOADING_SLOWDOWN: f64 = 0.15;
 /// Time over which a better map pays, since popularity changes.
 const HORIZON: Duration = Duration::from_secs(4);
-/// Part of a pass that the experts' work takes when it is even and the group is well loaded; it
-/// grows with the work of the most loaded rank.
-const EXPERT_PART: f64 = 0.5;
-/// Time of passes that a rollout must save beyond its cost, in seconds, so that noise moves nothing.
-const LEAST_SAVING_S: f64 = 0.08;
+/// Time of passes that a rollout must save beyond its cost, in seconds, so that noise moves nothing
+/// and an idle group copies nothing.
+const LEAST_SAVING_S: f64 = 0.1;
+/// Weight of a new pass in the mean time of passes.
+const PASS_GAIN: f64 = 0.2;
+/// Longest time of a pass that counts; a longer one was no pass of a busy group.
+const LONGEST_PASS_S: f64 = 0.4;
 /// Pause after a rollout that was given up.
 const PAUSE: Duration = Duration::from_millis(800);
 
@@ -64,6 +61,8 @@
 pub struct LeaderSettings {
     /// Experts of the group.
     pub layout: ExpertLayout,
+    /// Time of a pass without any request.
+    pub fixed_pass: Duration,
     /// The group's processes start for the first time, so no order of an earlier life is on its way.
     pub first_start: bool,
     /// Milliseconds since 1970 at the start. Versions come from it, so that two lives of a
@@ -165,14 +164,7 @@
     epoch: GroupEpoch,
     seen: BTreeMap<RankIndex, Seen>,
     held: BTreeMap<RankIndex, (MapVersion, Vec<BTreeSet<Expert>>)>,
-    counted: BTreeMap<RankIndex, Vec<Vec<u64>>>,
-    /// Counts since the last reading, by set.
-    window: Vec<Vec<u64>>,
-    /// Each expert's part of the last reading, by set.
-    last_shares: Vec<Vec<f64>>,
-    popularity: Vec<Popularity>,
-    /// The last two readings agree.
-    steady: bool,
+    demand: Demand,
     /// Map in use, with its version.
     present: Option<(MapVersion, Arc<GroupMap>)>,
     /// Map of a rollout that was released.
@@ -185,6 +177,8 @@
     next_plan: Now,
     /// The last pass and when it began, for stalls.
     last_pass: (Pass, Now),
+    /// Mean time of a pass, in seconds.
+    pass_s: f64,
     /// The last pass that this process held.
     last_held: Pass,
     out: Vec<Output>,
@@ -202,11 +196,7 @@
             epoch: 0,
             seen: BTreeMap::new(),
             held: BTreeMap::new(),
-            counted: BTreeMap::new(),
-            window: Vec::new(),
-            last_shares: Vec::new(),
-            popularity: Vec::new(),
-            steady: false,
+            demand: Demand::default(),
             present: None,
             expected: None,
             rollout: None,
@@ -216,6 +206,7 @@
             next_poll: Now::ZERO,
             next_plan: Now::ZERO,
             last_pass: (0, Now::ZERO),
+            pass_s: 0.0,
             last_held: 0,
             out: Vec::new(),
             settings,
@@ -303,7 +294,7 @@
         }
         self.next_poll = now + if loaded { POLL_LOADED } else { POLL };
         if !loaded {
-            self.fold_counts();
+            self.demand.fold();
         }
         let known = |rank: &RankIndex| {
             let version = self.seen.get(rank).map(|s| s.view.map);
@@ -372,7 +363,7 @@
         let versions = [Some(view.map), view.prepared, view.armed.map(|a| a.0)];
         self.highest = versions.into_iter().flatten().fold(self.highest, u64::max);
         if view.pass > self.last_pass.0 {
-            self.last_pass = (view.pass, now);
+            self.note_pass(now, view.pass);
         }
         if let Some(rollout) = &mut self.rollout {
             rollout.look(now, asked, rank, &view);
@@ -381,7 +372,7 @@
             self.held.insert(rank, (view.map, held));
         }
         if let Some(counts) = counts {
-            self.count(rank, counts);
+            self.demand.count(rank, counts);
         }
         self.note_map(view.map);
         // Answers may overtake one another.
@@ -402,6 +393,15 @@
         self.note_map(view.map);
     }
 
+    fn note_pass(&mut self, now: Now, pass: Pass) {
+        let (last, at) = self.last_pass;
+        let each_s = now.saturating_sub(at).as_secs_f64() / (pass - last) as f64;
+        if last > 0 && each_s < LONGEST_PASS_S {
+            self.pass_s += PASS_GAIN * (each_s - self.pass_s);
+        }
+        self.last_pass = (pass, now);
+    }
+
     /// Finds the content of the map in use.
     fn note_map(&mut self, version: MapVersion) {
         // A view from before a switch may arrive after it; versions only rise.
@@ -425,48 +425,6 @@
         }
     }
 
-    fn count(&mut self, rank: RankIndex, counts: Vec<Vec<u64>>) {
-        let layout = &self.settings.layout;
-        let (sets, experts) = (layout.sets as usize, layout.experts as usize);
-        self.window.resize(sets, vec![0; experts]);
-        // The first reading counts what lies too far back.
-        let last = self.counted.get(&rank).filter(|l| l.len() == counts.len());
-        let pairs = counts.iter().zip(last.into_iter().flatten());
-        for (window, (counts, last)) in self.window.iter_mut().zip(pairs) {
-            // A rank that started again counts from nothing.
-            let restarted = last.iter().sum::<u64>() > counts.iter().sum();
-            for ((window, count), last) in window.iter_mut().zip(counts).zip(last) {
-                let before = if restarted { 0 } else { *last };
-                *window += count.saturating_sub(before);
-            }
-        }
-        self.counted.insert(rank, counts);
-    }
-
-    /// Takes the counts since the last reading into the popularity.
-    fn fold_counts(&mut self) {
-        let enough = |set: &Vec<u64>| set.iter().sum::<u64>() >= LEAST_COUNTS;
-        if self.window.is_empty() || !self.window.iter().all(enough) {
-            return;
-        }
-        let window = std::mem::take(&mut self.window);
-        self.popularity.resize(window.len(), Popularity::default());
-        let mut moved = 0.0;
-        let mut shares = Vec::with_capacity(window.len());
-        for (set, counts) in window.iter().enumerate() {
-            self.popularity[set].observe(counts);
-            let total = counts.iter().sum::<u64>().max(1) as f64;
-            let new: Vec<f64> = counts.iter().map(|c| *c as f64 / total).collect();
-            moved += self
-                .last_shares
-                .get(set)
-                .map_or(1.0, |old| distance(old, &new));
-            shares.push(new);
-        }
-        self.steady = moved / (window.len() as f64) < JUMP;
-        self.last_shares = shares;
-    }
-
     /// Views of all ranks, if they are fresh and agree on the group's life.
     fn fresh(&self, now: Now, limit: Duration) -> Option<Vec<RankView>> {
         let fresh = |rank| {
@@ -503,7 +461,8 @@
     }
 
     fn plan(&mut self, now: Now, me: RankIndex) {
-        if now < self.next_plan {
+        // A map that was released takes effect with the next passes.
+        if now < self.next_plan || self.expected.is_some() {
             return;
         }
         let Some(views) = self.fresh(now, POLL * 2) else {
@@ -516,9 +475,6 @@
         if idle || !one_map || !views.iter().all(at_rest) {
             return;
         }
-        if !self.steady {
-            return;
-        }
         self.next_plan = now + POLL;
         let Some(start) = self.start(now, me) else {
             return;
@@ -541,8 +497,7 @@
 
     /// The plan that saves most time of passes, if one saves enough.
     fn best_plan(&self, present: &GroupMap) -> Option<EvenPlan> {
-        // A plan takes effect two readings after it was made.
-        let shares: Vec<Vec<f64>> = self.popularity.iter().map(|p| p.expected(2.0)).collect();
+        let shares = self.demand.shares()?;
         let layout = &self.settings.layout;
         let plans = LOAD_CHOICES.iter().filter_map(|loads_per_rank| {
             let limits = Limits {
@@ -550,22 +505,25 @@
                 loads_per_set: layout.spare as usize,
                 loads_per_rank: *loads_per_rank,
             };
-            let plan = even::plan(present, &shares, limits)?;
+            let plan = even::plan(present, shares, limits)?;
             Some((self.saving(&plan), plan))
         });
         let best = plans.max_by(|a, b| a.0.total_cmp(&b.0))?;
         (best.0 > LEAST_SAVING_S).then_some(best.1)
     }
 
-    /// Time of passes that a plan saves over the horizon, in seconds.
+    /// Time of passes that a plan saves over the horizon, in seconds. What a pass takes beyond its
+    /// fixed time grows with the work of the most loaded rank.
     fn saving(&self, plan: &EvenPlan) -> f64 {
         let loading = self.load_time().as_secs_f64() * plan.loads as f64;
         let effective = HORIZON.saturating_sub(SWITCH_TIME).as_secs_f64() - loading;
-        let pass = 1.0 - EXPERT_PART + EXPERT_PART * plan.before;
-        let gain = EXPERT_PART * (plan.before - plan.after) / pass;
+        let fixed = self.settings.fixed_pass.as_secs_f64();
+        let variable = (1.0 - fixed / self.pass_s.max(fixed)) * self.settings.layout.share;
+        let gain = variable * (plan.before - plan.after) / plan.before.max(1.0);
         gain * effective.max(0.0) - LOADING_SLOWDOWN * loading
     }
 
+    /// Time of loading one expert.
     fn load_time(&self) -> Duration {
         let layout = &self.settings.layout;
         Duration::from_secs_f64(layout.expert_mb * 8.0 / layout.link_mbps.max(1.0))
@@ -609,8 +567,3 @@
         Order::Go { .. } => "go",
     }
 }
-
-/// Part of the whole that two distributions differ in, 0 to 1.
-fn distance(a: &[f64], b: &[f64]) -> f64 {
-    a.iter().zip(b).map(|(a, b)| (a - b).abs()).sum::<f64>() / 2.0
-}
--- a/crates/core/src/ranks/mod.rs
+++ b/crates/core/src/ranks/mod.rs
@@ -9,6 +9,7 @@
 //! [`Rollout`] keeps all ranks on one map at each pass under these conditions, with any number of
 //! processes that lead at the same time; its documentation says why.
 
+mod demand;
 mod even;
 mod leader;
 mod map;
--- a/crates/core/tests/rank_fuzz.rs
+++ b/crates/core/tests/rank_fuzz.rs
@@ -278,6 +278,7 @@
             link_mbps: 44_000.0,
             form_time: Duration::from_millis(600),
         },
+        fixed_pass: Duration::from_millis(20),
         first_start,
         started_ms: 1_770_000_000_000 + u64::try_from(now.as_millis()).unwrap(),
         seed: rng.random(),
--- a/crates/net/src/ranks/host.rs
+++ b/crates/net/src/ranks/host.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, SystemTime};
 
 use eelgrasshold_core::fleet::platform_policy::PlatformLimits;
-use eelgrasshold_core::gateway::routes::ExpertLayout;
+use eelgrasshold_core::gateway::routes::{EngineProfile, ExpertLayout};
 use eelgrasshold_core::platform::{Call, KindCall, KindReply, Reply, StoredObject};
 use eelgrasshold_core::ranks::LeaderSettings;
 use eelgrasshold_core::types::ServiceId;
@@ -22,8 +22,8 @@
 use crate::platform::Platform;
 use crate::runtime::Clock;
 
-/// Pause between two questions for the layout of the experts.
-const LAYOUT_PAUSE: Duration = Duration::from_millis(700);
+/// Pause between two questions for the engine's profile.
+const PROFILE_PAUSE: Duration = Duration::from_millis(700);
 /// Pages of the registry that are read at most.
 const MAX_PAGES: usize = 64;
 
@@ -90,9 +90,10 @@
     };
     let platform =
         Platform::new(&options.platform, clock, limits, rand::random()).speaking(users_dialect());
-    let layout = layout(&platform, &options.service).await;
+    let (profile, layout) = profile(&platform, &options.service).await;
     let settings = LeaderSettings {
         layout,
+        fixed_pass: profile.step * profile.steps_per_pass,
         first_start: options.first_start,
         started_ms: unix_ms(),
         seed: rand::random(),
@@ -122,8 +123,8 @@
     since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
 }
 
-/// Asks for the layout of the experts until the configuration has one.
-async fn layout(platform: &Platform, service: &str) -> ExpertLayout {
+/// Asks for the service's engine and its experts until the configuration has them.
+async fn profile(platform: &Platform, service: &str) -> (EngineProfile, ExpertLayout) {
     let key = format!("{CONFIG_KIND}/{CONFIG_NAME}");
     loop {
         let reply = platform.call(&Call::Get { key: key.clone() }).await;
@@ -131,15 +132,17 @@
             match route_table::route_table(&value) {
                 Ok(table) => {
                     let engine = table.services.get(service).and_then(|s| s.engine.clone());
-                    if let Some(layout) = engine.and_then(|e| e.experts) {
-                        return layout;
+                    if let Some(engine) = engine
+                        && let Some(layout) = engine.experts.clone()
+                    {
+                        return (engine, layout);
                     }
                     log::info!("service {service} has no experts in the configuration yet");
                 }
                 Err(error) => log::warn!("the configuration can't be read: {error}"),
             }
         }
-        tokio::time::sleep(LAYOUT_PAUSE.mul_f64(rand::random_range(0.7..1.5))).await;
+        tokio::time::sleep(PROFILE_PAUSE.mul_f64(rand::random_range(0.7..1.5))).await;
     }
 }
 
