Refuse at once where a group stalls, spread returns, and save store calls

Stalled groups are told from full upstreams by the replica at fault, the allowance grows over the first window of a life, 421 leaves an upstream out, and watches wait a little in a series of changes.

--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -3,7 +3,8 @@
 //! Each service may get, in any window, a share of its requests and a fixed allowance as
 //! further arrivals. Hosts don't ask one another: each spends the share of its own requests
 //! and its part of the allowance, so that the sum stays within the budget however the
-//! requests are spread.
+//! requests are spread. A process that starts has a part of the allowance that grows over the
+//! first window, since an earlier life of it may just have spent it.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -46,16 +47,18 @@
 pub struct RetryBudget {
     bound: RetryBound,
     hosts: usize,
+    started: Now,
     accounts: BTreeMap<ServiceId, Account>,
 }
 
 impl RetryBudget {
-    /// The budget of one of `hosts` hosts.
+    /// The budget of a host that starts at `now` and knows of no other.
     #[must_use]
-    pub fn new(bound: RetryBound) -> Self {
+    pub fn new(now: Now, bound: RetryBound) -> Self {
         Self {
             bound,
             hosts: 1,
+            started: now,
             accounts: BTreeMap::new(),
         }
     }
@@ -75,8 +78,10 @@
     #[must_use]
     pub fn take(&mut self, now: Now, service: &str) -> bool {
         let (bound, hosts) = (self.bound, self.hosts as f64);
+        let age = now.saturating_sub(self.started).as_secs_f64();
+        let grown = (age / bound.window.as_secs_f64()).min(1.0);
         let account = self.account(now, service);
-        let earned = bound.ratio * account.requests.len() as f64 + bound.allowance / hosts;
+        let earned = bound.ratio * account.requests.len() as f64 + bound.allowance * grown / hosts;
         let within = ((account.repeats.len() + 1) as f64) <= earned * MARGIN;
         if within {
             account.repeats.push_back(now);
@@ -84,11 +89,6 @@
         within
     }
 
-    /// Counts a repeated send that was not asked for, such as one that an upstream rejected.
-    pub fn charge(&mut self, now: Now, service: &str) {
-        self.account(now, service).repeats.push_back(now);
-    }
-
     fn account(&mut self, now: Now, service: &str) -> &mut Account {
         let before = now.saturating_sub(self.bound.window);
         let account = self.accounts.entry(service.to_owned()).or_default();
--- a/crates/core/src/gateway/follow.rs
+++ b/crates/core/src/gateway/follow.rs
@@ -1,5 +1,9 @@
 //! Following a kind of objects in the platform's store: one list, then watches from its revision.
 //!
+//! Changes often come in series, and each one ends the waiting watch of every host. The next
+//! watch therefore waits a little, the longer the sooner the last one ended; it tells all changes
+//! since.
+//!
 //! A watch that finds its history gone starts again with a list. Failures are retried after a
 //! jittered pause that grows to [`LONGEST_PAUSE`], which is short because the configuration has
 //! to be in force everywhere two seconds after the store took it.
@@ -36,6 +40,13 @@
     HistoryGone,
 }
 
+/// First pause after changes, and longest one in a series of them. The configuration has to be in
+/// force two seconds after a change.
+const FIRST_LULL: Duration = Duration::from_millis(30);
+const LONGEST_LULL: Duration = Duration::from_millis(600);
+/// Time without changes that ends a series.
+const SERIES_END: Duration = Duration::from_secs(2);
+
 #[derive(Clone, Debug)]
 enum Phase {
     /// Reading the list; pages so far.
@@ -53,6 +64,8 @@
     phase: Phase,
     failures: u32,
     not_before: Now,
+    lull: Duration,
+    changed_at: Option<Now>,
     rng: SmallRng,
 }
 
@@ -65,6 +78,8 @@
             phase: Self::first_page(),
             failures: 0,
             not_before: Now::ZERO,
+            lull: FIRST_LULL,
+            changed_at: None,
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -124,7 +139,11 @@
             (Phase::Watch(at), KindReply::Changes { changes, revision }) => {
                 self.failures = 0;
                 *at = revision.max(*at);
-                Some(News::Changes(changes, *at))
+                let revision = *at;
+                if !changes.is_empty() {
+                    self.pause_in_series(now);
+                }
+                Some(News::Changes(changes, revision))
             }
             (_, KindReply::HistoryGone) => {
                 self.phase = Self::first_page();
@@ -135,6 +154,17 @@
         }
     }
 
+    fn pause_in_series(&mut self, now: Now) {
+        let last = self.changed_at.replace(now);
+        let goes_on = last.is_some_and(|at| now.saturating_sub(at) < SERIES_END);
+        self.lull = if goes_on {
+            (self.lull * 2).min(LONGEST_LULL)
+        } else {
+            FIRST_LULL
+        };
+        self.not_before = now + self.lull;
+    }
+
     fn failed(&mut self, now: Now, reason: String) -> News {
         // A store that dropped its history may leave a watch from before it waiting for the next
         // change, so what happened meanwhile is read.
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod peers;
 pub mod placing;
 pub mod registry;
+pub mod returning;
 pub mod routes;
 mod state;
 pub mod trust;
--- a/crates/core/src/gateway/peers.rs
+++ b/crates/core/src/gateway/peers.rs
@@ -215,10 +215,11 @@
         self.others.values().all(|p| p.silent)
     }
 
-    /// Hosts that take part, this one included.
+    /// Hosts that are known, this one and silent ones included: a host that is cut off from this
+    /// one may go on.
     #[must_use]
-    pub fn live_count(&self) -> usize {
-        1 + self.others.values().filter(|p| !p.silent).count()
+    pub fn count(&self) -> usize {
+        1 + self.others.len()
     }
 
     /// Makes a round: what to send to whom, and what became silent.
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -10,10 +10,11 @@
 use super::budget::{RetryBound, RetryBudget};
 use super::placing::{self, Loads, Work};
 use super::registry::{Registry, Upstream, UpstreamId};
+use super::returning;
 use super::routes::{Route, RouteTable, TableVersion};
 use super::trust::{Observation, Trust};
 use crate::types::{
-    DataCentreId, Now, Refusal, RefusalKind, RequestId, Run, ServiceId, TeamId, WorkClass,
+    DataCentreId, Now, Refusal, RefusalKind, RequestId, ServiceId, TeamId, WorkClass,
 };
 
 /// Time left below which a request is not sent any more: it would reach the upstream too late.
@@ -23,8 +24,6 @@
 const MAX_UNREACHED: u32 = 4;
 /// Retry-After of a host that is not ready yet.
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
-/// Retry-After where no upstream takes the request now.
-const BUSY_RETRY: Duration = Duration::from_millis(300);
 /// Deadline of a request that names none; the route's timeout is usually shorter.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 
@@ -83,6 +82,8 @@
     pub may_have_run: bool,
     /// Connections for it that did not come about.
     pub unreached: u32,
+    /// The last upstream waits for another one of its group, as all of the group do.
+    pub stalled: bool,
 }
 
 /// What to do next with a request.
@@ -101,8 +102,12 @@
     Answered,
     /// The upstream answered with a failure of its own.
     Failed,
-    /// The upstream said that it did not run the request.
-    Rejected,
+    /// The upstream has no room and did not run the request.
+    Full,
+    /// The upstream waits for another one of its group and did not run the request.
+    Stalled,
+    /// Another upstream has the address and did not run the request.
+    Misdirected,
     /// The request never left this host: no connection came about.
     Unreachable,
     /// It was sent, and the answer did not come, broke off or was not one to this request.
@@ -115,7 +120,8 @@
     /// Notes what the end of an attempt means for the request.
     pub fn note(&mut self, upstream: &str, outcome: Outcome) {
         match outcome {
-            Outcome::Rejected => {}
+            Outcome::Full | Outcome::Misdirected => {}
+            Outcome::Stalled => self.stalled = true,
             // It was not sent, so it uses up none of the route's attempts.
             Outcome::Unreachable => {
                 self.tried.remove(upstream);
@@ -140,11 +146,11 @@
 }
 
 impl Gateway {
-    /// A gateway without a route table and upstreams.
+    /// A gateway that starts at `now`, without a route table and upstreams.
     #[must_use]
-    pub fn new(settings: GatewaySettings, seed: u64) -> Self {
+    pub fn new(now: Now, settings: GatewaySettings, seed: u64) -> Self {
         Self {
-            budget: RetryBudget::new(settings.retry_bound),
+            budget: RetryBudget::new(now, settings.retry_bound),
             settings,
             table: None,
             registry: Registry::default(),
@@ -245,6 +251,7 @@
             tried: BTreeSet::new(),
             may_have_run: false,
             unreached: 0,
+            stalled: false,
         })
     }
 
@@ -252,51 +259,75 @@
     /// [`Self::ended`].
     pub fn next(&mut self, now: Now, request: &mut Admitted) -> Next {
         if now + LEAST_TIME >= request.ends {
-            return Next::Refuse(given_up(
+            return self.give_up(
+                now,
                 request,
                 RefusalKind::DeadlineExceeded,
                 "the time ran out",
-            ));
+            );
+        }
+        if request.stalled {
+            let detail = "the group that serves the request waits for one of its ranks";
+            return self.give_up(now, request, RefusalKind::NoUpstream, detail);
         }
         if request.unreached >= MAX_UNREACHED {
             let detail = "no upstream that was tried could be reached";
-            return Next::Refuse(given_up(request, RefusalKind::NoUpstream, detail));
+            return self.give_up(now, request, RefusalKind::NoUpstream, detail);
         }
         let repeated = !request.tried.is_empty();
-        if repeated {
-            let attempts_left = (request.tried.len() as u32) < request.route.attempts;
-            let repeatable =
-                !request.may_have_run || request.route.kind.class() == WorkClass::Idempotent;
-            if !repeatable || !attempts_left {
-                let detail = "the upstreams that were tried did not serve the request";
-                return Next::Refuse(given_up(request, RefusalKind::UpstreamFailed, detail));
-            }
+        let attempts_left = (request.tried.len() as u32) < request.route.attempts;
+        let repeatable =
+            !request.may_have_run || request.route.kind.class() == WorkClass::Idempotent;
+        if repeated && !(repeatable && attempts_left) {
+            let detail = "the upstreams that were tried did not serve the request";
+            return self.give_up(now, request, RefusalKind::Overloaded, detail);
         }
-        let usable = self.registry.usable(&request.service);
-        let candidates: Vec<&Upstream> =
-            usable.filter(|u| !request.tried.contains(&u.id)).collect();
-        let here = &self.settings.data_centre;
-        let chosen = placing::choose(
-            &mut self.rng,
-            now,
-            here,
-            &candidates,
-            &self.loads,
-            &self.trust,
-        );
-        let Some(chosen) = chosen.cloned() else {
+        let Some(chosen) = self.choose(now, request) else {
             let detail = format!("no upstream of `{}` takes requests now", request.service);
-            return Next::Refuse(given_up(request, RefusalKind::NoUpstream, &detail));
+            return self.give_up(now, request, RefusalKind::NoUpstream, &detail);
         };
         if repeated && !self.budget.take(now, &request.service) {
             let detail = "the budget of repeated sends is spent";
-            return Next::Refuse(given_up(request, RefusalKind::UpstreamFailed, detail));
+            return self.give_up(now, request, RefusalKind::Overloaded, detail);
         }
         request.tried.insert(chosen.id.clone());
         self.loads.add(&chosen.id, request.work);
         Next::Send(chosen)
     }
 
+    fn choose(&mut self, now: Now, request: &Admitted) -> Option<Upstream> {
+        let usable = self.registry.usable(&request.service);
+        let candidates: Vec<&Upstream> =
+            usable.filter(|u| !request.tried.contains(&u.id)).collect();
+        let here = &self.settings.data_centre;
+        let (loads, trust) = (&self.loads, &self.trust);
+        placing::choose(&mut self.rng, now, here, &candidates, loads, trust).cloned()
+    }
+
+    /// The refusal of a request that is given up, with what is known of its execution and, if it
+    /// has not run, the time after which its caller should come back.
+    fn give_up(&mut self, now: Now, request: &Admitted, kind: RefusalKind, detail: &str) -> Next {
+        if request.may_have_run {
+            let kind = match kind {
+                RefusalKind::DeadlineExceeded => kind,
+                _ => RefusalKind::UpstreamFailed,
+            };
+            return Next::Refuse(Refusal::unknown(kind, detail));
+        }
+        let kind = match kind {
+            RefusalKind::DeadlineExceeded => RefusalKind::NoUpstream,
+            _ => kind,
+        };
+        let left = request.ends.saturating_sub(now);
+        let cause = if request.stalled || kind == RefusalKind::NoUpstream {
+            returning::Cause::Stalled
+        } else {
+            returning::Cause::Full
+        };
+        let after = returning::after(&mut self.rng, cause, left);
+        Next::Refuse(Refusal::not_run(kind, detail).with_retry_after(after))
+    }
+
     /// Takes the end of an attempt that [`Self::next`] decided on; [`Admitted::note`] takes what
     /// it means for the request.
     pub fn ended(&mut self, now: Now, upstream: &str, work: Work, outcome: Outcome) {
@@ -304,7 +335,8 @@
         let observation = match outcome {
             Outcome::Answered => Observation::Good,
             Outcome::Failed => Observation::Failed,
-            Outcome::Rejected => Observation::Refused,
+            Outcome::Full | Outcome::Stalled => Observation::Refused,
+            Outcome::Misdirected => Observation::Replaced,
             Outcome::Unreachable | Outcome::Broken => Observation::Broken,
             Outcome::GivenUp => return,
         };
@@ -319,17 +351,3 @@
         changes
     }
 }
-
-/// The refusal of a request that is given up, with what is known of its execution.
-fn given_up(request: &Admitted, kind: RefusalKind, detail: &str) -> Refusal {
-    if request.may_have_run {
-        let kind = match kind {
-            RefusalKind::DeadlineExceeded => kind,
-            _ => RefusalKind::UpstreamFailed,
-        };
-        return Refusal::unknown(kind, detail);
-    }
-    let refusal = Refusal::not_run(RefusalKind::NoUpstream, detail);
-    debug_assert_eq!(refusal.run, Run::NotRun);
-    refusal.with_retry_after(BUSY_RETRY)
-}
--- a/crates/core/src/gateway/trust.rs
+++ b/crates/core/src/gateway/trust.rs
@@ -14,6 +14,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
 /// Longest time for which it is left out without a new try.
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+/// Time for which an upstream is left out whose address another one has. The registry drops its
+/// entry sooner, unless the platform is away.
+const REPLACED_PAUSE: Duration = Duration::from_secs(30);
 /// Weight of a new observation in the share of failures.
 const GAIN: f64 = 0.15;
 /// Factor by which an upstream that fails everything seems fuller than it is.
@@ -30,6 +33,8 @@
     Refused,
     /// It could not be reached, broke off, or sent what is no answer to the request.
     Broken,
+    /// Another upstream has its address.
+    Replaced,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -52,6 +57,10 @@
         let failure = match observation {
             Observation::Good => 0.0,
             Observation::Refused => return false,
+            Observation::Replaced => {
+                record.avoid_until = now + REPLACED_PAUSE;
+                return true;
+            }
             Observation::Failed | Observation::Broken => 1.0,
         };
         record.failures += GAIN * (failure - record.failures);
--- a/crates/net/src/gateway/forward.rs
+++ b/crates/net/src/gateway/forward.rs
@@ -1,5 +1,6 @@
 //! One request: reading it, sending it to upstreams, and what its caller gets.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -162,6 +163,8 @@
 
 /// What an upstream answered.
 pub(super) struct Answer {
+    /// Address of the upstream.
+    pub(super) address: SocketAddr,
     pub(super) parts: response::Parts,
     pub(super) body: Incoming,
     pub(super) sender: Sender,
@@ -246,6 +249,7 @@
         };
         match (outcome, answer) {
             (_, Some((parts, body, sender))) => Sent::Answer(Box::new(Answer {
+                address: upstream.address,
                 parts,
                 body,
                 sender,
@@ -348,8 +352,7 @@
     /// Judges an answer by its head and, unless it is a stream, by its whole body.
     async fn take(&mut self, answer: Answer) -> Taken {
         let status = answer.parts.status;
-        let rejected = answer.parts.headers.contains_key(names::NOT_RUN)
-            || status == StatusCode::MISDIRECTED_REQUEST;
+        let rejection = rejection(&answer.parts, &answer.address);
         let genuine = answer.parts.headers.contains_key(names::DIGEST)
             && !answer.parts.headers.contains_key(header::CONTENT_ENCODING);
         if status.is_success() && !genuine {
@@ -368,18 +371,14 @@
             body,
             sender,
             in_flight,
+            ..
         } = answer;
         let collecting = collect(body, MAX_ANSWER_BYTES, BODY_TIMEOUT);
         let body = match tokio::time::timeout_at(self.ends, collecting).await {
             Ok(Ok(body)) => body,
             Ok(Err(error)) => {
                 log::info!("the answer of {} broke off: {error}", in_flight.upstream);
-                let outcome = if rejected {
-                    Outcome::Rejected
-                } else {
-                    Outcome::Broken
-                };
-                self.end(in_flight, outcome);
+                self.end(in_flight, rejection.unwrap_or(Outcome::Broken));
                 return Taken::Ended;
             }
             Err(_) => {
@@ -392,8 +391,8 @@
         self.shared
             .pool
             .keep(now, &in_flight.upstream, sender, limit);
-        if rejected {
-            self.end(in_flight, Outcome::Rejected);
+        if let Some(rejection) = rejection {
+            self.end(in_flight, rejection);
             return Taken::Ended;
         }
         let outcome = if status.is_server_error() {
@@ -410,6 +409,23 @@
     }
 }
 
+/// How an upstream refused a request unrun, if it did.
+pub(super) fn rejection(parts: &response::Parts, upstream: &SocketAddr) -> Option<Outcome> {
+    if parts.status == StatusCode::MISDIRECTED_REQUEST {
+        return Some(Outcome::Misdirected);
+    }
+    if !parts.headers.contains_key(names::NOT_RUN) {
+        return None;
+    }
+    let at_fault = parsed::<SocketAddr>(&parts.headers, &names::AT_FAULT);
+    let other = matches!(at_fault, Ok(Some(at_fault)) if at_fault != *upstream);
+    Some(if other {
+        Outcome::Stalled
+    } else {
+        Outcome::Full
+    })
+}
+
 /// What became of an answer.
 enum Taken {
     /// It goes to the caller.
--- a/crates/net/src/gateway/gossip.rs
+++ b/crates/net/src/gateway/gossip.rs
@@ -46,7 +46,7 @@
     let knowledge = shared.knowledge();
     let mut peers = shared.peers();
     let (sends, changes) = peers.round(shared.now(), knowledge);
-    let hosts = peers.live_count();
+    let hosts = peers.count();
     let pull = peers.pull(shared.now(), knowledge);
     drop(peers);
     if let Some(pull) = pull {
--- a/crates/net/src/gateway/host.rs
+++ b/crates/net/src/gateway/host.rs
@@ -183,7 +183,7 @@
     };
     let platform = Platform::new(&options.platform, clock, limits, options.seed);
     Shared {
-        core: Mutex::new(Gateway::new(settings, options.seed)),
+        core: Mutex::new(Gateway::new(clock.now(), settings, options.seed)),
         peers: Mutex::new(Peers::new(me, options.seeds.clone(), options.seed)),
         pool: Pool::default(),
         platform: platform.speaking(users_dialect()),
--- a/crates/net/src/gateway/relay.rs
+++ b/crates/net/src/gateway/relay.rs
@@ -11,11 +11,11 @@
 use eelgrasshold_core::types::WorkClass;
 use eelgrasshold_platform::headers as names;
 use futures::stream;
-use http::{HeaderMap, Response, StatusCode};
+use http::{HeaderMap, Response};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 
-use super::forward::{Answer, Exchange, InFlight, Sent, pass_on};
+use super::forward::{Answer, Exchange, InFlight, Sent, pass_on, rejection};
 use super::pool::{Sender, idle_limit};
 use super::sse::{EventSplitter, event_id};
 use crate::http::Body;
@@ -164,13 +164,8 @@
                         self.source = Some(source(*answer));
                         return true;
                     }
-                    let rejected = answer.parts.headers.contains_key(names::NOT_RUN)
-                        || answer.parts.status == StatusCode::MISDIRECTED_REQUEST;
-                    let outcome = if rejected {
-                        Outcome::Rejected
-                    } else {
-                        Outcome::Failed
-                    };
+                    let rejection = rejection(&answer.parts, &answer.address);
+                    let outcome = rejection.unwrap_or(Outcome::Failed);
                     self.exchange.end(answer.in_flight, outcome);
                 }
                 Sent::Ended => {}
--- a/crates/net/src/ranks/host.rs
+++ b/crates/net/src/ranks/host.rs
@@ -6,7 +6,7 @@
 
 use eelgrasshold_core::fleet::platform_policy::PlatformLimits;
 use eelgrasshold_core::gateway::routes::{EngineProfile, ExpertLayout};
-use eelgrasshold_core::platform::{Call, KindCall, KindReply, Reply, StoredObject};
+use eelgrasshold_core::platform::{KindCall, KindReply, StoredObject};
 use eelgrasshold_core::ranks::LeaderSettings;
 use eelgrasshold_core::types::ServiceId;
 use eelgrasshold_platform::store::{CONFIG_KIND, CONFIG_NAME, SERVERS_KIND};
@@ -24,7 +24,7 @@
 
 /// Pause between two questions for the engine's profile.
 const PROFILE_PAUSE: Duration = Duration::from_millis(700);
-/// Pages of the registry that are read at most.
+/// Pages of a kind that are read at most.
 const MAX_PAGES: usize = 64;
 
 /// Options of a process beside a rank.
@@ -125,22 +125,21 @@
 
 /// Asks for the service's engine and its experts until the configuration has them.
 async fn profile(platform: &Platform, service: &str) -> (EngineProfile, ExpertLayout) {
-    let key = format!("{CONFIG_KIND}/{CONFIG_NAME}");
     loop {
-        let reply = platform.call(&Call::Get { key: key.clone() }).await;
-        if let Reply::Object { value, .. } = reply {
-            match route_table::route_table(&value) {
-                Ok(table) => {
-                    let engine = table.services.get(service).and_then(|s| s.engine.clone());
-                    if let Some(engine) = engine
-                        && let Some(layout) = engine.experts.clone()
-                    {
-                        return (engine, layout);
-                    }
-                    log::info!("service {service} has no experts in the configuration yet");
+        let objects = list(platform, CONFIG_KIND).await;
+        let main = objects.iter().find(|o| o.name == CONFIG_NAME);
+        match main.map(|o| route_table::route_table(&o.value)) {
+            Some(Ok(table)) => {
+                let engine = table.services.get(service).and_then(|s| s.engine.clone());
+                if let Some(engine) = engine
+                    && let Some(layout) = engine.experts.clone()
+                {
+                    return (engine, layout);
                 }
-                Err(error) => log::warn!("the configuration can't be read: {error}"),
+                log::info!("service {service} has no experts in the configuration yet");
             }
+            Some(Err(error)) => log::warn!("the configuration can't be read: {error}"),
+            None => log::info!("there is no configuration yet"),
         }
         tokio::time::sleep(PROFILE_PAUSE.mul_f64(rand::random_range(0.7..1.5))).await;
     }
@@ -148,12 +147,24 @@
 
 /// The engines of the service that the registry lists.
 async fn candidates(platform: &Platform, options: &RankOptions) -> Vec<Candidate> {
+    let objects = list(platform, SERVERS_KIND).await;
+    let listed = objects.iter().filter_map(|o| servers::upstream(o).ok());
+    let of_service = listed.filter(|u| u.service == options.service);
+    let candidate = |engine: SocketAddr| Candidate {
+        engine,
+        process: SocketAddr::new(engine.ip(), options.peers.port()),
+    };
+    of_service.map(|u| candidate(u.address)).collect()
+}
+
+/// The objects of a kind, which may be seconds old: what is missing is looked for again, and
+/// such calls cost the platform a tenth.
+async fn list(platform: &Platform, kind: &str) -> Vec<StoredObject> {
     let mut objects: Vec<StoredObject> = Vec::new();
     for _ in 0..MAX_PAGES {
         let call = KindCall::List {
-            kind: SERVERS_KIND.to_owned(),
+            kind: kind.to_owned(),
             after: objects.last().map(|o| o.name.clone()),
-            // An old entry only means another search.
             stale: true,
         };
         match platform.call_kind(&call).await {
@@ -165,16 +176,10 @@
                 }
             }
             other => {
-                log::info!("the registry can't be read: {other:?}");
+                log::info!("`{kind}` can't be read: {other:?}");
                 break;
             }
         }
     }
-    let listed = objects.iter().filter_map(|o| servers::upstream(o).ok());
-    let of_service = listed.filter(|u| u.service == options.service);
-    let candidate = |engine: SocketAddr| Candidate {
-        engine,
-        process: SocketAddr::new(engine.ip(), options.peers.port()),
-    };
-    of_service.map(|u| candidate(u.address)).collect()
+    objects
 }
