--- a/crates/core/src/event/catalogue.rs
+++ b/crates/core/src/event/catalogue.rs
@@ -37,6 +37,34 @@
     };
 }
 
+/// How much a kind's lines matter when not all can be written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Weight {
+    /// It happens to each request.
+    Routine,
+    /// Something failed, or what the process believes has changed.
+    Failure,
+}
+
+impl EventKind {
+    /// How much its lines matter.
+    #[must_use]
+    pub fn weight(self) -> Weight {
+        match self {
+            Self::RequestAdmitted
+            | Self::RequestDispatched
+            | Self::RequestFinished
+            | Self::AttemptEnded
+            | Self::CallerGone
+            | Self::RankOrdered
+            | Self::WorkQueued
+            | Self::WorkStarted
+            | Self::WorkFinished => Weight::Routine,
+            _ => Weight::Failure,
+        }
+    }
+}
+
 catalogue! {
     DaemonStarted = 1001, "the daemon started";
     DaemonReady = 1002, "the daemon is ready to serve";
@@ -44,6 +72,9 @@
     DrainFinished = 1004, "all requests ended and the daemon stops";
     DrainCut = 1005, "the drain limit or a second signal cut requests";
     SettingsRefused = 1006, "the settings are invalid";
+    SettingsReloaded = 1007, "the settings were read again";
+    LinesLeftOut = 1008, "lines of the log were left out since there were too many";
+    LinkFailed = 1009, "another process could not be asked";
 
     RequestAdmitted = 2001, "a request was admitted";
     RequestDispatched = 2002, "an attempt was dispatched";
@@ -60,6 +91,9 @@
     SuspectNoted = 2013, "an upstream crashed while it ran a request";
     UpstreamEjected = 2014, "an upstream that is slower or fails more than its peers was ejected";
     UpstreamReturned = 2015, "an ejected upstream ended its probation";
+    AttemptEnded = 2016, "an attempt ended";
+    StreamResumed = 2017, "a stream goes on at another upstream after the last event";
+    AnswerDropped = 2018, "bytes that are no answer to the request were dropped";
     TeamShareExpired = 2101, "no share of a team's limit came and the host falls back to an even part";
 
     WorkQueued = 3001, "work was queued";
@@ -81,6 +115,11 @@
     MapInstalled = 4009, "a new engine took the group's map";
     PlanMade = 4010, "a new map was planned";
     PlanGivenUp = 4011, "a planned map was given up";
+    GroupLed = 4012, "the process leads its group";
+    GroupNotLed = 4013, "another process leads the group";
+    RolloutTakenOver = 4014, "the rollout of a silent process is finished by another";
+    RankOrdered = 4015, "a rank was given an order";
+    RanksFound = 4016, "ranks of the group were looked for";
 
     MemberJoined = 5001, "a process joined";
     MemberSuspected = 5002, "a process did not answer probes";
@@ -91,6 +130,12 @@
     HostIsolated = 5007, "the host hears no other entry host";
     DataCentreSilent = 5008, "a data centre does not answer";
     DataCentreBack = 5009, "a data centre answers again";
+    UpstreamListed = 5101, "the registry lists a new upstream";
+    UpstreamLeaving = 5102, "an upstream is leaving and takes nothing new";
+    UpstreamLapsed = 5103, "an upstream's entry disappeared during an outage of the store";
+    UpstreamRelisted = 5104, "a lapsed entry came back";
+    UpstreamGone = 5105, "an upstream's entry is gone";
+    EntryUnreadable = 5106, "an entry of the registry names no upstream";
 
     ConfigApplied = 6001, "a configuration came into force";
     ConfigRefused = 6002, "a configuration was refused";
@@ -100,4 +145,6 @@
 
     PlatformUnavailable = 7001, "the platform does not answer";
     PlatformRecovered = 7002, "the platform answers again";
+    HistoryGone = 7003, "the store forgot its history and is read anew";
+    PeerAsked = 7004, "another host was asked for what the store does not tell this one";
 }
--- a/crates/core/src/event/merge.rs
+++ b/crates/core/src/event/merge.rs
@@ -65,6 +65,9 @@
         if let Some(group) = &self.group {
             write!(f, " group={group}")?;
         }
+        for (name, fact) in &self.facts {
+            write!(f, " {name}={fact}")?;
+        }
         if !self.detail.is_empty() {
             // A detail may come from outside; it must not break the line.
             write!(f, ": {}", self.detail.escape_debug())?;
--- a/crates/core/src/event/ring.rs
+++ b/crates/core/src/event/ring.rs
@@ -1,10 +1,10 @@
 //! Bounded memory of a process's latest events.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
-use super::{Event, Stamp};
+use super::{Event, Fact, Stamp};
 use crate::types::{GroupId, HostId, RequestId};
 
 /// A stamped event as it is kept and sent.
@@ -25,6 +25,9 @@
     pub group: Option<GroupId>,
     /// Particulars.
     pub detail: String,
+    /// What it names, for machines.
+    #[serde(default)]
+    pub facts: BTreeMap<String, Fact>,
 }
 
 /// The latest events of a process; the oldest give way.
@@ -62,6 +65,11 @@
             request: event.request,
             group: event.group,
             detail: event.detail,
+            facts: event
+                .facts
+                .into_iter()
+                .map(|(name, fact)| (name.to_owned(), fact))
+                .collect(),
         });
         &self.records[self.records.len() - 1]
     }
--- a/crates/core/src/event/tests.rs
+++ b/crates/core/src/event/tests.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::time::{Duration, SystemTime};
 
 use super::*;
@@ -58,9 +59,30 @@
         request: Some(request.into()),
         group: None,
         detail: "to up-1".into(),
+        facts: BTreeMap::new(),
     }
 }
 
+// Guards against routine lines that crowd out failures, and against losing count of what was
+// left out.
+#[test]
+fn routine_lines_give_way_before_failures_and_are_counted() {
+    let mut cap = LineCap::default();
+    let now = Duration::from_secs(5);
+    let mut written = 0;
+    for _ in 0..1_000 {
+        written += u32::from(cap.judge(now, EventKind::RequestFinished) == Verdict::Write);
+        assert_eq!(cap.judge(now, EventKind::RequestRefused), Verdict::Write);
+    }
+    let left_out = cap.account(now + Duration::from_secs(1));
+    assert_eq!(
+        left_out[&EventKind::RequestFinished],
+        u64::from(1_000 - written)
+    );
+    assert!(!left_out.contains_key(&EventKind::RequestRefused));
+    assert!(cap.account(now + Duration::from_secs(3)).is_empty());
+}
+
 // Guards against an effect shown before its cause, and against an event shown twice.
 #[test]
 fn merged_time_line_is_in_order_of_stamps() {
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -18,4 +18,4 @@
 mod state;
 pub mod trust;
 
-pub use state::{Admitted, Gateway, GatewaySettings, Next, Outcome, RequestHead};
+pub use state::{Admitted, Gateway, GatewaySettings, Next, Outcome, Reasons, RequestHead};
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -74,6 +74,8 @@
     complete: bool,
     /// Revision of the last change that is known.
     revision: Version,
+    /// When the store last answered.
+    heard: Now,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -91,6 +93,12 @@
         self.complete
     }
 
+    /// When the store last answered.
+    #[must_use]
+    pub fn heard(&self) -> Now {
+        self.heard
+    }
+
     /// Notes that the store failed; lapses are not believed until it has been back for a while.
     pub fn store_failed(&mut self) {
         self.outage = Outage::Down;
@@ -98,6 +106,7 @@
 
     /// Notes that the store answered.
     pub fn store_answered(&mut self, now: Now) {
+        self.heard = now;
         if self.outage == Outage::Down {
             self.outage = Outage::Until(now + LAPSE_GRACE);
         }
--- a/crates/core/src/gateway/routes.rs
+++ b/crates/core/src/gateway/routes.rs
@@ -39,6 +39,16 @@
         }
     }
 
+    /// Name, for logs and metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Safe => "safe",
+            Self::Unsafe => "unsafe",
+            Self::Stream { .. } => "stream",
+        }
+    }
+
     /// Whether the answer is a stream of events.
     #[must_use]
     pub fn is_stream(self) -> bool {
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -13,6 +13,7 @@
 use super::returning;
 use super::routes::{Route, RouteTable, TableVersion};
 use super::trust::{Observation, Trust};
+use crate::platform::Version;
 use crate::types::{
     DataCentreId, Now, Refusal, RefusalKind, RequestId, ServiceId, TeamId, WorkClass,
 };
@@ -90,11 +91,26 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Next {
     /// Send it to this upstream.
-    Send(Upstream),
+    Send(Upstream, Reasons),
     /// Give it up.
     Refuse(Refusal),
 }
 
+/// What a choice of an upstream was made from, for logs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Reasons {
+    /// Upstreams of the service that take new requests.
+    pub usable: usize,
+    /// Of these, passed over since the request was sent to them before.
+    pub tried: usize,
+    /// Of these, passed over since they failed lately.
+    pub left_out: usize,
+    /// Own requests in flight at the chosen one.
+    pub in_flight: u32,
+    /// Revision of the registry.
+    pub registry: Version,
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -132,11 +148,29 @@
     }
 }
 
+impl Outcome {
+    /// Name, for logs and metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Failed => "failed",
+            Self::Full => "full",
+            Self::Stalled => "stalled",
+            Self::Misdirected => "misdirected",
+            Self::Unreachable => "unreachable",
+            Self::Broken => "broken",
+            Self::GivenUp => "given_up",
+        }
+    }
+}
+
 /// What all requests of a gateway share.
 #[derive(Clone, Debug)]
 pub struct Gateway {
     settings: GatewaySettings,
     table: Option<Arc<RouteTable>>,
+    table_since: Now,
     /// Upstreams, kept by the follower of the registry.
     pub registry: Registry,
     loads: Loads,
@@ -153,6 +187,7 @@
             budget: RetryBudget::new(now, settings.retry_bound),
             settings,
             table: None,
+            table_since: now,
             registry: Registry::default(),
             loads: Loads::default(),
             trust: Trust::default(),
@@ -161,9 +196,10 @@
     }
 
     /// Puts a route table into force, unless a newer one is; returns whether it did.
-    pub fn set_table(&mut self, table: Arc<RouteTable>) -> bool {
+    pub fn set_table(&mut self, now: Now, table: Arc<RouteTable>) -> bool {
         let newer = table.version > self.table_version();
         if newer {
+            self.table_since = now;
             self.table = Some(table);
         }
         newer
@@ -181,6 +217,12 @@
         self.table.as_ref().map_or(0, |t| t.version)
     }
 
+    /// When the route table came into force.
+    #[must_use]
+    pub fn table_since(&self) -> Now {
+        self.table_since
+    }
+
     /// Whether callers can be served.
     #[must_use]
     pub fn is_ready(&self) -> bool {
@@ -282,7 +324,7 @@
             let detail = "the upstreams that were tried did not serve the request";
             return self.give_up(now, request, RefusalKind::Overloaded, detail);
         }
-        let Some(chosen) = self.choose(now, request) else {
+        let Some((chosen, reasons)) = self.choose(now, request) else {
             let detail = format!("no upstream of `{}` takes requests now", request.service);
             return self.give_up(now, request, RefusalKind::NoUpstream, &detail);
         };
@@ -292,16 +334,27 @@
         }
         request.tried.insert(chosen.id.clone());
         self.loads.add(&chosen.id, request.work);
-        Next::Send(chosen)
+        Next::Send(chosen, reasons)
     }
 
-    fn choose(&mut self, now: Now, request: &Admitted) -> Option<Upstream> {
-        let usable = self.registry.usable(&request.service);
-        let candidates: Vec<&Upstream> =
-            usable.filter(|u| !request.tried.contains(&u.id)).collect();
+    fn choose(&mut self, now: Now, request: &Admitted) -> Option<(Upstream, Reasons)> {
+        let usable: Vec<&Upstream> = self.registry.usable(&request.service).collect();
+        let untried = usable.iter().filter(|u| !request.tried.contains(&u.id));
+        let candidates: Vec<&Upstream> = untried.copied().collect();
         let here = &self.settings.data_centre;
         let (loads, trust) = (&self.loads, &self.trust);
-        placing::choose(&mut self.rng, now, here, &candidates, loads, trust).cloned()
+        let chosen = placing::choose(&mut self.rng, now, here, &candidates, loads, trust)?;
+        let reasons = Reasons {
+            usable: usable.len(),
+            tried: usable.len() - candidates.len(),
+            left_out: candidates
+                .iter()
+                .filter(|u| trust.avoid(now, &u.id))
+                .count(),
+            in_flight: loads.requests(&chosen.id),
+            registry: self.registry.revision(),
+        };
+        Some((chosen.clone(), reasons))
     }
 
     /// The refusal of a request that is given up, with what is known of its execution and, if it
@@ -330,7 +383,8 @@
 
     /// Takes the end of an attempt that [`Self::next`] decided on; [`Admitted::note`] takes what
     /// it means for the request.
-    pub fn ended(&mut self, now: Now, upstream: &str, work: Work, outcome: Outcome) {
+    /// Returns whether the upstream is left out from now on.
+    pub fn ended(&mut self, now: Now, upstream: &str, work: Work, outcome: Outcome) -> bool {
         self.loads.sub(upstream, work);
         let observation = match outcome {
             Outcome::Answered => Observation::Good,
@@ -338,9 +392,9 @@
             Outcome::Full | Outcome::Stalled => Observation::Refused,
             Outcome::Misdirected => Observation::Replaced,
             Outcome::Unreachable | Outcome::Broken => Observation::Broken,
-            Outcome::GivenUp => return,
+            Outcome::GivenUp => return false,
         };
-        self.trust.observe(now, upstream, observation);
+        self.trust.observe(now, upstream, observation)
     }
 
     /// Drops lapsed upstreams whose time is over and forgets what is known of those that left.
--- a/crates/core/src/ranks/rollout.rs
+++ b/crates/core/src/ranks/rollout.rs
@@ -126,6 +126,31 @@
     EpochChanged,
 }
 
+impl Ended {
+    /// Name, for logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Switched => "switched",
+            Self::Killed => "made_impossible",
+            Self::GivenUp => "given_up",
+            Self::EpochChanged => "epoch_changed",
+        }
+    }
+}
+
+impl OrderResult {
+    /// Name, for logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Refused => "refused",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
     Prepare,
--- a/crates/core/src/types/refusal.rs
+++ b/crates/core/src/types/refusal.rs
@@ -14,6 +14,17 @@
     Unknown,
 }
 
+impl Run {
+    /// Name, as in problem documents.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NotRun => "not_run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// Reason of a refusal; each has an HTTP status and a problem type.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/daemon/src/logs/mod.rs
+++ b/crates/daemon/src/logs/mod.rs
@@ -1,27 +1,52 @@
-//! Logs as JSON lines on standard error, with the number of each event.
+//! Logs as JSON lines on standard output, with the number of each event.
+
+mod output;
 
 use std::fmt;
-use std::io;
+use std::io::{self, Write};
 use std::time::SystemTime;
 
 use fern::FormatCallback;
 use log::kv::{Error, Key, Value, VisitSource};
 use log::{LevelFilter, Record};
 use serde_json::Map;
+use snafu::{ResultExt, Snafu};
+
+pub use output::{Writer, dropped_lines};
+
+/// Why there is no log.
+#[derive(Debug, Snafu)]
+pub enum LogError {
+    /// The thread that writes can't be started.
+    #[snafu(display("can't start the thread that writes the log: {source}"))]
+    Thread {
+        /// Cause.
+        source: io::Error,
+    },
+    /// A log was set up before.
+    #[snafu(display("can't set up the log: {source}"))]
+    Twice {
+        /// Cause.
+        source: log::SetLoggerError,
+    },
+}
 
-/// Sets up the process's log.
+/// Sets up the process's log; [`Writer::close`] writes its last lines.
 ///
 /// # Errors
 ///
-/// If a log was set up before.
-pub fn init(level: LevelFilter) -> Result<(), log::SetLoggerError> {
+/// If no thread can be started or a log was set up before.
+pub fn init(level: LevelFilter) -> Result<Writer, LogError> {
+    let (queue, writer) = output::start(io::stdout()).context(ThreadSnafu)?;
     fern::Dispatch::new()
         .level(LevelFilter::Warn)
         .level_for("eelgrasshold_net", level)
         .level_for("eelgrassholdd", level)
         .format(format)
-        .chain(io::stderr())
+        .chain(Box::new(queue) as Box<dyn Write + Send>)
         .apply()
+        .context(TwiceSnafu)?;
+    Ok(writer)
 }
 
 fn format(out: FormatCallback<'_>, message: &fmt::Arguments<'_>, record: &Record<'_>) {
--- a/crates/daemon/src/logs/tests.rs
+++ b/crates/daemon/src/logs/tests.rs
@@ -1,3 +1,5 @@
+use std::io::Write;
+
 use log::{Level, Record};
 
 use super::line;
@@ -16,3 +18,32 @@
     assert_eq!(parsed["level"], "info");
     assert_eq!(parsed["message"], "revision \"7\"");
 }
+
+/// An output whose reader has stalled.
+struct Stalled;
+
+impl std::io::Write for Stalled {
+    fn write(&mut self, _: &[u8]) -> std::io::Result<usize> {
+        std::thread::sleep(std::time::Duration::from_secs(600));
+        Ok(0)
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+// Guards against requests that wait for a reader of standard output, and against a queue that
+// grows without bound: lines beyond it are dropped and counted.
+#[test]
+fn a_stalled_reader_holds_nobody_and_lines_are_dropped_and_counted() {
+    let (mut queue, writer) = super::output::start(Stalled).unwrap();
+    let before = super::dropped_lines();
+    let started = std::time::Instant::now();
+    for _ in 0..50_000 {
+        queue.write_all(b"{}\n").unwrap();
+    }
+    assert!(super::dropped_lines() - before > 40_000);
+    writer.close();
+    assert!(started.elapsed() < std::time::Duration::from_secs(2));
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -20,11 +20,16 @@
         println!("{}: the settings are valid", args.settings.display());
         return ExitCode::SUCCESS;
     }
-    if let Err(error) = logs::init(settings.log_level) {
-        eprintln!("eelgrassholdd: can't set up the log: {error}");
-        return ExitCode::FAILURE;
-    }
-    match run::run(&args.settings, settings) {
+    let writer = match logs::init(settings.log_level) {
+        Ok(writer) => writer,
+        Err(error) => {
+            eprintln!("eelgrassholdd: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let ended = run::run(&args.settings, settings);
+    writer.close();
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(run::RunError::Cut { open }) => {
             eprintln!("eelgrassholdd: {open} requests were cut");
--- a/crates/daemon/src/run/mod.rs
+++ b/crates/daemon/src/run/mod.rs
@@ -13,6 +13,7 @@
 use snafu::{ResultExt, Snafu};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
+use crate::logs;
 use crate::settings::{self, EngineSettings, GatewaySettings, Role, Settings};
 
 /// Longest validity of answers about addresses: a host that died is named for so long.
@@ -144,10 +145,7 @@
 /// Reads the settings again. Settings that can't be used leave the process as it is.
 fn reload(path: &Path, host: &GatewayHost) {
     match settings::read(path) {
-        Ok(settings) => {
-            log::info!("the settings were read again");
-            host.reload(settings.seeds);
-        }
+        Ok(settings) => host.reload(settings.seeds),
         Err(error) => log::warn!("the settings stay as they are: {error}"),
     }
 }
@@ -166,6 +164,8 @@
         peers: settings.control_address,
         platform: settings.platform_url.clone(),
         first_start: engine.first_start,
+        host: settings.host.clone(),
+        metrics: settings.metrics_address,
     }
 }
 
@@ -182,11 +182,12 @@
         .ready(gateway.ready_address)
         .directory(gateway.directory_address)
         .peers(settings.control_address, settings.seeds.clone())
-        .metrics(gateway.metrics_address)
+        .metrics(settings.metrics_address)
         .retry_bound(retry_bound)
         .answer_validity(validity)
         .drain_limit(Duration::from_secs(settings.drain_limit_s))
         .connections((gateway.max_descriptors - RESERVED_DESCRIPTORS) / 2)
+        .lines_dropped(logs::dropped_lines)
         .build()
 }
 
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -25,9 +25,8 @@
     }
     match (settings.role, &settings.engine) {
         (None, _) => report("role", "must be `entry`, `upstream`, `gateway` or `rank`"),
-        (Some(Role::Upstream | Role::Rank), None) => {
-            report("engine", "the roles `upstream` and `rank` need an engine");
-        }
+        (Some(Role::Upstream), None) => report("engine", "the role `upstream` needs an engine"),
+        (Some(Role::Rank), None) => report("engine", "the role `rank` needs an engine"),
         (Some(Role::Entry | Role::Gateway), Some(_)) => {
             report(
                 "engine",
--- a/crates/daemon/src/settings/model.rs
+++ b/crates/daemon/src/settings/model.rs
@@ -41,6 +41,8 @@
     pub control_address: SocketAddr,
     /// Listener for operators, `IP:PORT`.
     pub admin_address: SocketAddr,
+    /// Listener for metrics alone, `IP:PORT`, for the roles `gateway` and `rank`.
+    pub metrics_address: Option<SocketAddr>,
     /// Control addresses of a few entry hosts to join through.
     pub seeds: Vec<SocketAddr>,
     /// Base URL of the platform's object API.
@@ -67,9 +69,6 @@
     pub ready_address: SocketAddr,
     /// Listener that tells callers where to connect, `IP:PORT`.
     pub directory_address: SocketAddr,
-    /// Listener for metrics, `IP:PORT`.
-    #[serde(default)]
-    pub metrics_address: Option<SocketAddr>,
     /// Longest time that callers may use an answer about addresses, in seconds.
     pub answer_validity_s: f64,
     /// Further sends for each request that the upstreams of a service may get in a window.
@@ -119,6 +118,7 @@
             data_address: unspecified,
             control_address: unspecified,
             admin_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            metrics_address: None,
             seeds: Vec::new(),
             platform_url: String::new(),
             drain_limit_s: 60,
--- a/crates/net/src/gateway/callers.rs
+++ b/crates/net/src/gateway/callers.rs
@@ -13,7 +13,7 @@
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 
-use super::forward;
+use super::intake;
 use super::shared::Shared;
 use crate::connect::watch_silence;
 use crate::rpc::ACCEPT_PAUSE;
@@ -81,7 +81,7 @@
             let (shared, activity) = (Arc::clone(&shared), Arc::clone(&activity));
             activity.in_flight.fetch_add(1, Ordering::Relaxed);
             async move {
-                let response = forward::serve(Arc::clone(&shared), request).await;
+                let response = intake::serve(Arc::clone(&shared), request).await;
                 activity.in_flight.fetch_sub(1, Ordering::Relaxed);
                 activity.touch(shared.now());
                 Ok::<_, Infallible>(response)
--- a/crates/net/src/gateway/directory.rs
+++ b/crates/net/src/gateway/directory.rs
@@ -2,7 +2,6 @@
 //! takes callers.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
 use eelgrasshold_platform::callers::{READY_PATH, RESOLVE_PATH, resolve_answer};
@@ -11,6 +10,10 @@
 
 use super::shared::Shared;
 use crate::http::{Body, empty, full};
+use crate::metrics::Metrics;
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
 
 /// Answers `GET` of whether the host takes callers.
 pub(super) fn ready(shared: &Shared, request: &Request<Incoming>) -> Response<Body> {
@@ -26,7 +29,7 @@
 }
 
 /// Answers `GET` of where to connect.
-pub(super) fn resolve(shared: &Arc<Shared>, request: &Request<Incoming>) -> Response<Body> {
+pub(super) fn resolve(shared: &Shared, request: &Request<Incoming>) -> Response<Body> {
     if request.method() != Method::GET || request.uri().path() != RESOLVE_PATH {
         return status(StatusCode::NOT_FOUND);
     }
@@ -41,6 +44,17 @@
     response
 }
 
+/// Answers `GET` of the metrics, as Prometheus text.
+pub(super) fn metrics(metrics: &Metrics, request: &Request<Incoming>) -> Response<Body> {
+    if request.method() != Method::GET || request.uri().path() != METRICS_PATH {
+        return status(StatusCode::NOT_FOUND);
+    }
+    let mut response = Response::new(full(metrics.render()));
+    let text = http::HeaderValue::from_static("text/plain; version=0.0.4");
+    response.headers_mut().insert(header::CONTENT_TYPE, text);
+    response
+}
+
 fn status(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(empty());
     *response.status_mut() = status;
--- a/crates/net/src/gateway/forward.rs
+++ b/crates/net/src/gateway/exchange.rs
@@ -1,141 +1,41 @@
-//! One request: reading it, sending it to upstreams, and what its caller gets.
+//! An admitted request: sending it to upstreams, and what its caller gets.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
+use eelgrasshold_core::event::{Event, EventKind};
 use eelgrasshold_core::gateway::placing::Work;
 use eelgrasshold_core::gateway::registry::{Upstream, UpstreamId};
-use eelgrasshold_core::gateway::{Admitted, Next, Outcome, RequestHead};
-use eelgrasshold_core::types::{Refusal, RefusalKind, WorkClass};
+use eelgrasshold_core::gateway::{Admitted, Next, Outcome, Reasons};
+use eelgrasshold_core::types::{Now, Refusal, RefusalKind, WorkClass};
 use eelgrasshold_platform::headers as names;
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header, response};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
+use http::{request, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use super::intake::refuse;
 use super::pool::{Sender, idle_limit};
 use super::relay::Relay;
-use super::shared::Shared;
-use crate::http::{Body, BodyError, collect, full};
+use super::shared::{Held, Shared};
+use crate::http::{Body, collect, full};
 use crate::wire::headers::{parsed, remove_hop_by_hop, text, value};
-use crate::wire::problem_response;
 
 /// Largest plain answer, in bytes; it is held whole so that a broken one can be asked for again.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
-/// Largest body of a request while no configuration says otherwise, in bytes.
-const MAX_BODY_BYTES: usize = 4 << 20;
-/// Longest time that a body may take to arrive.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// Serves a caller's request.
-pub(super) async fn serve(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
-    let guard = Held::new(&shared);
-    let (parts, body) = request.into_parts();
-    let id = text(&parts.headers, &names::REQUEST_ID)
-        .unwrap_or_default()
-        .to_owned();
-    let limit = shared
-        .core()
-        .table()
-        .map_or(MAX_BODY_BYTES, |t| t.limits.body_bytes);
-    let arrived = shared.now();
-    let admitted = {
-        let head = head_of(&parts.uri, &parts.headers, &id);
-        shared.core().admit(arrived, head)
-    };
-    // The body is read also for a refusal, so that the connection can be used again.
-    let body = match collect(body, limit, BODY_TIMEOUT).await {
-        Ok(body) => body,
-        Err(error) => return refuse(&body_refusal(&error), &id),
-    };
-    let admitted = match admitted {
-        Ok(admitted) => admitted,
-        Err(refusal) => return refuse(&refusal, &id),
-    };
-    let exchange = Exchange {
-        ends: shared.clock.instant(admitted.ends),
-        shared,
-        admitted,
-        method: parts.method,
-        uri: parts.uri,
-        headers: parts.headers,
-        body,
-        _held: guard,
-    };
-    exchange.run().await
-}
-
-fn body_refusal(error: &BodyError) -> Refusal {
-    let kind = match error {
-        BodyError::TooLarge { .. } => RefusalKind::TooLarge,
-        BodyError::TooSlow { .. } => RefusalKind::TooSlow,
-        BodyError::Broken => RefusalKind::BadRequest,
-    };
-    Refusal::not_run(kind, error.to_string())
-}
-
-fn head_of<'a>(uri: &'a Uri, headers: &'a HeaderMap, id: &'a str) -> RequestHead<'a> {
-    let host = uri.authority().map(http::uri::Authority::as_str);
-    let tokens = text(headers, &names::TOKENS).and_then(|t| t.split_once(','));
-    let number = |text: &str| text.trim().parse::<u32>().ok();
-    let hint = text(headers, &names::LENGTH_HINT).and_then(number);
-    let most = tokens.and_then(|(_, most)| number(most));
-    RequestHead {
-        id,
-        host: host
-            .or_else(|| text(headers, &header::HOST))
-            .unwrap_or_default(),
-        path: uri.path(),
-        key: text(headers, &names::API_KEY),
-        deadline: parsed::<u64>(headers, &names::DEADLINE_MS)
-            .ok()
-            .flatten()
-            .map(Duration::from_millis),
-        prompt_tokens: tokens
-            .and_then(|(prompt, _)| number(prompt))
-            .unwrap_or_default(),
-        answer_tokens: hint.or(most).unwrap_or_default(),
-    }
-}
-
-fn refuse(refusal: &Refusal, id: &str) -> Response<Body> {
-    let mut response = problem_response(refusal, id).map(full);
-    let headers = response.headers_mut();
-    headers.insert(names::REQUEST_ID, value(id));
-    if let Some(after) = refusal.retry_after {
-        // Callers of this platform honour fractions of a second.
-        let seconds = format!("{:.3}", after.as_secs_f64());
-        headers.insert(header::RETRY_AFTER, value(&seconds));
-    }
-    response
-}
-
-/// Counts a request that is being served, until it is dropped.
-struct Held(Arc<Shared>);
-
-impl Held {
-    fn new(shared: &Arc<Shared>) -> Self {
-        shared.held.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(shared))
-    }
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        if self.0.held.fetch_sub(1, Ordering::Relaxed) == 1 {
-            self.0.ended.notify_waiters();
-        }
-    }
-}
+/// Longest time of the body of a plain answer after its head.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// An attempt in flight; dropped without an end, it counts as given up.
 pub(super) struct InFlight {
     shared: Arc<Shared>,
+    request: String,
     pub(super) upstream: UpstreamId,
     work: Work,
+    sent: Now,
     ended: bool,
 }
 
@@ -145,12 +45,26 @@
     }
 
     fn report(&mut self, outcome: Outcome) {
-        if !self.ended {
-            self.ended = true;
-            let now = self.shared.now();
-            self.shared
-                .core()
-                .ended(now, &self.upstream, self.work, outcome);
+        if self.ended {
+            return;
+        }
+        self.ended = true;
+        let shared = &self.shared;
+        let now = shared.now();
+        let left_out = shared.core().ended(now, &self.upstream, self.work, outcome);
+        shared.metrics.attempt(outcome);
+        let event = Event::new(EventKind::AttemptEnded, "")
+            .about_request(self.request.as_str())
+            .with("upstream", self.upstream.as_str())
+            .with("outcome", outcome.name())
+            .with("took_ms", now.saturating_sub(self.sent));
+        shared.timeline.record(event);
+        if left_out {
+            let event = Event::new(EventKind::UpstreamEjected, "left out for a while")
+                .about_request(self.request.as_str())
+                .with("upstream", self.upstream.as_str())
+                .with("outcome", outcome.name());
+            shared.timeline.record(event);
         }
     }
 }
@@ -164,7 +78,7 @@
 /// What an upstream answered.
 pub(super) struct Answer {
     /// Address of the upstream.
-    pub(super) address: SocketAddr,
+    address: SocketAddr,
     pub(super) parts: response::Parts,
     pub(super) body: Incoming,
     pub(super) sender: Sender,
@@ -183,6 +97,19 @@
     Refused(Refusal),
 }
 
+/// What became of an answer.
+enum Taken {
+    /// It goes to the caller.
+    Response(Response<Body>),
+    /// It is a stream that goes to the caller as it comes.
+    Relay(Box<Answer>),
+    /// It is a failure that another upstream may better.
+    Failure(Response<Body>),
+    /// It was no answer.
+    Ended,
+    TimedOut,
+}
+
 /// A request with all that is needed to send it.
 pub(super) struct Exchange {
     pub(super) shared: Arc<Shared>,
@@ -193,11 +120,44 @@
     uri: Uri,
     headers: HeaderMap,
     body: Bytes,
+    /// Its caller has the end of its answer, or of what there is of it.
+    settled: bool,
     _held: Held,
 }
 
 impl Exchange {
-    async fn run(mut self) -> Response<Body> {
+    pub(super) fn new(
+        shared: Arc<Shared>,
+        admitted: Admitted,
+        parts: request::Parts,
+        body: Bytes,
+        held: Held,
+    ) -> Self {
+        let mut headers = parts.headers;
+        remove_hop_by_hop(&mut headers);
+        headers.remove(header::CONTENT_LENGTH);
+        headers.remove(header::EXPECT);
+        for name in &names::NOT_PASSED_ON {
+            headers.remove(name);
+        }
+        if let Some(host) = parts.uri.authority() {
+            headers.insert(header::HOST, value(host.as_str()));
+        }
+        Self {
+            ends: shared.clock.instant(admitted.ends),
+            shared,
+            admitted,
+            method: parts.method,
+            uri: parts.uri,
+            headers,
+            body,
+            settled: false,
+            _held: held,
+        }
+    }
+
+    /// Sends the request until there is an answer for its caller.
+    pub(super) async fn run(mut self) -> Response<Body> {
         // A failure that an upstream answered with goes to the caller if nothing better comes.
         let mut failure: Option<Response<Body>> = None;
         loop {
@@ -206,7 +166,10 @@
                 Sent::TimedOut => timed_out(),
                 Sent::Ended => continue,
                 Sent::Answer(answer) => match self.take(*answer).await {
-                    Taken::Response(response) => return response,
+                    Taken::Response(response) => {
+                        self.settle(EventKind::RequestFinished, "answered", "");
+                        return response;
+                    }
                     Taken::Relay(answer) => match Relay::start(self, *answer).await {
                         Ok(response) => return response,
                         Err(exchange) => {
@@ -222,67 +185,125 @@
                     Taken::TimedOut => timed_out(),
                 },
             };
-            return failure.unwrap_or_else(|| refuse(&refusal, &self.admitted.id));
+            if let Some(failure) = failure {
+                self.settle(
+                    EventKind::RequestFinished,
+                    "upstream_failed",
+                    &refusal.detail,
+                );
+                return failure;
+            }
+            self.settled = true;
+            let kind = self.admitted.route.kind.name();
+            let took = self.shared.now().saturating_sub(self.admitted.arrived);
+            self.shared.metrics.ended(kind, "refused", took);
+            return refuse(&self.shared, &refusal, &self.admitted.id);
         }
     }
 
+    /// Notes the end of the request.
+    pub(super) fn settle(&mut self, event: EventKind, outcome: &'static str, detail: &str) {
+        self.settled = true;
+        let took = self.shared.now().saturating_sub(self.admitted.arrived);
+        let kind = self.admitted.route.kind.name();
+        self.shared.metrics.ended(kind, outcome, took);
+        let event = Event::new(event, detail)
+            .about_request(self.admitted.id.as_str())
+            .with("kind", kind)
+            .with("outcome", outcome)
+            .with("took_ms", took)
+            .with("sends", self.admitted.tried.len());
+        self.shared.timeline.record(event);
+    }
+
     /// Sends the request to the next upstream. `resume_after` is the id of the last event that
     /// the caller has of a stream that broke off.
     pub(super) async fn send(&mut self, resume_after: Option<u64>) -> Sent {
         let now = self.shared.now();
         let next = self.shared.core().next(now, &mut self.admitted);
-        let upstream = match next {
-            Next::Send(upstream) => upstream,
+        let (upstream, reasons) = match next {
+            Next::Send(upstream, reasons) => (upstream, reasons),
             Next::Refuse(refusal) => return Sent::Refused(refusal),
         };
+        self.note_dispatch(&upstream, reasons, resume_after);
         let in_flight = InFlight {
             shared: Arc::clone(&self.shared),
+            request: self.admitted.id.clone(),
             upstream: upstream.id.clone(),
             work: self.admitted.work,
+            sent: now,
             ended: false,
         };
         let sending = self.exchange(&upstream, resume_after);
-        let (outcome, answer) = match tokio::time::timeout_at(self.ends, sending).await {
-            Ok(Ok(answer)) => (None, Some(answer)),
-            Ok(Err(outcome)) => (Some(outcome), None),
-            Err(_) => (None, None),
-        };
-        match (outcome, answer) {
-            (_, Some((parts, body, sender))) => Sent::Answer(Box::new(Answer {
+        match tokio::time::timeout_at(self.ends, sending).await {
+            Ok(Ok((parts, body, sender))) => Sent::Answer(Box::new(Answer {
                 address: upstream.address,
                 parts,
                 body,
                 sender,
                 in_flight,
             })),
-            (Some(outcome), None) => {
+            Ok(Err(outcome)) => {
                 self.end(in_flight, outcome);
                 Sent::Ended
             }
-            (None, None) => {
+            Err(_) => {
                 self.end(in_flight, Outcome::GivenUp);
                 Sent::TimedOut
             }
         }
     }
 
+    fn note_dispatch(&self, upstream: &Upstream, reasons: Reasons, resume_after: Option<u64>) {
+        let kind = match resume_after {
+            Some(_) => EventKind::StreamResumed,
+            None => EventKind::RequestDispatched,
+        };
+        if resume_after.is_some() {
+            self.shared.metrics.resumed();
+        }
+        let event = Event::new(kind, "")
+            .about_request(self.admitted.id.as_str())
+            .with("upstream", upstream.id.as_str())
+            .with("address", upstream.address.to_string())
+            .with("send", self.admitted.tried.len())
+            .with("usable", reasons.usable)
+            .with("tried_before", reasons.tried)
+            .with("left_out", reasons.left_out)
+            .with("own_in_flight", reasons.in_flight)
+            .with("registry", reasons.registry)
+            .with("resume_after", resume_after.unwrap_or_default());
+        self.shared.timeline.record(event);
+    }
+
     pub(super) fn end(&mut self, in_flight: InFlight, outcome: Outcome) {
         self.admitted.note(&in_flight.upstream, outcome);
         in_flight.end(outcome);
     }
 
+    /// Notes bytes that are no answer to the request.
+    pub(super) fn note_dropped(&self, upstream: &str, detail: &str) {
+        let event = Event::new(EventKind::AnswerDropped, detail)
+            .about_request(self.admitted.id.as_str())
+            .with("upstream", upstream);
+        self.shared.timeline.record(event);
+    }
+
     async fn exchange(
         &self,
         upstream: &Upstream,
         resume_after: Option<u64>,
     ) -> Result<(response::Parts, Incoming, Sender), Outcome> {
-        let connection = self.shared.pool.get(self.shared.now(), upstream).await;
-        let mut sender = connection.map_err(|error| {
-            log::info!("upstream {} can't be reached: {error}", upstream.id);
+        let request = self.request(upstream, resume_after).map_err(|error| {
+            self.note_dropped(
+                &upstream.id,
+                &format!("the request can't be written: {error}"),
+            );
             Outcome::Unreachable
         })?;
-        let request = self.request(upstream, resume_after).map_err(|error| {
-            log::warn!("a request can't be written: {error}");
+        let connection = self.shared.connection(upstream).await;
+        let mut sender = connection.map_err(|error| {
+            self.note_dropped(&upstream.id, &format!("no connection: {error}"));
             Outcome::Unreachable
         })?;
         let answer = sender
@@ -291,11 +312,7 @@
             .map_err(|mut failed| {
                 // The request comes back if none of it was written.
                 let unsent = failed.take_message().is_some();
-                log::info!(
-                    "upstream {} did not answer: {}",
-                    upstream.id,
-                    failed.error()
-                );
+                self.note_dropped(&upstream.id, &format!("no answer: {}", failed.error()));
                 if unsent {
                     Outcome::Unreachable
                 } else {
@@ -303,12 +320,8 @@
                 }
             })?;
         let (parts, body) = answer.into_parts();
-        let echoed = text(&parts.headers, &names::REQUEST_ID);
-        if echoed != Some(self.admitted.id.as_str()) {
-            log::info!(
-                "upstream {} sent the answer to another request",
-                upstream.id
-            );
+        if text(&parts.headers, &names::REQUEST_ID) != Some(self.admitted.id.as_str()) {
+            self.note_dropped(&upstream.id, "the answer is to another request");
             return Err(Outcome::Broken);
         }
         Ok((parts, body, sender))
@@ -325,15 +338,6 @@
             .uri(path)
             .body(Full::new(self.body.clone()))?;
         let mut headers = self.headers.clone();
-        remove_hop_by_hop(&mut headers);
-        headers.remove(header::CONTENT_LENGTH);
-        headers.remove(header::EXPECT);
-        for name in &names::NOT_PASSED_ON {
-            headers.remove(name);
-        }
-        if let Some(host) = self.uri.authority() {
-            headers.insert(header::HOST, value(host.as_str()));
-        }
         let left = self.ends.saturating_duration_since(Instant::now());
         headers.insert(names::DEADLINE_MS, left.as_millis().to_string().try_into()?);
         headers.insert(names::EXPECT_UPSTREAM, upstream.id.as_str().try_into()?);
@@ -352,14 +356,9 @@
     /// Judges an answer by its head and, unless it is a stream, by its whole body.
     async fn take(&mut self, answer: Answer) -> Taken {
         let status = answer.parts.status;
-        let rejection = rejection(&answer.parts, &answer.address);
-        let genuine = answer.parts.headers.contains_key(names::DIGEST)
-            && !answer.parts.headers.contains_key(header::CONTENT_ENCODING);
-        if status.is_success() && !genuine {
-            log::info!(
-                "upstream {} sent a success without a digest",
-                answer.in_flight.upstream
-            );
+        let rejection = answer.rejection();
+        if status.is_success() && !answer.is_genuine() {
+            self.note_dropped(&answer.in_flight.upstream, "a success without a digest");
             self.end(answer.in_flight, Outcome::Broken);
             return Taken::Ended;
         }
@@ -373,11 +372,14 @@
             in_flight,
             ..
         } = answer;
-        let collecting = collect(body, MAX_ANSWER_BYTES, BODY_TIMEOUT);
+        let collecting = collect(body, MAX_ANSWER_BYTES, ANSWER_TIMEOUT);
         let body = match tokio::time::timeout_at(self.ends, collecting).await {
             Ok(Ok(body)) => body,
             Ok(Err(error)) => {
-                log::info!("the answer of {} broke off: {error}", in_flight.upstream);
+                self.note_dropped(
+                    &in_flight.upstream,
+                    &format!("the answer broke off: {error}"),
+                );
                 self.end(in_flight, rejection.unwrap_or(Outcome::Broken));
                 return Taken::Ended;
             }
@@ -386,57 +388,62 @@
                 return Taken::TimedOut;
             }
         };
-        let now = self.shared.now();
-        let limit = idle_limit(&parts.headers);
         self.shared
-            .pool
-            .keep(now, &in_flight.upstream, sender, limit);
+            .keep(&in_flight.upstream, sender, idle_limit(&parts.headers));
         if let Some(rejection) = rejection {
             self.end(in_flight, rejection);
             return Taken::Ended;
         }
-        let outcome = if status.is_server_error() {
+        let took = self.shared.now().saturating_sub(self.admitted.arrived);
+        self.shared
+            .metrics
+            .first_answer(self.admitted.route.kind.name(), took);
+        let failed = status.is_server_error();
+        let outcome = if failed {
             Outcome::Failed
         } else {
             Outcome::Answered
         };
         self.end(in_flight, outcome);
         let response = pass_on(parts, full(body));
-        if outcome == Outcome::Failed && self.admitted.route.kind.class() == WorkClass::Idempotent {
+        if failed && self.admitted.route.kind.class() == WorkClass::Idempotent {
             return Taken::Failure(response);
         }
         Taken::Response(response)
     }
 }
 
-/// How an upstream refused a request unrun, if it did.
-pub(super) fn rejection(parts: &response::Parts, upstream: &SocketAddr) -> Option<Outcome> {
-    if parts.status == StatusCode::MISDIRECTED_REQUEST {
-        return Some(Outcome::Misdirected);
-    }
-    if !parts.headers.contains_key(names::NOT_RUN) {
-        return None;
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        if !self.settled {
+            self.settle(EventKind::CallerGone, "caller_gone", "");
+        }
     }
-    let at_fault = parsed::<SocketAddr>(&parts.headers, &names::AT_FAULT);
-    let other = matches!(at_fault, Ok(Some(at_fault)) if at_fault != *upstream);
-    Some(if other {
-        Outcome::Stalled
-    } else {
-        Outcome::Full
-    })
 }
 
-/// What became of an answer.
-enum Taken {
-    /// It goes to the caller.
-    Response(Response<Body>),
-    /// It is a stream that goes to the caller as it comes.
-    Relay(Box<Answer>),
-    /// It is a failure that another upstream may better.
-    Failure(Response<Body>),
-    /// It was no answer.
-    Ended,
-    TimedOut,
+impl Answer {
+    /// Whether a success is one: it has the upstream's digest, and its body is as it was made.
+    pub(super) fn is_genuine(&self) -> bool {
+        let headers = &self.parts.headers;
+        headers.contains_key(names::DIGEST) && !headers.contains_key(header::CONTENT_ENCODING)
+    }
+
+    /// How the upstream refused the request unrun, if it did.
+    pub(super) fn rejection(&self) -> Option<Outcome> {
+        if self.parts.status == StatusCode::MISDIRECTED_REQUEST {
+            return Some(Outcome::Misdirected);
+        }
+        if !self.parts.headers.contains_key(names::NOT_RUN) {
+            return None;
+        }
+        let at_fault = parsed::<SocketAddr>(&self.parts.headers, &names::AT_FAULT);
+        let other = matches!(at_fault, Ok(Some(at_fault)) if at_fault != self.address);
+        Some(if other {
+            Outcome::Stalled
+        } else {
+            Outcome::Full
+        })
+    }
 }
 
 fn timed_out() -> Refusal {
--- a/crates/net/src/gateway/follow.rs
+++ b/crates/net/src/gateway/follow.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use eelgrasshold_core::event::{Event, EventKind};
 use eelgrasshold_core::gateway::follow::{Follower, News};
 use eelgrasshold_core::gateway::registry::Upstream;
-use eelgrasshold_core::platform::{Change, StoredObject};
+use eelgrasshold_core::platform::{Change, KindCall, KindReply, StoredObject};
 use eelgrasshold_platform::store::{CONFIG_KIND, CONFIG_NAME, SERVERS_KIND};
 use eelgrasshold_platform::{route_table, servers};
 
@@ -25,8 +26,7 @@
                 }
             }
         }
-        News::Failed { reason } => log::warn!("the configuration can't be followed: {reason}"),
-        News::HistoryGone => log::info!("the configuration's history is gone"),
+        News::Failed { .. } | News::HistoryGone => {}
     })
     .await;
 }
@@ -42,20 +42,26 @@
     let table = match route_table::route_table(document) {
         Ok(table) => table,
         Err(error) => {
-            log::warn!("a configuration of {source} can't be read: {error}");
+            let event = Event::new(EventKind::ConfigRefused, error.to_string());
+            shared.timeline.record(event.with("source", source));
             return;
         }
     };
     let version = table.version;
-    let mut core = shared.core();
-    let was_ready = core.is_ready();
-    if core.set_table(Arc::new(table)) {
-        shared.keep_document(version, document);
-        log::info!("configuration {version} of {source} is in force");
-    }
-    if core.is_ready() != was_ready {
-        shared.standing_changed.notify_one();
+    let routes = table.routes().count();
+    let before = shared.core().table_version();
+    let was_ready = shared.core().is_ready();
+    if !shared.core().set_table(shared.now(), Arc::new(table)) {
+        return;
     }
+    shared.keep_document(version, document);
+    let event = Event::new(EventKind::ConfigApplied, "")
+        .with("table", version)
+        .with("before", before)
+        .with("routes", routes)
+        .with("source", source);
+    shared.timeline.record(event);
+    shared.note_standing(was_ready);
 }
 
 /// Follows the registry of upstreams; never returns.
@@ -67,7 +73,10 @@
         let changes = match news {
             News::All(objects) => {
                 core.registry.store_answered(now);
-                let list: Vec<Upstream> = objects.iter().filter_map(read_upstream).collect();
+                let list: Vec<Upstream> = objects
+                    .iter()
+                    .filter_map(|o| read_upstream(&shared, o))
+                    .collect();
                 let revision = objects.iter().map(|o| o.version).max().unwrap_or(1);
                 core.registry.replace(now, list, revision)
             }
@@ -75,7 +84,7 @@
                 core.registry.store_answered(now);
                 let registry = &mut core.registry;
                 let apply = |change| match change {
-                    Change::Set(object) => match read_upstream(&object) {
+                    Change::Set(object) => match read_upstream(&shared, &object) {
                         Some(upstream) => registry.set(upstream),
                         None => registry.remove(now, &object.name, object.version),
                     },
@@ -83,30 +92,27 @@
                 };
                 changes.into_iter().filter_map(apply).collect()
             }
-            News::Failed { reason } => {
-                log::warn!("the registry can't be followed: {reason}");
+            News::Failed { .. } => {
                 core.registry.store_failed();
                 Vec::new()
             }
             News::HistoryGone => Vec::new(),
         };
-        let ready = core.is_ready();
         drop(core);
-        for change in changes {
-            log::info!("{change:?}");
-        }
-        if ready != was_ready {
-            shared.standing_changed.notify_one();
-        }
+        shared.note_registry(changes);
+        shared.note_standing(was_ready);
     })
     .await;
 }
 
-fn read_upstream(object: &StoredObject) -> Option<eelgrasshold_core::gateway::registry::Upstream> {
+fn read_upstream(shared: &Shared, object: &StoredObject) -> Option<Upstream> {
     match servers::upstream(object) {
         Ok(upstream) => Some(upstream),
         Err(error) => {
-            log::info!("the entry `{}` names no upstream: {error}", object.name);
+            let event = Event::new(EventKind::EntryUnreadable, error.to_string())
+                .with("entry", object.name.as_str())
+                .with("version", object.version);
+            shared.timeline.record(event);
             None
         }
     }
@@ -114,13 +120,53 @@
 
 async fn follow(shared: &Arc<Shared>, kind: &str, mut take: impl FnMut(News)) {
     let mut follower = Follower::new(kind, rand::random());
+    let mut failing = false;
     loop {
         let (at, call) = follower.next();
         tokio::time::sleep_until(shared.clock.instant(at)).await;
+        let asked = shared.now();
         let reply = shared.platform.call_kind(&call).await;
-        if let Some(news) = follower.take(shared.now(), reply) {
-            take(news);
+        let now = shared.now();
+        let (name, result) = (call_name(&call), result_name(&reply));
+        shared
+            .metrics
+            .store_call(name, result, now.saturating_sub(asked));
+        let Some(news) = follower.take(now, reply) else {
+            continue;
+        };
+        note_store(shared, kind, &news, &mut failing);
+        take(news);
+    }
+}
+
+/// Notes the loss and the return of the store, and that it lost its history.
+fn note_store(shared: &Shared, kind: &str, news: &News, failing: &mut bool) {
+    let event = match news {
+        News::Failed { reason } if !*failing => {
+            Event::new(EventKind::PlatformUnavailable, reason.as_str())
+        }
+        News::All(_) | News::Changes(..) if *failing => {
+            Event::new(EventKind::PlatformRecovered, "")
         }
+        News::HistoryGone => Event::new(EventKind::HistoryGone, ""),
+        _ => return,
+    };
+    *failing = matches!(news, News::Failed { .. });
+    shared.timeline.record(event.with("kind", kind));
+}
+
+fn call_name(call: &KindCall) -> &'static str {
+    match call {
+        KindCall::List { .. } => "list",
+        KindCall::Follow { .. } => "watch",
+    }
+}
+
+fn result_name(reply: &KindReply) -> &'static str {
+    match reply {
+        KindReply::Items { .. } | KindReply::Changes { .. } => "ok",
+        KindReply::HistoryGone => "history_gone",
+        KindReply::Failed { .. } => "failed",
     }
 }
 
@@ -129,10 +175,9 @@
     loop {
         tokio::time::sleep(EXPIRY_INTERVAL).await;
         let now = shared.now();
-        let mut core = shared.core();
-        for change in core.expire(now) {
-            log::info!("{change:?}");
-        }
+        let changes = shared.core().expire(now);
+        shared.note_registry(changes);
+        let core = shared.core();
         shared.pool.sweep(now, |id| core.registry.get(id).is_some());
     }
 }
--- a/crates/net/src/gateway/gossip.rs
+++ b/crates/net/src/gateway/gossip.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use eelgrasshold_core::event::{Event, EventKind};
 use eelgrasshold_core::gateway::peers::{Gossip, PeerChange, ROUND, Standing};
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
@@ -53,7 +54,7 @@
         tokio::spawn(pulls::pull(Arc::clone(shared), pull));
     }
     shared.core().set_hosts(hosts);
-    note(&changes);
+    note(shared, changes);
     for (to, gossip) in sends {
         send(socket, to, &gossip);
     }
@@ -78,7 +79,7 @@
     };
     let knowledge = shared.knowledge();
     let (answer, changes) = shared.peers().receive(shared.now(), &gossip, knowledge);
-    note(&changes);
+    note(shared, changes);
     if let Some((to, gossip)) = answer {
         send(socket, to, &gossip);
     }
@@ -92,8 +93,16 @@
     }
 }
 
-fn note(changes: &[PeerChange]) {
+fn note(shared: &Shared, changes: Vec<PeerChange>) {
     for change in changes {
-        log::info!("{change:?}");
+        let (kind, host) = match change {
+            PeerChange::Seen(host) => (EventKind::MemberJoined, host),
+            PeerChange::Leaving(host) => (EventKind::MemberLeaving, host),
+            PeerChange::Silent(host) => (EventKind::MemberSuspected, host),
+            PeerChange::Back(host) => (EventKind::MemberConfirmed, host),
+        };
+        shared
+            .timeline
+            .record(Event::new(kind, "").with("peer", host));
     }
 }
--- a/crates/net/src/gateway/host.rs
+++ b/crates/net/src/gateway/host.rs
@@ -7,9 +7,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use eelgrasshold_core::event::{Event, EventKind};
 use eelgrasshold_core::fleet::platform_policy::PlatformLimits;
 use eelgrasshold_core::gateway::peers::{PeerRecord, Peers, Standing};
 use eelgrasshold_core::gateway::{Gateway, GatewaySettings};
+use eelgrasshold_core::types::Now;
 use eelgrasshold_platform::store;
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -21,14 +23,16 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
+use super::metrics::{GatewayMetrics, open_descriptors, resident_bytes};
 use super::pool::Pool;
 use super::shared::Shared;
 use super::{GatewayOptions, callers, directory, follow, gossip, pulls};
 use crate::host::{Drained, StartError, new_incarnation};
 use crate::http::Body;
+use crate::metrics::Metrics;
 use crate::platform::{Dialect, Platform};
 use crate::rpc::ACCEPT_PAUSE;
-use crate::runtime::Clock;
+use crate::runtime::{Clock, Timeline};
 
 /// Longest time that a question about addresses or readiness may take to arrive; they are short.
 const QUESTION_TIMEOUT: Duration = Duration::from_secs(30);
@@ -73,25 +77,41 @@
         options.directory = directory.local_addr().unwrap_or(options.directory);
         options.peers = peers.local_addr().unwrap_or(options.peers);
         let links = bind(options.peers).await?;
-        let shared = Arc::new(shared(options));
+        let metrics = Metrics::new()?;
+        let clock = Clock::start();
+        let shared = Arc::new(shared(options, clock, &metrics));
+        observe(&metrics, &shared);
         let closing = CancellationToken::new();
-        let tasks = vec![
+        let mut tasks = vec![
             tokio::spawn(follow::configuration(Arc::clone(&shared))),
             tokio::spawn(follow::registry(Arc::clone(&shared))),
             tokio::spawn(follow::expire(Arc::clone(&shared))),
             tokio::spawn(gossip::run(Arc::clone(&shared), peers)),
             tokio::spawn(pulls::serve(Arc::clone(&shared), links)),
-            tokio::spawn(answer(Arc::clone(&shared), ready, |shared, request| {
-                directory::ready(shared, request)
+            tokio::spawn(answer(ready, {
+                let shared = Arc::clone(&shared);
+                move |request| directory::ready(&shared, request)
+            })),
+            tokio::spawn(answer(directory, {
+                let shared = Arc::clone(&shared);
+                move |request| directory::resolve(&shared, request)
             })),
-            tokio::spawn(answer(Arc::clone(&shared), directory, directory::resolve)),
             tokio::spawn(callers::serve(
                 Arc::clone(&shared),
                 callers,
                 closing.clone(),
             )),
         ];
+        if let Some(address) = shared.options.metrics {
+            tasks.push(serve_metrics(address, metrics).await?);
+        }
         let options = &shared.options;
+        let event = Event::new(EventKind::DaemonStarted, "gateway")
+            .with("callers", options.callers.to_string())
+            .with("data_centre", options.data_centre.as_str())
+            .with("platform", options.platform.as_str())
+            .with("seeds", options.seeds.len());
+        shared.timeline.record(event);
         Ok(Self {
             callers: options.callers,
             directory: options.directory,
@@ -129,6 +149,14 @@
             () = hurry => {}
         }
         let open = self.shared.held.load(Ordering::Relaxed) as u64;
+        let kind = if open == 0 {
+            EventKind::DrainFinished
+        } else {
+            EventKind::DrainCut
+        };
+        self.shared
+            .timeline
+            .record(Event::new(kind, "").with("open", open));
         for task in self.tasks {
             task.abort();
         }
@@ -141,11 +169,17 @@
 
     /// Takes new settings as far as they can change while the process runs.
     pub fn reload(&self, seeds: Vec<SocketAddr>) {
+        let count = seeds.len();
         self.shared.peers().add_seeds(seeds);
+        let event = Event::new(EventKind::SettingsReloaded, "").with("seeds", count);
+        self.shared.timeline.record(event);
     }
 
     async fn drain(&self) {
         self.shared.draining.store(true, Ordering::Relaxed);
+        let held = self.shared.held.load(Ordering::Relaxed);
+        let event = Event::new(EventKind::DrainStarted, "").with("open", held);
+        self.shared.timeline.record(event);
         self.shared.standing_changed.notify_one();
         tokio::time::sleep(SERVE_WHILE_LEAVING).await;
         self.closing.cancel();
@@ -161,8 +195,7 @@
     }
 }
 
-fn shared(options: GatewayOptions) -> Shared {
-    let clock = Clock::start();
+fn shared(options: GatewayOptions, clock: Clock, metrics: &Metrics) -> Shared {
     let settings = GatewaySettings {
         data_centre: options.data_centre.clone(),
         retry_bound: options.retry_bound,
@@ -183,6 +216,8 @@
     };
     let platform = Platform::new(&options.platform, clock, limits, options.seed);
     Shared {
+        timeline: Timeline::logging_all(options.host.clone(), Some(metrics.clone()), clock),
+        metrics: GatewayMetrics::new(metrics),
         core: Mutex::new(Gateway::new(clock.now(), settings, options.seed)),
         peers: Mutex::new(Peers::new(me, options.seeds.clone(), options.seed)),
         pool: Pool::default(),
@@ -197,6 +232,59 @@
     }
 }
 
+/// Adds the values that are read when the metrics are.
+fn observe(metrics: &Metrics, shared: &Arc<Shared>) {
+    let read = |value: fn(&Shared) -> u64| {
+        let shared = Arc::downgrade(shared);
+        move || shared.upgrade().map_or(0, |s| value(&s))
+    };
+    metrics.observe(
+        "eelgrasshold_requests_held",
+        "Requests that are being served",
+        read(|s| s.held.load(Ordering::Relaxed) as u64),
+    );
+    metrics.observe(
+        "eelgrasshold_table_version",
+        "Version of the configuration in force",
+        read(|s| s.core().table_version()),
+    );
+    metrics.observe(
+        "eelgrasshold_table_age_ms",
+        "Time since the configuration came into force",
+        read(|s| age_ms(s, s.core().table_since())),
+    );
+    metrics.observe(
+        "eelgrasshold_registry_age_ms",
+        "Time since the store last told about the registry",
+        read(|s| age_ms(s, s.core().registry.heard())),
+    );
+    metrics.observe(
+        "eelgrasshold_peers",
+        "Entry hosts that callers are told of",
+        read(|s| s.peers().named().len() as u64),
+    );
+    metrics.observe(
+        "eelgrasshold_resident_bytes",
+        "Resident memory of the process",
+        resident_bytes,
+    );
+    metrics.observe(
+        "eelgrasshold_open_descriptors",
+        "Open files, sockets and pipes of the process",
+        open_descriptors,
+    );
+    metrics.observe(
+        "eelgrasshold_log_lines_dropped",
+        "Lines of the log that were dropped since their reader had stalled",
+        shared.options.lines_dropped,
+    );
+}
+
+fn age_ms(shared: &Shared, since: Now) -> u64 {
+    let age = shared.now().saturating_sub(since);
+    u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// How the users' platform speaks.
 pub(crate) fn users_dialect() -> Dialect {
     Dialect {
@@ -213,10 +301,24 @@
         .map_err(|source| StartError::Listen { address, source })
 }
 
+/// Serves metrics on an address until the task is aborted.
+///
+/// # Errors
+///
+/// If the listener can't be bound.
+pub(crate) async fn serve_metrics(
+    address: SocketAddr,
+    metrics: Metrics,
+) -> Result<JoinHandle<()>, StartError> {
+    let listener = bind(address).await?;
+    let handler = move |request: &Request<Incoming>| directory::metrics(&metrics, request);
+    Ok(tokio::spawn(answer(listener, handler)))
+}
+
 /// Answers short questions on a listener; never returns.
-async fn answer<F>(shared: Arc<Shared>, listener: TcpListener, handler: F)
+async fn answer<F>(listener: TcpListener, handler: F)
 where
-    F: Fn(&Arc<Shared>, &Request<Incoming>) -> Response<Body> + Clone + Send + Sync + 'static,
+    F: Fn(&Request<Incoming>) -> Response<Body> + Clone + Send + Sync + 'static,
 {
     loop {
         let stream = match listener.accept().await {
@@ -228,10 +330,10 @@
             }
         };
         crate::connect::watch_silence(&stream);
-        let (shared, handler) = (Arc::clone(&shared), handler.clone());
+        let handler = handler.clone();
         tokio::spawn(async move {
             let service = service_fn(move |request| {
-                let response = handler(&shared, &request);
+                let response = handler(&request);
                 async move { Ok::<_, Infallible>(response) }
             });
             let connection = http1::Builder::new()
--- /dev/null
+++ b/crates/net/src/gateway/intake.rs
@@ -0,0 +1,117 @@
+//! A caller's request from its head to its admission or refusal.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use eelgrasshold_core::event::{Event, EventKind};
+use eelgrasshold_core::gateway::{Admitted, RequestHead};
+use eelgrasshold_core::types::{Refusal, RefusalKind};
+use eelgrasshold_platform::headers as names;
+use http::{HeaderMap, Request, Response, Uri, header};
+use hyper::body::Incoming;
+
+use super::exchange::Exchange;
+use super::shared::{Held, Shared};
+use crate::http::{Body, BodyError, collect, full};
+use crate::wire::headers::{parsed, text, value};
+use crate::wire::problem_response;
+
+/// Largest body of a request while no configuration says otherwise, in bytes.
+const MAX_BODY_BYTES: usize = 4 << 20;
+/// Longest time that a body may take to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Serves a caller's request.
+pub(super) async fn serve(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
+    let guard = Held::new(&shared);
+    let (parts, body) = request.into_parts();
+    let id = text(&parts.headers, &names::REQUEST_ID).unwrap_or_default();
+    let admitted = admit(&shared, id, &parts.uri, &parts.headers);
+    let limit = shared
+        .core()
+        .table()
+        .map_or(MAX_BODY_BYTES, |t| t.limits.body_bytes);
+    // The body is read also for a refusal, so that the connection can be used again.
+    let body = collect(body, limit, BODY_TIMEOUT).await;
+    let admitted = body
+        .map_err(|e| body_refusal(&e))
+        .and_then(|b| Ok((admitted?, b)));
+    match admitted {
+        Ok((admitted, body)) => {
+            Exchange::new(shared, admitted, parts, body, guard)
+                .run()
+                .await
+        }
+        Err(refusal) => refuse(&shared, &refusal, id),
+    }
+}
+
+fn admit(shared: &Shared, id: &str, uri: &Uri, headers: &HeaderMap) -> Result<Admitted, Refusal> {
+    if id.is_empty() {
+        let detail = format!("the request has no {} header", names::REQUEST_ID);
+        return Err(Refusal::not_run(RefusalKind::BadRequest, detail));
+    }
+    let now = shared.now();
+    let admitted = shared.core().admit(now, head_of(uri, headers, id))?;
+    let event = Event::new(EventKind::RequestAdmitted, "")
+        .about_request(id)
+        .with("route", admitted.route.name.as_str())
+        .with("table", admitted.table)
+        .with("service", admitted.service.as_str())
+        .with("team", admitted.team.as_deref().unwrap_or(""))
+        .with("priority", u32::from(admitted.priority))
+        .with("time_ms", admitted.ends.saturating_sub(admitted.arrived));
+    shared.timeline.record(event);
+    Ok(admitted)
+}
+
+fn body_refusal(error: &BodyError) -> Refusal {
+    let kind = match error {
+        BodyError::TooLarge { .. } => RefusalKind::TooLarge,
+        BodyError::TooSlow { .. } => RefusalKind::TooSlow,
+        BodyError::Broken => RefusalKind::BadRequest,
+    };
+    Refusal::not_run(kind, error.to_string())
+}
+
+fn head_of<'a>(uri: &'a Uri, headers: &'a HeaderMap, id: &'a str) -> RequestHead<'a> {
+    let host = uri.authority().map(http::uri::Authority::as_str);
+    let host = host.or_else(|| text(headers, &header::HOST));
+    let tokens = text(headers, &names::TOKENS).and_then(|t| t.split_once(','));
+    let number = |text: &str| text.trim().parse::<u32>().ok();
+    let hint = text(headers, &names::LENGTH_HINT).and_then(number);
+    let prompt = tokens.and_then(|(prompt, _)| number(prompt));
+    let most = tokens.and_then(|(_, most)| number(most));
+    let deadline_ms = parsed::<u64>(headers, &names::DEADLINE_MS).ok().flatten();
+    RequestHead {
+        id,
+        host: host.unwrap_or_default(),
+        path: uri.path(),
+        key: text(headers, &names::API_KEY),
+        deadline: deadline_ms.map(Duration::from_millis),
+        prompt_tokens: prompt.unwrap_or_default(),
+        answer_tokens: hint.or(most).unwrap_or_default(),
+    }
+}
+
+/// The answer to a refused request, which is noted.
+pub(super) fn refuse(shared: &Shared, refusal: &Refusal, id: &str) -> Response<Body> {
+    shared.metrics.refused(refusal.kind.slug());
+    let event = Event::new(EventKind::RequestRefused, refusal.detail.as_str())
+        .about_request(id)
+        .with("reason", refusal.kind.slug())
+        .with("status", u32::from(refusal.kind.status()))
+        .with("run", refusal.run.name())
+        .with("retry_after_ms", refusal.retry_after.unwrap_or_default())
+        .with("table", shared.core().table_version());
+    shared.timeline.record(event);
+    let mut response = problem_response(refusal, id).map(full);
+    let headers = response.headers_mut();
+    headers.insert(names::REQUEST_ID, value(id));
+    if let Some(after) = refusal.retry_after {
+        // Callers of this platform honour fractions of a second.
+        let seconds = format!("{:.3}", after.as_secs_f64());
+        headers.insert(header::RETRY_AFTER, value(&seconds));
+    }
+    response
+}
--- /dev/null
+++ b/crates/net/src/gateway/metrics.rs
@@ -0,0 +1,161 @@
+//! Counters and histograms of a gateway.
+
+use std::time::Duration;
+
+use eelgrasshold_core::gateway::Outcome;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, Meter};
+
+use crate::metrics::Metrics;
+
+/// Bounds of the buckets of latencies, in seconds: from a plain call to a request's time limit.
+const LATENCY_BOUNDS_S: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 10.0,
+];
+/// Bounds of the buckets of pauses between events, in seconds.
+const PAUSE_BOUNDS_S: [f64; 8] = [0.03, 0.06, 0.09, 0.12, 0.2, 0.4, 1.0, 2.0];
+
+/// Instruments of a gateway.
+#[derive(Clone, Debug)]
+pub(super) struct GatewayMetrics {
+    requests: Counter<u64>,
+    refusals: Counter<u64>,
+    attempts: Counter<u64>,
+    resumes: Counter<u64>,
+    opened: Counter<u64>,
+    store_calls: Counter<u64>,
+    store_latency: Histogram<f64>,
+    first_answer: Histogram<f64>,
+    whole: Histogram<f64>,
+    pauses: Histogram<f64>,
+}
+
+impl GatewayMetrics {
+    /// Instruments that are shown with the process's metrics.
+    pub(super) fn new(metrics: &Metrics) -> Self {
+        let meter = metrics.meter();
+        let histogram = |name: &'static str, text: &'static str, bounds: &[f64]| {
+            let builder = meter.f64_histogram(name).with_description(text);
+            builder
+                .with_unit("s")
+                .with_boundaries(bounds.to_vec())
+                .build()
+        };
+        Self {
+            requests: counter(
+                &meter,
+                "eelgrasshold_requests",
+                "Requests that ended, by kind and outcome",
+            ),
+            refusals: counter(
+                &meter,
+                "eelgrasshold_refusals",
+                "Refused requests by reason",
+            ),
+            attempts: counter(
+                &meter,
+                "eelgrasshold_attempts",
+                "Sends to upstreams by outcome",
+            ),
+            resumes: counter(
+                &meter,
+                "eelgrasshold_resumes",
+                "Streams that went on at another upstream",
+            ),
+            opened: counter(
+                &meter,
+                "eelgrasshold_upstream_connections_opened",
+                "Connections to upstreams by result",
+            ),
+            store_calls: counter(
+                &meter,
+                "eelgrasshold_store_calls",
+                "Calls to the platform's store by kind and result",
+            ),
+            store_latency: histogram(
+                "eelgrasshold_store_call_duration",
+                "Time of calls to the store that are no watches",
+                &LATENCY_BOUNDS_S,
+            ),
+            first_answer: histogram(
+                "eelgrasshold_first_answer_duration",
+                "Time from a request to the head or first event of its answer",
+                &LATENCY_BOUNDS_S,
+            ),
+            whole: histogram(
+                "eelgrasshold_request_duration",
+                "Time from a request to the end of its answer",
+                &LATENCY_BOUNDS_S,
+            ),
+            pauses: histogram(
+                "eelgrasshold_event_pause_duration",
+                "Time between two events of a stream",
+                &PAUSE_BOUNDS_S,
+            ),
+        }
+    }
+
+    pub(super) fn ended(&self, kind: &'static str, outcome: &'static str, took: Duration) {
+        let kind = KeyValue::new("kind", kind);
+        self.whole
+            .record(took.as_secs_f64(), std::slice::from_ref(&kind));
+        self.requests
+            .add(1, &[kind, KeyValue::new("outcome", outcome)]);
+    }
+
+    pub(super) fn refused(&self, reason: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    pub(super) fn attempt(&self, outcome: Outcome) {
+        self.attempts
+            .add(1, &[KeyValue::new("outcome", outcome.name())]);
+    }
+
+    pub(super) fn resumed(&self) {
+        self.resumes.add(1, &[]);
+    }
+
+    pub(super) fn opened(&self, succeeded: bool) {
+        let result = if succeeded { "open" } else { "failed" };
+        self.opened.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    pub(super) fn store_call(&self, call: &'static str, result: &'static str, took: Duration) {
+        let labels = [KeyValue::new("call", call), KeyValue::new("result", result)];
+        self.store_calls.add(1, &labels);
+        if call != "watch" {
+            self.store_latency.record(took.as_secs_f64(), &labels[..1]);
+        }
+    }
+
+    pub(super) fn first_answer(&self, kind: &'static str, took: Duration) {
+        let kind = KeyValue::new("kind", kind);
+        self.first_answer.record(took.as_secs_f64(), &[kind]);
+    }
+
+    pub(super) fn pause(&self, pause: Duration) {
+        self.pauses.record(pause.as_secs_f64(), &[]);
+    }
+}
+
+fn counter(meter: &Meter, name: &'static str, text: &'static str) -> Counter<u64> {
+    meter.u64_counter(name).with_description(text).build()
+}
+
+/// Resident memory of the process, in bytes; 0 where the system does not tell.
+pub(super) fn resident_bytes() -> u64 {
+    const PAGE_BYTES: u64 = 4_096;
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm
+        .split_whitespace()
+        .nth(1)
+        .and_then(|p| p.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
+
+/// Open descriptors of the process; 0 where the system does not tell.
+pub(super) fn open_descriptors() -> u64 {
+    let listed = std::fs::read_dir("/proc/self/fd");
+    listed.map_or(0, |entries| entries.count() as u64)
+}
--- a/crates/net/src/gateway/mod.rs
+++ b/crates/net/src/gateway/mod.rs
@@ -6,10 +6,12 @@
 
 mod callers;
 mod directory;
+mod exchange;
 mod follow;
-mod forward;
 mod gossip;
 mod host;
+mod intake;
+mod metrics;
 mod options;
 mod pool;
 mod pulls;
@@ -18,5 +20,5 @@
 mod sse;
 
 pub use host::GatewayHost;
-pub(crate) use host::users_dialect;
+pub(crate) use host::{serve_metrics, users_dialect};
 pub use options::{GatewayOptions, GatewayOptionsBuilder};
--- a/crates/net/src/gateway/options.rs
+++ b/crates/net/src/gateway/options.rs
@@ -23,6 +23,7 @@
     pub(super) answer_validity: Duration,
     pub(super) drain_limit: Duration,
     pub(super) connections: usize,
+    pub(super) lines_dropped: fn() -> u64,
     pub(super) seed: u64,
 }
 
@@ -58,6 +59,7 @@
                 answer_validity: Duration::from_secs(2),
                 drain_limit: Duration::from_secs(6),
                 connections: 1_000,
+                lines_dropped: || 0,
                 seed: rand::random(),
             },
         }
@@ -137,6 +139,13 @@
         self
     }
 
+    /// Sets how to read the number of log lines that were dropped.
+    #[must_use]
+    pub fn lines_dropped(mut self, read: fn() -> u64) -> Self {
+        self.options.lines_dropped = read;
+        self
+    }
+
     /// The options.
     #[must_use]
     pub fn build(self) -> GatewayOptions {
--- a/crates/net/src/gateway/pool.rs
+++ b/crates/net/src/gateway/pool.rs
@@ -45,15 +45,12 @@
 }
 
 impl Pool {
-    /// An idle connection, or a new one.
+    /// Opens a connection.
     ///
     /// # Errors
     ///
-    /// If no connection comes about; nothing was sent then.
-    pub(super) async fn get(&self, now: Now, upstream: &Upstream) -> io::Result<Sender> {
-        if let Some(sender) = self.take(now, &upstream.id) {
-            return Ok(sender);
-        }
+    /// If the upstream refuses or does not answer in time.
+    pub(super) async fn open(upstream: &Upstream) -> io::Result<Sender> {
         let stream = connect(upstream.address).await?;
         let (sender, connection) = http1::Builder::new()
             .handshake(TokioIo::new(stream))
@@ -92,7 +89,8 @@
         });
     }
 
-    fn take(&self, now: Now, upstream: &str) -> Option<Sender> {
+    /// An idle connection, if there is one that can be used.
+    pub(super) fn take(&self, now: Now, upstream: &str) -> Option<Sender> {
         let mut idle = self.lock();
         let kept = idle.get_mut(upstream)?;
         while let Some(connection) = kept.pop() {
--- a/crates/net/src/gateway/pulls.rs
+++ b/crates/net/src/gateway/pulls.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
+use eelgrasshold_core::event::{Event, EventKind};
 use eelgrasshold_core::gateway::peers::Pull;
 use eelgrasshold_core::gateway::registry::Upstream;
 use eelgrasshold_core::platform::Version;
@@ -67,35 +68,46 @@
 
 /// Asks a host and takes what it says.
 pub(super) async fn pull(shared: Arc<Shared>, pull: Pull) {
-    let (Pull::Table(address) | Pull::Registry(address)) = pull;
-    let link = match rpc::open(address).await {
-        Ok(link) => link,
-        Err(error) => {
-            log::info!("entry host at {address} can't be asked: {error}");
-            return;
-        }
+    let (what, address) = match pull {
+        Pull::Table(address) => ("table", address),
+        Pull::Registry(address) => ("registry", address),
+    };
+    let asked = ask(&shared, pull, address).await;
+    let known = shared.knowledge();
+    let kind = match asked {
+        Ok(()) => EventKind::PeerAsked,
+        Err(_) => EventKind::LinkFailed,
     };
+    let event = Event::new(kind, asked.err().unwrap_or_default())
+        .with("what", what)
+        .with("peer", address.to_string())
+        .with("table", known.table)
+        .with("registry", known.registry);
+    shared.timeline.record(event);
+}
+
+async fn ask(shared: &Shared, pull: Pull, address: SocketAddr) -> Result<(), String> {
+    let link = rpc::open(address).await.map_err(|e| e.to_string())?;
     let client = KnowledgeClient::new(tarpc::client::Config::default(), link).spawn();
     let cx = rpc::within(PULL_TIMEOUT);
     match pull {
-        Pull::Table(_) => match client.table(cx).await {
-            Ok(document) if document.is_empty() => {}
-            Ok(document) => set_table(&shared, &document, &source(address)),
-            Err(error) => log::info!("entry host at {address} did not answer: {error}"),
-        },
-        Pull::Registry(_) => match client.registry(cx).await {
-            Ok(Some((list, revision))) => take_registry(&shared, list, revision, address),
-            Ok(None) => {}
-            Err(error) => log::info!("entry host at {address} did not answer: {error}"),
-        },
+        Pull::Table(_) => {
+            let document = client.table(cx).await.map_err(|e| e.to_string())?;
+            if !document.is_empty() {
+                set_table(shared, &document, &format!("entry host {address}"));
+            }
+        }
+        Pull::Registry(_) => {
+            let listed = client.registry(cx).await.map_err(|e| e.to_string())?;
+            if let Some((list, revision)) = listed {
+                take_registry(shared, list, revision);
+            }
+        }
     }
+    Ok(())
 }
 
-fn source(address: SocketAddr) -> String {
-    format!("the entry host at {address}")
-}
-
-fn take_registry(shared: &Shared, list: Vec<Upstream>, revision: Version, from: SocketAddr) {
+fn take_registry(shared: &Shared, list: Vec<Upstream>, revision: Version) {
     let now = shared.now();
     let mut core = shared.core();
     if revision <= core.registry.revision() {
@@ -103,8 +115,7 @@
     }
     let was_ready = core.is_ready();
     let changes = core.registry.replace(now, list, revision);
-    log::info!("took {} upstreams of {}", changes.len(), source(from));
-    if core.is_ready() != was_ready {
-        shared.standing_changed.notify_one();
-    }
+    drop(core);
+    shared.note_registry(changes);
+    shared.note_standing(was_ready);
 }
--- a/crates/net/src/gateway/relay.rs
+++ b/crates/net/src/gateway/relay.rs
@@ -4,18 +4,18 @@
 //! another one after the last event that was passed on, with the first upstream's headers. A
 //! stream that can't go on is cut, so that it never looks complete.
 
-use std::sync::Arc;
+use std::error::Error;
 
 use bytes::Bytes;
+use eelgrasshold_core::event::EventKind;
 use eelgrasshold_core::gateway::Outcome;
-use eelgrasshold_core::types::WorkClass;
-use eelgrasshold_platform::headers as names;
+use eelgrasshold_core::types::{Now, WorkClass};
 use futures::stream;
 use http::{HeaderMap, Response};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 
-use super::forward::{Answer, Exchange, InFlight, Sent, pass_on, rejection};
+use super::exchange::{Answer, Exchange, InFlight, Sent, pass_on};
 use super::pool::{Sender, idle_limit};
 use super::sse::{EventSplitter, event_id};
 use crate::http::Body;
@@ -34,7 +34,7 @@
     /// The stream ended as a whole.
     Complete,
     /// The upstream broke off.
-    Broken,
+    Broken(String),
     TimedOut,
 }
 
@@ -43,8 +43,10 @@
     exchange: Exchange,
     source: Option<Source>,
     splitter: EventSplitter,
-    /// Id of the last event that was passed on, or that the caller had before.
+    /// Id of the last event that was passed on.
     last: Option<u64>,
+    /// When the last event came.
+    last_at: Now,
     /// The first event, which is read before the caller gets the head.
     first: Option<Bytes>,
 }
@@ -58,6 +60,7 @@
     ) -> Result<Response<Body>, Box<Exchange>> {
         let parts = answer.parts.clone();
         let mut relay = Self {
+            last_at: exchange.shared.now(),
             exchange,
             source: Some(source(answer)),
             splitter: EventSplitter::default(),
@@ -65,14 +68,14 @@
             first: None,
         };
         match relay.step().await {
-            Step::Event(event) => relay.first = Some(event),
+            Step::Event(event) => relay.take_first(event),
             Step::Complete => relay.finish(),
-            Step::Broken => {
-                relay.end_source(Outcome::Broken);
+            Step::Broken(reason) => {
+                relay.end_source(Outcome::Broken, &reason);
                 return Err(Box::new(relay.exchange));
             }
             Step::TimedOut => {
-                relay.end_source(Outcome::GivenUp);
+                relay.end_source(Outcome::GivenUp, "");
                 return Err(Box::new(relay.exchange));
             }
         }
@@ -83,42 +86,63 @@
         Ok(pass_on(parts, StreamBody::new(events).boxed_unsync()))
     }
 
+    fn take_first(&mut self, event: Bytes) {
+        let now = self.exchange.shared.now();
+        let took = now.saturating_sub(self.exchange.admitted.arrived);
+        self.exchange.shared.metrics.first_answer("stream", took);
+        self.last_at = now;
+        self.last = event_id(&event);
+        self.first = Some(event);
+    }
+
     /// The next event for the caller; none after the last one, an error where the stream is cut.
-    async fn next(&mut self) -> Option<Result<Bytes, Box<dyn std::error::Error + Send + Sync>>> {
+    async fn next(&mut self) -> Option<Result<Bytes, Box<dyn Error + Send + Sync>>> {
         if let Some(first) = self.first.take() {
-            self.last = event_id(&first).or(self.last);
             return Some(Ok(first));
         }
         loop {
             self.source.as_ref()?;
             match self.step().await {
                 Step::Event(event) => {
-                    let id = event_id(&event);
-                    if id.is_some() && id <= self.last {
-                        log::info!("an event that the caller has was dropped");
-                        continue;
+                    if self.take_event(&event) {
+                        return Some(Ok(event));
                     }
-                    self.last = id.or(self.last);
-                    return Some(Ok(event));
                 }
                 Step::Complete => {
                     self.finish();
                     return None;
                 }
                 Step::TimedOut => {
-                    self.end_source(Outcome::GivenUp);
-                    return Some(Err("the time of the request ran out".into()));
+                    self.end_source(Outcome::GivenUp, "");
+                    return Some(Err(self.cut("the time of the request ran out")));
                 }
-                Step::Broken => {
-                    self.end_source(Outcome::Broken);
+                Step::Broken(reason) => {
+                    self.end_source(Outcome::Broken, &reason);
                     if !self.resume().await {
-                        return Some(Err("the stream broke off and can't go on".into()));
+                        return Some(Err(self.cut(&reason)));
                     }
                 }
             }
         }
     }
 
+    /// Whether an event is one that the caller lacks.
+    fn take_event(&mut self, event: &Bytes) -> bool {
+        let id = event_id(event);
+        if id.is_some() && id <= self.last {
+            let upstream = self.source.as_ref().map_or("", |s| &s.in_flight.upstream);
+            self.exchange
+                .note_dropped(upstream, "an event that the caller has");
+            return false;
+        }
+        let now = self.exchange.shared.now();
+        let pause = now.saturating_sub(self.last_at);
+        self.exchange.shared.metrics.pause(pause);
+        self.last_at = now;
+        self.last = id.or(self.last);
+        true
+    }
+
     async fn step(&mut self) -> Step {
         let ends = self.exchange.ends;
         loop {
@@ -126,7 +150,7 @@
                 return Step::Event(event);
             }
             let Some(source) = &mut self.source else {
-                return Step::Broken;
+                return Step::Broken("there is no upstream".to_owned());
             };
             let Ok(frame) = tokio::time::timeout_at(ends, source.body.frame()).await else {
                 return Step::TimedOut;
@@ -137,11 +161,10 @@
                         self.splitter.push(data);
                     }
                 }
-                Some(Err(error)) => {
-                    log::info!("a stream broke off: {error}");
-                    return Step::Broken;
+                Some(Err(error)) => return Step::Broken(format!("the stream broke off: {error}")),
+                None if self.splitter.has_partial() => {
+                    return Step::Broken("the stream ended within an event".to_owned());
                 }
-                None if self.splitter.has_partial() => return Step::Broken,
                 None => return Step::Complete,
             }
         }
@@ -159,13 +182,11 @@
         loop {
             match self.exchange.send(Some(last)).await {
                 Sent::Answer(answer) => {
-                    let genuine = answer.parts.headers.contains_key(names::DIGEST);
-                    if answer.parts.status.is_success() && genuine {
+                    if answer.parts.status.is_success() && answer.is_genuine() {
                         self.source = Some(source(*answer));
                         return true;
                     }
-                    let rejection = rejection(&answer.parts, &answer.address);
-                    let outcome = rejection.unwrap_or(Outcome::Failed);
+                    let outcome = answer.rejection().unwrap_or(Outcome::Failed);
                     self.exchange.end(answer.in_flight, outcome);
                 }
                 Sent::Ended => {}
@@ -176,18 +197,26 @@
 
     fn finish(&mut self) {
         if let Some(source) = self.source.take() {
-            let shared = Arc::clone(&self.exchange.shared);
             let limit = idle_limit(&source.headers);
-            let upstream = source.in_flight.upstream.clone();
-            shared
-                .pool
-                .keep(shared.now(), &upstream, source.sender, limit);
+            let upstream = &source.in_flight.upstream;
+            self.exchange.shared.keep(upstream, source.sender, limit);
             self.exchange.end(source.in_flight, Outcome::Answered);
         }
+        self.exchange
+            .settle(EventKind::RequestFinished, "answered", "");
+    }
+
+    fn cut(&mut self, reason: &str) -> Box<dyn Error + Send + Sync> {
+        self.exchange.settle(EventKind::RequestCut, "cut", reason);
+        reason.into()
     }
 
-    fn end_source(&mut self, outcome: Outcome) {
+    fn end_source(&mut self, outcome: Outcome, reason: &str) {
         if let Some(source) = self.source.take() {
+            if !reason.is_empty() {
+                self.exchange
+                    .note_dropped(&source.in_flight.upstream, reason);
+            }
             self.exchange.end(source.in_flight, outcome);
         }
     }
--- a/crates/net/src/gateway/shared.rs
+++ b/crates/net/src/gateway/shared.rs
@@ -1,25 +1,32 @@
 //! What all tasks of a gateway share.
 
-use std::sync::atomic::{AtomicBool, AtomicUsize};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::io;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use bytes::Bytes;
+use eelgrasshold_core::event::{Event, EventKind};
 use eelgrasshold_core::gateway::Gateway;
 use eelgrasshold_core::gateway::peers::{Knowledge, Peers};
+use eelgrasshold_core::gateway::registry::{Change, Upstream};
 use eelgrasshold_core::gateway::routes::TableVersion;
 use eelgrasshold_core::types::Now;
 use tokio::sync::Notify;
 
 use super::GatewayOptions;
-use super::pool::Pool;
+use super::metrics::GatewayMetrics;
+use super::pool::{Pool, Sender};
 use crate::platform::Platform;
-use crate::runtime::Clock;
+use crate::runtime::{Clock, Timeline};
 
 /// State of a running gateway.
 #[derive(Debug)]
 pub(super) struct Shared {
     pub(super) options: GatewayOptions,
     pub(super) clock: Clock,
+    pub(super) timeline: Timeline,
+    pub(super) metrics: GatewayMetrics,
     pub(super) core: Mutex<Gateway>,
     pub(super) peers: Mutex<Peers>,
     pub(super) pool: Pool,
@@ -45,6 +52,10 @@
         self.core.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(super) fn peers(&self) -> MutexGuard<'_, Peers> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// What this host knows of the store.
     pub(super) fn knowledge(&self) -> Knowledge {
         let core = self.core();
@@ -60,7 +71,74 @@
         *kept = (version, Bytes::copy_from_slice(document));
     }
 
-    pub(super) fn peers(&self) -> MutexGuard<'_, Peers> {
-        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    /// An idle connection to an upstream, or a new one.
+    ///
+    /// # Errors
+    ///
+    /// If no connection comes about; nothing was sent then.
+    pub(super) async fn connection(&self, upstream: &Upstream) -> io::Result<Sender> {
+        if let Some(sender) = self.pool.take(self.now(), &upstream.id) {
+            return Ok(sender);
+        }
+        let opened = Pool::open(upstream).await;
+        self.metrics.opened(opened.is_ok());
+        opened
+    }
+
+    /// Keeps a connection whose answer ended exactly.
+    pub(super) fn keep(&self, upstream: &str, sender: Sender, limit: Option<Duration>) {
+        self.pool.keep(self.now(), upstream, sender, limit);
+    }
+
+    /// Notes changes of the registry.
+    pub(super) fn note_registry(&self, changes: Vec<Change>) {
+        for change in changes {
+            let (kind, upstream) = match change {
+                Change::Joined(id) => (EventKind::UpstreamListed, id),
+                Change::Leaving(id) => (EventKind::UpstreamLeaving, id),
+                Change::Lapsed(id) => (EventKind::UpstreamLapsed, id),
+                Change::Returned(id) => (EventKind::UpstreamRelisted, id),
+                Change::Gone(id) => (EventKind::UpstreamGone, id),
+            };
+            let registry = self.core().registry.revision();
+            let event = Event::new(kind, "")
+                .with("upstream", upstream)
+                .with("registry", registry);
+            self.timeline.record(event);
+        }
+    }
+
+    /// Tells peers and the log when the host becomes ready.
+    pub(super) fn note_standing(&self, was_ready: bool) {
+        let ready = self.core().is_ready();
+        if ready == was_ready {
+            return;
+        }
+        self.standing_changed.notify_one();
+        if ready {
+            let known = self.knowledge();
+            let event = Event::new(EventKind::DaemonReady, "")
+                .with("table", known.table)
+                .with("registry", known.registry);
+            self.timeline.record(event);
+        }
+    }
+}
+
+/// Counts a request that is being served, until it is dropped.
+pub(super) struct Held(Arc<Shared>);
+
+impl Held {
+    pub(super) fn new(shared: &Arc<Shared>) -> Self {
+        shared.held.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(shared))
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        if self.0.held.fetch_sub(1, Ordering::Relaxed) == 1 {
+            self.0.ended.notify_waiters();
+        }
     }
 }
--- a/crates/net/src/metrics/mod.rs
+++ b/crates/net/src/metrics/mod.rs
@@ -59,6 +59,12 @@
         self.events.add(1, &labels);
     }
 
+    /// Makes instruments whose values are shown with the others.
+    #[must_use]
+    pub fn meter(&self) -> Meter {
+        self.provider.meter("eelgrasshold")
+    }
+
     /// Adds a value that is read when the metrics are scraped.
     pub fn observe(
         &self,
@@ -66,7 +72,7 @@
         description: &'static str,
         read: impl Fn() -> u64 + Send + Sync + 'static,
     ) {
-        let meter: Meter = self.provider.meter("eelgrasshold");
+        let meter = self.meter();
         // The provider keeps the instrument alive.
         let _ = meter
             .u64_observable_gauge(name)
--- a/crates/net/src/ranks/group.rs
+++ b/crates/net/src/ranks/group.rs
@@ -5,14 +5,16 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use eelgrasshold_core::event::{Event, EventKind};
 use eelgrasshold_core::ranks::{
-    Input, Leader, LeaderSettings, Note, Output, RankIndex, RankOrder, RankView, Sight,
+    Ended, Input, Leader, LeaderSettings, Note, OrderResult, Output, RankIndex, RankOrder,
+    RankView, Sight, order_name,
 };
 use eelgrasshold_core::types::Now;
 
 use super::engine::{Engine, Look};
 use super::links::Other;
-use crate::runtime::Clock;
+use crate::runtime::{Clock, Timeline};
 
 /// Time between two readings of the own rank by a process that does not lead.
 const OWN_INTERVAL: Duration = Duration::from_secs(1);
@@ -40,6 +42,7 @@
 #[derive(Debug)]
 pub(super) struct Group {
     clock: Clock,
+    timeline: Timeline,
     own: Engine,
     own_process: SocketAddr,
     experts: usize,
@@ -53,6 +56,7 @@
     /// The group of the engine at an address. The outputs of its machine go to [`Self::act`].
     pub(super) fn new(
         clock: Clock,
+        timeline: Timeline,
         engine: SocketAddr,
         process: SocketAddr,
         settings: LeaderSettings,
@@ -61,6 +65,7 @@
         let experts = settings.layout.experts as usize;
         Self {
             clock,
+            timeline,
             own: Engine::new(engine, experts),
             own_process: process,
             experts,
@@ -113,7 +118,7 @@
             Output::Send(order) => {
                 tokio::spawn(async move { group.send(order).await });
             }
-            Output::Note(note) => log_note(&note),
+            Output::Note(note) => self.note(&note),
         }
     }
 
@@ -155,15 +160,15 @@
         } else {
             match self.other(order.rank) {
                 Some(other) => other.carry(&order).await,
-                None => eelgrasshold_core::ranks::OrderResult::Unknown,
+                None => OrderResult::Unknown,
             }
         };
-        log::info!(
-            "order {} to rank {} of life {}: {result:?}",
-            eelgrasshold_core::ranks::order_name(&order.order),
-            order.rank,
-            order.epoch
-        );
+        let event = Event::new(EventKind::RankOrdered, "")
+            .with("order", order_name(&order.order))
+            .with("rank", order.rank)
+            .with("epoch", order.epoch)
+            .with("result", result.name());
+        self.record(event);
         self.feed(Input::Result(order, result));
     }
 
@@ -217,17 +222,55 @@
                 ranks.insert(view.rank, Known { other, heard: now });
             }
         }
-        log::info!(
-            "knows {} of {} ranks of {}",
-            ranks.len() + 1,
-            own.size,
-            own.group
-        );
+        let event = Event::new(EventKind::RanksFound, "")
+            .with("known", ranks.len() + 1)
+            .with("size", own.size);
+        self.record(event);
+    }
+
+    fn record(&self, event: Event) {
+        let group = lock(&self.view).as_ref().map(|v| v.group.clone());
+        self.timeline.record(match group {
+            Some(group) => event.about_group(group),
+            None => event,
+        });
     }
-}
 
-fn log_note(note: &Note) {
-    log::info!("{note:?}");
+    fn note(&self, note: &Note) {
+        let percent = |x: f64| (x * 100.0).round() as u64;
+        let event = match *note {
+            Note::Leads(true) => Event::new(EventKind::GroupLed, ""),
+            Note::Leads(false) => Event::new(EventKind::GroupNotLed, ""),
+            Note::Planned {
+                version,
+                before,
+                after,
+                loads,
+            } => Event::new(EventKind::PlanMade, "")
+                .with("version", version)
+                .with("most_loaded_before_percent", percent(before))
+                .with("most_loaded_after_percent", percent(after))
+                .with("loads", loads),
+            Note::TakesOver { holder, pass } => Event::new(EventKind::RolloutTakenOver, "")
+                .with("holder", holder)
+                .with("pass", pass),
+            Note::RolledOut {
+                version,
+                pass,
+                ended,
+            } => {
+                let kind = match ended {
+                    Ended::Switched => EventKind::MapSwitched,
+                    _ => EventKind::PlanGivenUp,
+                };
+                Event::new(kind, "")
+                    .with("version", version)
+                    .with("pass", pass)
+                    .with("outcome", ended.name())
+            }
+        };
+        self.record(event);
+    }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/net/src/ranks/host.rs
+++ b/crates/net/src/ranks/host.rs
@@ -4,11 +4,12 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
+use eelgrasshold_core::event::{Event, EventKind};
 use eelgrasshold_core::fleet::platform_policy::PlatformLimits;
 use eelgrasshold_core::gateway::routes::{EngineProfile, ExpertLayout};
 use eelgrasshold_core::platform::{KindCall, KindReply, StoredObject};
 use eelgrasshold_core::ranks::LeaderSettings;
-use eelgrasshold_core::types::ServiceId;
+use eelgrasshold_core::types::{HostId, ServiceId};
 use eelgrasshold_platform::store::{CONFIG_KIND, CONFIG_NAME, SERVERS_KIND};
 use eelgrasshold_platform::{route_table, servers};
 use tokio::net::TcpListener;
@@ -17,10 +18,11 @@
 
 use super::group::{Candidate, Group};
 use super::links;
-use crate::gateway::users_dialect;
+use crate::gateway::{serve_metrics, users_dialect};
 use crate::host::StartError;
+use crate::metrics::Metrics;
 use crate::platform::Platform;
-use crate::runtime::Clock;
+use crate::runtime::{Clock, Timeline};
 
 /// Pause between two questions for the engine's profile.
 const PROFILE_PAUSE: Duration = Duration::from_millis(700);
@@ -40,6 +42,10 @@
     pub platform: String,
     /// The fleet starts for the first time.
     pub first_start: bool,
+    /// Name of the process.
+    pub host: HostId,
+    /// Listener for metrics, if there is one.
+    pub metrics: Option<SocketAddr>,
 }
 
 /// A running process beside a rank.
@@ -61,11 +67,13 @@
             .await
             .map_err(|source| StartError::Listen { address, source })?;
         let address = listener.local_addr().unwrap_or(address);
-        let running = run(options, listener);
-        Ok(Self {
-            tasks: vec![tokio::spawn(running)],
-            address,
-        })
+        let metrics = Metrics::new()?;
+        let mut tasks = Vec::new();
+        if let Some(address) = options.metrics {
+            tasks.push(serve_metrics(address, metrics.clone()).await?);
+        }
+        tasks.push(tokio::spawn(run(options, listener, metrics)));
+        Ok(Self { tasks, address })
     }
 
     /// Address for the processes beside other ranks.
@@ -82,8 +90,14 @@
     }
 }
 
-async fn run(options: RankOptions, listener: TcpListener) {
+async fn run(options: RankOptions, listener: TcpListener, metrics: Metrics) {
     let clock = Clock::start();
+    let timeline = Timeline::logging_all(options.host.clone(), Some(metrics), clock);
+    let event = Event::new(EventKind::DaemonStarted, "rank")
+        .with("engine", options.engine.to_string())
+        .with("service", options.service.as_str())
+        .with("platform", options.platform.as_str());
+    timeline.record(event);
     let limits = PlatformLimits {
         failures_to_open: u32::MAX,
         ..PlatformLimits::default()
@@ -99,7 +113,7 @@
         seed: rand::random(),
     };
     let (tx, mut rx) = mpsc::unbounded_channel();
-    let group = Group::new(clock, options.engine, options.peers, settings, tx);
+    let group = Group::new(clock, timeline, options.engine, options.peers, settings, tx);
     let group = Arc::new(group);
     let acting = {
         let group = Arc::clone(&group);
--- a/crates/net/src/runtime/timeline.rs
+++ b/crates/net/src/runtime/timeline.rs
@@ -3,13 +3,19 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime};
 
-use eelgrasshold_core::event::{Event, HybridClock, Record, Ring, Stamp};
+use eelgrasshold_core::event::{
+    Event, EventKind, Fact, HybridClock, LineCap, Record, Ring, Stamp, Verdict,
+};
 use eelgrasshold_core::types::HostId;
+use log::kv::{self, Key, Source, Value, VisitSource};
 
+use super::Clock;
 use crate::metrics::Metrics;
 
 /// Events that a process keeps.
 const RING_CAPACITY: usize = 4_096;
+/// Events that a process keeps whose log has all of them.
+const SHORT_RING_CAPACITY: usize = 256;
 /// Events of requests and work, which are frequent, are logged at a lower level.
 const FREQUENT: std::ops::Range<u16> = 2_000..4_000;
 
@@ -17,6 +23,7 @@
 struct State {
     clock: HybridClock,
     ring: Ring,
+    cap: LineCap,
 }
 
 /// Keeps, stamps and logs events.
@@ -24,19 +31,32 @@
 pub struct Timeline {
     state: Mutex<State>,
     metrics: Option<Metrics>,
+    /// Clock of the budgets of lines, where the log has all events.
+    logs_all: Option<Clock>,
 }
 
 impl Timeline {
     /// An empty time line of a process; with metrics, events are counted there.
     #[must_use]
     pub fn new(host: HostId, metrics: Option<Metrics>) -> Self {
-        let ring = Ring::new(host, RING_CAPACITY);
+        Self::with_ring(Ring::new(host, RING_CAPACITY), metrics, None)
+    }
+
+    /// A time line whose events all go to the log, within a budget for each kind.
+    #[must_use]
+    pub fn logging_all(host: HostId, metrics: Option<Metrics>, clock: Clock) -> Self {
+        Self::with_ring(Ring::new(host, SHORT_RING_CAPACITY), metrics, Some(clock))
+    }
+
+    fn with_ring(ring: Ring, metrics: Option<Metrics>, logs_all: Option<Clock>) -> Self {
         Self {
             state: Mutex::new(State {
                 clock: HybridClock::default(),
                 ring,
+                cap: LineCap::default(),
             }),
             metrics,
+            logs_all,
         }
     }
 
@@ -45,24 +65,43 @@
         if let Some(metrics) = &self.metrics {
             metrics.count_event(event.kind.number(), event.kind.name());
         }
+        let kind = event.kind;
         let mut state = self.lock();
         let stamp = state.clock.tick(SystemTime::now());
+        let verdict = match &self.logs_all {
+            Some(clock) => state.cap.judge(clock.now(), kind),
+            None => Verdict::Write,
+        };
         let record = state.ring.push(stamp, event);
-        let level = if FREQUENT.contains(&record.number) {
+        if verdict == Verdict::Write {
+            write(self.level(kind.number()), record);
+        }
+        drop(state);
+        if self.logs_all.is_some() {
+            self.account();
+        }
+    }
+
+    fn level(&self, number: u16) -> log::Level {
+        if self.logs_all.is_none() && FREQUENT.contains(&number) {
             log::Level::Debug
         } else {
             log::Level::Info
+        }
+    }
+
+    /// Tells which lines were left out, if any were.
+    fn account(&self) {
+        let Some(clock) = &self.logs_all else {
+            return;
         };
-        log::log!(
-            level,
-            event = record.number,
-            name = record.name.as_str(),
-            request = record.request.as_deref().unwrap_or(""),
-            group = record.group.as_deref().unwrap_or(""),
-            stamp:% = record.stamp;
-            "{}",
-            record.detail
-        );
+        let mut state = self.lock();
+        let left_out = state.cap.account(clock.now());
+        let stamp = state.clock.tick(SystemTime::now());
+        for (kind, count) in left_out {
+            let event = Event::new(EventKind::LinesLeftOut, kind.name()).with("count", count);
+            write(log::Level::Warn, state.ring.push(stamp, event));
+        }
     }
 
     /// Stamp for an outgoing message.
@@ -86,3 +125,43 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Writes one line of the log.
+fn write(level: log::Level, record: &Record) {
+    let facts = Facts(record);
+    log::logger().log(
+        &log::Record::builder()
+            .level(level)
+            .target(module_path!())
+            .key_values(&facts)
+            .args(format_args!("{}", record.detail))
+            .build(),
+    );
+}
+
+/// What a record names, as key-value pairs.
+struct Facts<'a>(&'a Record);
+
+impl Source for Facts<'_> {
+    fn visit<'kvs>(&'kvs self, visitor: &mut dyn VisitSource<'kvs>) -> Result<(), kv::Error> {
+        let record = self.0;
+        visitor.visit_pair(Key::from_str("event"), Value::from(record.number))?;
+        visitor.visit_pair(Key::from_str("name"), Value::from(record.name.as_str()))?;
+        visitor.visit_pair(Key::from_str("host"), Value::from(record.host.as_str()))?;
+        if let Some(request) = &record.request {
+            visitor.visit_pair(Key::from_str("request"), Value::from(request.as_str()))?;
+        }
+        if let Some(group) = &record.group {
+            visitor.visit_pair(Key::from_str("group"), Value::from(group.as_str()))?;
+        }
+        visitor.visit_pair(Key::from_str("stamp"), Value::from_display(&record.stamp))?;
+        for (name, fact) in &record.facts {
+            let value = match fact {
+                Fact::Number(number) => Value::from(*number),
+                Fact::Text(text) => Value::from(text.as_str()),
+            };
+            visitor.visit_pair(Key::from_str(name), value)?;
+        }
+        Ok(())
+    }
+}
