Hold and arm when ranks should have loaded instead of polling for it

Cause: of the second that a map took to follow a jump of popularity, 0.3 s were readings and steps on a grid of 100 ms. Ranks are now armed when the loading they accepted should be over, readings come each 125 ms, and steps are taken when something is due.

--- a/crates/core/src/ranks/leader.rs
+++ b/crates/core/src/ranks/leader.rs
@@ -23,10 +23,8 @@
 
 /// Time between two readings of all ranks. Popularity jumps every few seconds, and what is lost
 /// until a jump is seen can't be made good.
-const POLL: Duration = Duration::from_millis(250);
-/// Time between two readings when ranks should have loaded.
-const POLL_LOADED: Duration = Duration::from_millis(50);
-/// Time without a question of a lower rank after which a process leads: five readings.
+const POLL: Duration = Duration::from_millis(125);
+/// Time without a question of a lower rank after which a process leads: ten readings.
 const LEADER_SILENCE: Duration = Duration::from_millis(1_300);
 /// Further time for each rank, so that the lowest one that is alive leads alone.
 const LEADER_STAGGER: Duration = Duration::from_millis(150);
@@ -53,6 +51,10 @@
 const PASS_GAIN: f64 = 0.2;
 /// Longest time of a pass that counts; a longer one was no pass of a busy group.
 const LONGEST_PASS_S: f64 = 0.4;
+/// Time between two steps of a process that does not lead.
+const IDLE_TICK: Duration = Duration::from_millis(250);
+/// Shortest time between two steps.
+const SHORTEST_TICK: Duration = Duration::from_millis(5);
 /// Pause after a rollout that was given up.
 const PAUSE: Duration = Duration::from_millis(800);
 
@@ -250,12 +252,11 @@
     /// When the next [`Input::Tick`] is due at the latest.
     #[must_use]
     pub fn next_tick(&self, now: Now) -> Now {
-        let step = if self.rollout.as_ref().is_some_and(Rollout::holds) {
-            Duration::from_millis(20)
-        } else {
-            Duration::from_millis(100)
-        };
-        now + step
+        let step = now + if self.leads { POLL } else { IDLE_TICK };
+        let poll = if self.leads { self.next_poll } else { step };
+        let order = self.rollout.as_ref().and_then(Rollout::next_at);
+        let earliest = order.unwrap_or(step).min(poll).min(step);
+        earliest.max(now + SHORTEST_TICK)
     }
 
     /// Whether this process leads its group.
@@ -288,23 +289,18 @@
     }
 
     fn poll(&mut self, now: Now) {
-        let loaded = self.rollout.as_ref().is_some_and(|r| r.is_loaded(now));
         if now < self.next_poll {
             return;
         }
-        self.next_poll = now + if loaded { POLL_LOADED } else { POLL };
-        if !loaded {
-            self.demand.fold();
-        }
+        self.next_poll = now + POLL;
+        self.demand.fold();
         let known = |rank: &RankIndex| {
             let version = self.seen.get(rank).map(|s| s.view.map);
             self.held.get(rank).map(|h| h.0) == version
         };
         let needs_maps = self.present.is_none();
         for rank in 0..self.size {
-            let sight = if loaded {
-                Sight::View
-            } else if needs_maps && !known(&rank) {
+            let sight = if needs_maps && !known(&rank) {
                 Sight::Held
             } else {
                 Sight::Counts
@@ -491,7 +487,6 @@
         let loading = self.load_time() * u32::try_from(plan.loads).unwrap_or(1);
         let rollout = Rollout::new(now, start, Arc::new(plan.map), loading);
         self.rollout = Some(rollout);
-        self.next_poll = self.next_poll.min(now + loading);
         self.advance(now);
     }
 
--- a/crates/core/src/ranks/rollout.rs
+++ b/crates/core/src/ranks/rollout.rs
@@ -6,7 +6,8 @@
 //! beginning a pass until `Go`. Any order may be lost, or carried out seconds later, after newer
 //! ones, and any number of processes may give orders at the same time.
 //!
-//! A rollout prepares a version on all ranks, holds a pass, arms all ranks for it and releases it.
+//! A rollout prepares a version on all ranks, holds a pass when they should have loaded it, arms
+//! all ranks for that pass and releases it.
 //! Each version belongs to one process, each pass is held at the rank of one process, and both are
 //! used once, so:
 //!
@@ -15,11 +16,12 @@
 //! - A late `Go` releases only its own pass, and it is sent only after all ranks are known to be
 //!   armed, or known to be unable to arm that version again.
 //!
-//! Once an `Arm` was sent, the rollout goes on until all ranks are armed, whoever does it. It is
-//! given up only on evidence that can't change: a rank that was prepared and has since taken a
-//! higher version can never arm this one. Such a rank was never armed before, because an armed
-//! rank takes no other version, so nobody can have found all ranks armed. The version is then
-//! made impossible on every rank by preparing a higher one before the pass is released.
+//! A pass is held only after all ranks accepted the version, so it takes no longer than loading.
+//! From then on the rollout goes on until all ranks are armed, whoever does it. It is given up
+//! only on evidence that can't change: a rank that has taken a higher version can never arm this
+//! one. Such a rank was never armed before, because an armed rank takes no other version, so
+//! nobody can have found all ranks armed. The version is then made impossible on every rank by
+//! preparing a higher one before the pass is released.
 //!
 //! A process that dies or is paused in the middle leaves a held pass. Another one finishes its
 //! rollout by the same rules, and orders that the first one sends later change nothing.
@@ -35,6 +37,8 @@
 /// Time after which an order without an answer is sent again. Orders have effect only once, and
 /// a group that is held waits for the answer.
 const RESEND: Duration = Duration::from_millis(60);
+/// Time after which an order that was refused is given again: a rank may just finish loading.
+const RETRY_REFUSED: Duration = Duration::from_millis(15);
 /// The same for loading, which a repeated order may begin anew.
 const RESEND_PREPARE: Duration = Duration::from_millis(500);
 /// Time for which ranks may load before a rollout is given up.
@@ -200,8 +204,8 @@
     /// When the present phase began.
     entered: Now,
     ranks: Vec<Progress>,
-    /// Ranks that have been seen with the version prepared.
-    prepared: Vec<bool>,
+    /// Since when each rank is known to have had the version prepared.
+    prepared: Vec<Option<Now>>,
     /// A rank can never arm the version.
     dead: bool,
 }
@@ -247,7 +251,7 @@
             began: now,
             entered: now,
             ranks: vec![Progress::default(); start.size],
-            prepared: vec![false; start.size],
+            prepared: vec![None; start.size],
             dead: false,
         }
     }
@@ -262,8 +266,8 @@
         pass: Pass,
         views: &[RankView],
     ) -> Self {
-        // The holder saw its version prepared on all ranks before it held the pass. If none of
-        // its versions is there any more, other versions have replaced it.
+        // All ranks accepted the holder's version before it held the pass. A rank that shows none
+        // of its versions still loads it, or has taken another one since.
         let of_holder = |v: &MapVersion| owner(*v) == Some(holder);
         let visible = |v: &RankView| [v.armed.map(|a| a.0), v.prepared];
         let versions = views.iter().flat_map(visible).flatten();
@@ -275,7 +279,7 @@
             ..Self::new(now, start, Arc::default(), Duration::ZERO)
         };
         let has = |v: &RankView| v.prepared == Some(version) || v.armed == Some((version, pass));
-        rollout.prepared = views.iter().map(has).collect();
+        rollout.prepared = views.iter().map(|v| has(v).then_some(now)).collect();
         let phase = if views.iter().all(has) {
             Phase::Arm
         } else {
@@ -319,12 +323,6 @@
         self.holder
     }
 
-    /// Whether the ranks should have loaded, so that their states are worth reading often.
-    #[must_use]
-    pub fn is_loaded(&self, now: Now) -> bool {
-        self.holds() || now >= self.loaded_at
-    }
-
     /// How it ended, if it did.
     #[must_use]
     pub fn ended(&self) -> Option<Ended> {
@@ -350,8 +348,20 @@
         self.ranks.iter().enumerate().filter_map(unclear).collect()
     }
 
+    /// When the next order is due, if one is.
+    #[must_use]
+    pub fn next_at(&self) -> Option<Now> {
+        let waits = |p: &&Progress| !p.done && p.sent.is_none();
+        let due = self.ranks.iter().filter(waits).map(|p| p.due).min();
+        match self.phase {
+            Phase::Prepare => Some(due.unwrap_or(self.loaded_at)),
+            _ => due,
+        }
+    }
+
     /// Orders to send now. `pass` is the last pass that is known to have begun.
     pub fn orders(&mut self, now: Now, pass: Pass) -> Vec<RankOrder> {
+        self.advance(now);
         match self.phase {
             Phase::Prepare if now.saturating_sub(self.began) > PREPARE_LIMIT => {
                 self.phase = Phase::Ended(Ended::GivenUp);
@@ -405,7 +415,7 @@
     /// The version must be impossible on one rank before arming is taken back on any: until then
     /// another process may still find all ranks armed.
     fn kill_order(&self, rank: RankIndex) -> Option<Order> {
-        if !self.dead && self.prepared[rank] {
+        if !self.dead && self.prepared[rank].is_some() {
             return None;
         }
         if let Some(version) = self.ranks[rank].disarm {
@@ -471,7 +481,7 @@
             _ => {
                 let progress = &mut self.ranks[order.rank];
                 progress.unclear = true;
-                progress.due = now + RESEND;
+                progress.due = now + RETRY_REFUSED;
             }
         }
     }
@@ -491,11 +501,17 @@
             }
             return;
         }
+        let released = rank == self.holder && view.held != Some(self.pass);
+        if released && matches!(self.phase, Phase::Arm | Phase::Kill) {
+            // Another process has finished the rollout.
+            self.phase = Phase::Ended(Ended::GivenUp);
+            return;
+        }
         match self.phase {
-            Phase::Prepare => self.look_prepared(rank, view),
+            Phase::Prepare => self.look_prepared(now, rank, view),
             Phase::Hold => self.look_held(now, rank, view),
-            Phase::Arm => self.look_armed(now, rank, view),
-            Phase::Kill => self.look_killed(rank, view),
+            Phase::Arm => self.look_armed(now, asked, rank, view),
+            Phase::Kill => self.look_killed(now, asked, rank, view),
             Phase::Release => {
                 if rank == self.holder && view.held != Some(self.pass) {
                     self.ranks[rank].done = true;
@@ -507,11 +523,11 @@
         self.advance(now);
     }
 
-    fn look_prepared(&mut self, rank: RankIndex, view: &RankView) {
+    fn look_prepared(&mut self, now: Now, rank: RankIndex, view: &RankView) {
         let progress = &mut self.ranks[rank];
         let was_refused = std::mem::take(&mut progress.unclear);
         if view.prepared == Some(self.version) {
-            self.prepared[rank] = true;
+            self.prepared[rank].get_or_insert(now);
             progress.done = true;
             return;
         }
@@ -543,8 +559,23 @@
         }
     }
 
-    fn look_armed(&mut self, now: Now, rank: RankIndex, view: &RankView) {
+    /// Whether a state that was asked for at `asked` is from after the version was seen prepared;
+    /// answers may overtake one another.
+    fn had_before(&self, rank: RankIndex, asked: Now) -> bool {
+        self.prepared[rank].is_some_and(|at| asked >= at)
+    }
+
+    fn look_armed(&mut self, now: Now, asked: Now, rank: RankIndex, view: &RankView) {
         let armed = view.armed == Some((self.version, self.pass)) || view.map == self.version;
+        let newest = view
+            .prepared
+            .max(view.armed.map(|a| a.0))
+            .max(Some(view.map));
+        let has_version = view.prepared == Some(self.version);
+        let replaced = !has_version && self.had_before(rank, asked);
+        if has_version {
+            self.prepared[rank].get_or_insert(now);
+        }
         let progress = &mut self.ranks[rank];
         progress.unclear = false;
         if armed {
@@ -552,18 +583,26 @@
         } else if view.pass >= self.pass {
             // Somebody else released the pass, or the group was not held.
             self.phase = Phase::Ended(Ended::GivenUp);
-        } else if view.prepared != Some(self.version) && !progress.done {
-            // It was prepared, so it has taken a higher version since.
+        } else if !progress.done && (replaced || newest > Some(self.version)) {
+            // It has taken a higher version since it accepted this one.
             self.dead = true;
             self.enter(now, Phase::Kill);
         }
     }
 
-    fn look_killed(&mut self, rank: RankIndex, view: &RankView) {
+    fn look_killed(&mut self, now: Now, asked: Now, rank: RankIndex, view: &RankView) {
+        let for_pass = |a: &(MapVersion, Pass)| a.1 == self.pass && owner(a.0) == Some(self.holder);
+        if let Some((version, _)) = view.armed.filter(for_pass) {
+            // The version was still being loaded when its rollout was taken over.
+            self.version = version;
+        }
         let armed = view.armed.map(|a| a.0);
         let has_version = view.prepared == Some(self.version) || armed == Some(self.version);
-        let replaced = self.prepared[rank] && !has_version && view.map != self.version;
-        self.prepared[rank] = has_version;
+        let switched = view.map == self.version;
+        let replaced = !has_version && !switched && self.had_before(rank, asked);
+        if has_version {
+            self.prepared[rank].get_or_insert(now);
+        }
         let progress = &mut self.ranks[rank];
         progress.unclear = false;
         progress.disarm = armed.filter(|v| *v == self.version);
@@ -578,11 +617,13 @@
     fn advance(&mut self, now: Now) {
         let all = |ranks: &[Progress]| ranks.iter().all(|p| p.done);
         match self.phase {
-            Phase::Prepare if self.prepared.iter().all(|p| *p) => self.enter(now, Phase::Hold),
+            Phase::Prepare if all(&self.ranks) && now >= self.loaded_at => {
+                self.enter(now, Phase::Hold);
+            }
             Phase::Hold if self.ranks[self.holder].done => self.enter(now, Phase::Arm),
             Phase::Arm | Phase::Kill if all(&self.ranks) => self.enter(now, Phase::Release),
             // A rank that lacked the version has it after all.
-            Phase::Kill if !self.dead && self.prepared.iter().all(|p| *p) => {
+            Phase::Kill if !self.dead && self.prepared.iter().all(Option::is_some) => {
                 self.enter(now, Phase::Arm);
             }
             Phase::Release if self.ranks[self.holder].done => {
