--- a/crates/core/src/ranks/leader.rs
+++ b/crates/core/src/ranks/leader.rs
@@ -34,7 +34,10 @@
 /// the most popular ones to more ranks soon, more even out the rest.
 const LOAD_CHOICES: [usize; 3] = [1, 2, 4];
 /// Passes between the choice of a pass and its beginning, in which all ranks are armed.
-const ARM_PASSES: Pass = 1;
+const ARM_PASSES: Pass = 2;
+/// Time beyond that of loading after which ranks are armed. A rank that is armed too early refuses,
+/// and the group would wait for it.
+const LOADED_MARGIN: Duration = Duration::from_millis(30);
 /// Passes that a new life of a process stays clear of, since orders of an earlier life may still
 /// be carried out for them.
 const CLEAR_PASSES: Pass = 48;
@@ -484,7 +487,7 @@
             after: plan.after,
             loads: plan.loads,
         }));
-        let loading = self.load_time() * u32::try_from(plan.loads).unwrap_or(1);
+        let loading = self.load_time() * u32::try_from(plan.loads).unwrap_or(1) + LOADED_MARGIN;
         let rollout = Rollout::new(now, start, Arc::new(plan.map), loading);
         self.rollout = Some(rollout);
         self.advance(now);
