Confirm loading and arm earlier where orders to ranks get lost

The log lines of the rollouts show why: a rank whose order to prepare was lost began to load 0.5 s later than planned, refused to be armed, and was asked again under the hold.

A rollout in which an order stayed without an answer now holds the group only after each rank has said that it has loaded, and names a pass that leaves 0.4 s for repeating orders. Orders are repeated after 45 ms in the process beside the rank, and a repeated prepare is sent as soon as the others, since a rank takes it only once.

--- a/crates/core/src/ranks/leader.rs
+++ b/crates/core/src/ranks/leader.rs
@@ -35,6 +35,11 @@
 const LOAD_CHOICES: [usize; 3] = [1, 2, 4];
 /// Passes between the choice of a pass and its beginning, in which all ranks are armed.
 const ARM_PASSES: Pass = 2;
+/// The same time where orders get lost: a few tries each of the hold, the arming and the release.
+const LOSSY_ARM_TIME: Duration = Duration::from_millis(400);
+/// Time after an order got lost in which others are expected to: a fault of the network lasts some
+/// seconds.
+const LOSSY_MEMORY: Duration = Duration::from_secs(4);
 /// Time beyond that of loading after which ranks are armed. A rank that is armed too early refuses,
 /// and the group would wait for it.
 const LOADED_MARGIN: Duration = Duration::from_millis(30);
@@ -186,6 +191,8 @@
     pass_s: f64,
     /// The last pass that this process held.
     last_held: Pass,
+    /// When an order last got lost.
+    last_lost: Option<Now>,
     out: Vec<Output>,
 }
 
@@ -213,6 +220,7 @@
             last_pass: (0, Now::ZERO),
             pass_s: 0.0,
             last_held: 0,
+            last_lost: None,
             out: Vec::new(),
             settings,
         }
@@ -242,6 +250,9 @@
                 held,
             } => self.read(now, asked, view, counts, held),
             Input::Result(order, result) => {
+                if result == OrderResult::Unknown {
+                    self.last_lost = Some(now);
+                }
                 if let Some(rollout) = &mut self.rollout {
                     rollout.result(now, &order, result);
                 }
@@ -540,10 +551,24 @@
             kill_version: self.new_version(now, me as MapVersion + NEVER_ARMED),
             present,
             lead: ARM_PASSES,
+            lossy_lead: self.passes_in(LOSSY_ARM_TIME),
+            lossy: self
+                .last_lost
+                .is_some_and(|at| now.saturating_sub(at) < LOSSY_MEMORY),
             after: begun.max(self.last_held),
         })
     }
 
+    /// Passes that a busy group makes in a time.
+    fn passes_in(&self, time: Duration) -> Pass {
+        let passes = time.as_secs_f64() / self.pass_s.max(self.settings.fixed_pass.as_secs_f64());
+        if passes.is_finite() {
+            (passes.ceil() as Pass).max(ARM_PASSES)
+        } else {
+            ARM_PASSES
+        }
+    }
+
     /// A version above all that were seen, which no other process and no earlier life uses.
     fn new_version(&mut self, now: Now, rest: MapVersion) -> MapVersion {
         let age = now.saturating_sub(self.born);
--- a/crates/core/src/ranks/rollout.rs
+++ b/crates/core/src/ranks/rollout.rs
@@ -36,11 +36,12 @@
 
 /// Time after which an order without an answer is sent again. Orders have effect only once, and
 /// a group that is held waits for the answer.
-const RESEND: Duration = Duration::from_millis(60);
+const RESEND: Duration = Duration::from_millis(20);
 /// Time after which an order that was refused is given again: a rank may just finish loading.
 const RETRY_REFUSED: Duration = Duration::from_millis(15);
-/// The same for loading, which a repeated order may begin anew.
-const RESEND_PREPARE: Duration = Duration::from_millis(500);
+/// Time between two questions whether ranks have loaded: a part of a pass, as each question costs
+/// a call to each rank.
+const ASK_LOADED: Duration = Duration::from_millis(30);
 /// Time for which ranks may load before a rollout is given up.
 const PREPARE_LIMIT: Duration = Duration::from_secs(12);
 /// Passes for which a hold may fail before a rollout is given up.
@@ -208,6 +209,12 @@
     prepared: Vec<Option<Now>>,
     /// A rank can never arm the version.
     dead: bool,
+    /// Orders get lost, so loading is confirmed and arming begins early.
+    lossy: bool,
+    /// When ranks that have not confirmed loading are asked next.
+    ask_at: Now,
+    /// The same as `lead` where orders get lost.
+    lossy_lead: Pass,
 }
 
 /// What a rollout begins with.
@@ -227,6 +234,11 @@
     pub present: Arc<GroupMap>,
     /// Passes between the choice of a pass and its beginning, in which all ranks are armed.
     pub lead: Pass,
+    /// The same where orders get lost, so that there is time to repeat them before the group has
+    /// to wait.
+    pub lossy_lead: Pass,
+    /// Orders got lost lately.
+    pub lossy: bool,
     /// The held pass is later than this one, which orders of earlier rollouts may name.
     pub after: Pass,
 }
@@ -253,6 +265,9 @@
             ranks: vec![Progress::default(); start.size],
             prepared: vec![None; start.size],
             dead: false,
+            lossy: start.lossy,
+            ask_at: now + loading,
+            lossy_lead: start.lossy_lead,
         }
     }
 
@@ -354,7 +369,7 @@
         let waits = |p: &&Progress| !p.done && p.sent.is_none();
         let due = self.ranks.iter().filter(waits).map(|p| p.due).min();
         match self.phase {
-            Phase::Prepare => Some(due.unwrap_or(self.loaded_at)),
+            Phase::Prepare => Some(due.unwrap_or(self.ask_at)),
             _ => due,
         }
     }
@@ -367,6 +382,13 @@
                 self.phase = Phase::Ended(Ended::GivenUp);
                 Vec::new()
             }
+            Phase::Prepare if now >= self.ask_at && self.ranks.iter().all(|p| p.done) => {
+                self.ask_at = now + ASK_LOADED;
+                for (progress, prepared) in self.ranks.iter_mut().zip(&self.prepared) {
+                    progress.unclear = prepared.is_none();
+                }
+                Vec::new()
+            }
             // A pass that has begun can't be held any more.
             Phase::Hold if self.pass <= pass => {
                 self.choose_pass(now, pass);
@@ -444,13 +466,8 @@
         }
         match result {
             OrderResult::Unknown => {
-                let loads = matches!(order.order, Order::Prepare { .. });
-                let pause = if loads && self.phase == Phase::Prepare {
-                    RESEND_PREPARE
-                } else {
-                    RESEND
-                };
-                progress.due = now + pause;
+                self.lossy = true;
+                progress.due = now + RESEND;
             }
             OrderResult::Accepted => self.accepted(now, order),
             OrderResult::Refused => self.refused(now, order),
@@ -617,7 +634,7 @@
     fn advance(&mut self, now: Now) {
         let all = |ranks: &[Progress]| ranks.iter().all(|p| p.done);
         match self.phase {
-            Phase::Prepare if all(&self.ranks) && now >= self.loaded_at => {
+            Phase::Prepare if all(&self.ranks) && now >= self.loaded_at && self.has_loaded() => {
                 self.enter(now, Phase::Hold);
             }
             Phase::Hold if self.ranks[self.holder].done => self.enter(now, Phase::Arm),
@@ -638,6 +655,13 @@
         }
     }
 
+    /// Whether all ranks have loaded. An order that got lost and was given again began to load
+    /// later than planned, so then only the ranks' own word counts: a rank that still loads can't
+    /// be armed, and the group would wait for it.
+    fn has_loaded(&self) -> bool {
+        !self.lossy || self.prepared.iter().all(Option::is_some)
+    }
+
     fn enter(&mut self, now: Now, phase: Phase) {
         self.phase = phase;
         self.entered = now;
@@ -652,7 +676,12 @@
     /// processes are held at other ranks.
     fn choose_pass(&mut self, now: Now, begun: Pass) {
         self.holds += 1;
-        self.pass = (begun + self.lead.max(1) + 1).max(self.after + 1);
+        let lead = if self.lossy {
+            self.lossy_lead
+        } else {
+            self.lead
+        };
+        self.pass = (begun + lead.max(1) + 1).max(self.after + 1);
         self.after = self.pass;
         self.ranks[self.holder] = Progress {
             due: now,
--- a/crates/core/src/ranks/tests.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Tests of planning and of rollouts on an emulated group.
--- a/crates/net/src/ranks/engine.rs
+++ b/crates/net/src/ranks/engine.rs
@@ -19,6 +19,12 @@
 
 /// Longest time of a call; an engine answers in a millisecond.
 const CALL_TIMEOUT: Duration = Duration::from_millis(150);
+/// The same for an order. One whose answer got lost is given again,
+/// which changes nothing if it has taken effect.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(45);
+/// Times that an order is given before it is told that its effect is unknown; the process that
+/// leads waits for so long.
+const ORDER_TRIES: usize = 3;
 /// Largest answer, in bytes: counts of tens of thousands of experts.
 const MAX_ANSWER_BYTES: usize = 1 << 20;
 
@@ -84,26 +90,28 @@
 
     /// Gives the rank an order.
     pub(super) async fn carry(&self, order: &RankOrder) -> OrderResult {
-        let request = match engine::order_request(&self.address.to_string(), order) {
-            Ok(request) => request,
-            Err(error) => {
-                log::warn!("an order can't be written: {error}");
-                return OrderResult::Refused;
+        for _ in 0..ORDER_TRIES {
+            let request = match engine::order_request(&self.address.to_string(), order) {
+                Ok(request) => request,
+                Err(error) => {
+                    log::warn!("an order can't be written: {error}");
+                    return OrderResult::Refused;
+                }
+            };
+            if let Some((status, _)) = self.call(request, ORDER_TIMEOUT).await {
+                return engine::order_result(status);
             }
-        };
-        match self.call(request).await {
-            Some((status, _)) => engine::order_result(status),
-            None => OrderResult::Unknown,
         }
+        OrderResult::Unknown
     }
 
     async fn ask(&self, request: Request<Bytes>) -> Option<Bytes> {
-        let (status, body) = self.call(request).await?;
+        let (status, body) = self.call(request, CALL_TIMEOUT).await?;
         (status == StatusCode::OK).then_some(body)
     }
 
     /// Makes a call; none without an answer, whatever became of the call.
-    async fn call(&self, request: Request<Bytes>) -> Option<(StatusCode, Bytes)> {
+    async fn call(&self, request: Request<Bytes>, limit: Duration) -> Option<(StatusCode, Bytes)> {
         let mut kept = self.connection.lock().await;
         let calling = async {
             let ready = kept.as_ref().is_some_and(SendRequest::is_ready);
@@ -113,12 +121,12 @@
             };
             let response = sender.send_request(request.map(Full::new)).await.ok()?;
             let (parts, body) = response.into_parts();
-            let body = collect(body, MAX_ANSWER_BYTES, CALL_TIMEOUT).await.ok()?;
+            let body = collect(body, MAX_ANSWER_BYTES, limit).await.ok()?;
             Some((sender, parts.status, body))
         };
         // A call that takes too long leaves no connection behind, so its answer can't be taken
         // for another's.
-        let called = tokio::time::timeout(CALL_TIMEOUT, calling).await;
+        let called = tokio::time::timeout(limit, calling).await;
         let (sender, status, body) = called.ok().flatten()?;
         *kept = Some(sender);
         Some((status, body))
