Plan at once in a group whose life began under the process

The leader stayed 48 passes clear of orders that an earlier life of the process may have sent. Such orders carry the group's life and are refused in a new one, so the distance is needed only if the process found the group in the life that goes on. Load was ruled out: all requests of that time were served, in passes of 0.1 s and more.

Three such refusals in a row, while nothing of the host runs at the service, now mean that the group forms.

The newest entry at an address now hides older ones. A request that runs out of time at an upstream counts against it, as one that is answered with a failure does.

--- a/crates/core/src/gateway/placing.rs
+++ b/crates/core/src/gateway/placing.rs
@@ -12,7 +12,7 @@
 
 use super::registry::{Upstream, UpstreamId};
 use super::trust::Trust;
-use crate::types::{DataCentreId, Now};
+use crate::types::DataCentreId;
 
 /// Work of a request that is added to an upstream of another data centre, in parts of a slot, so
 /// that equals are told apart by distance.
@@ -59,19 +59,16 @@
     }
 }
 
-/// Chooses among candidates; none only if there are none.
+/// Chooses among candidates; one to avoid only if there is no other, none only if there are none.
 pub fn choose<'a>(
     rng: &mut SmallRng,
-    now: Now,
     here: &DataCentreId,
     candidates: &[&'a Upstream],
     loads: &Loads,
     trust: &Trust,
+    avoid: impl Fn(&Upstream) -> bool,
 ) -> Option<&'a Upstream> {
-    let trusted: Vec<&&Upstream> = candidates
-        .iter()
-        .filter(|u| !trust.avoid(now, &u.id))
-        .collect();
+    let trusted: Vec<&&Upstream> = candidates.iter().filter(|u| !avoid(u)).collect();
     let from = if trusted.is_empty() {
         candidates.iter().collect()
     } else {
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -4,6 +4,9 @@
 //! During an outage of the registry's store, entries lapse although their upstreams live; they
 //! come back soon after the store does, so upstreams whose entries lapsed then stay usable for
 //! [`LAPSE_GRACE`] after the store's return.
+//!
+//! An upstream that crashed stays listed for some seconds. If another one has its address
+//! meanwhile, the newer entry shows it, see [`Registry::is_replaced`].
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -68,6 +71,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     listed: BTreeMap<UpstreamId, Listed>,
+    /// The newest upstream at each address that is not leaving.
+    newest: BTreeMap<SocketAddr, (Version, UpstreamId)>,
     /// The store failed, and has been back for less than the grace.
     outage: Outage,
     /// Whether a whole list was read in this life.
@@ -159,8 +164,13 @@
             return None;
         }
         let leaving = upstream.leaving;
+        let address = upstream.address;
         let lapsed = false;
         let before = self.listed.insert(id.clone(), Listed { upstream, lapsed });
+        self.find_newest(address);
+        if let Some(before) = before.as_ref().filter(|b| b.upstream.address != address) {
+            self.find_newest(before.upstream.address);
+        }
         match before {
             None if leaving => Some(Change::Leaving(id)),
             None => Some(Change::Joined(id)),
@@ -186,10 +196,31 @@
             listed.lapsed = true;
             return Some(Change::Lapsed(id.to_owned()));
         }
+        let address = listed.upstream.address;
         self.listed.remove(id);
+        self.find_newest(address);
         Some(Change::Gone(id.to_owned()))
     }
 
+    fn find_newest(&mut self, address: SocketAddr) {
+        let there = self.listed.values().map(|l| &l.upstream);
+        let newest = there
+            .filter(|u| u.address == address && !u.leaving)
+            .max_by_key(|u| u.version);
+        match newest {
+            Some(u) => self.newest.insert(address, (u.version, u.id.clone())),
+            None => self.newest.remove(&address),
+        };
+    }
+
+    /// Whether a newer upstream has the address of this one, which has crashed then, though its
+    /// entry is still there.
+    #[must_use]
+    pub fn is_replaced(&self, upstream: &Upstream) -> bool {
+        let newest = self.newest.get(&upstream.address);
+        newest.is_some_and(|(version, id)| *version > upstream.version && *id != upstream.id)
+    }
+
     /// Drops the lapsed entries that did not come back in time.
     pub fn expire(&mut self, now: Now) -> Vec<Change> {
         let Outage::Until(at) = self.outage else {
@@ -199,10 +230,13 @@
             return Vec::new();
         }
         self.outage = Outage::None;
-        let lapsed = self.listed.iter().filter(|(_, l)| l.lapsed);
-        let gone: Vec<UpstreamId> = lapsed.map(|(id, _)| id.clone()).collect();
+        let lapsed = self.listed.values().filter(|l| l.lapsed);
+        let gone: Vec<Upstream> = lapsed.map(|l| l.upstream.clone()).collect();
         self.listed.retain(|_, l| !l.lapsed);
-        gone.into_iter().map(Change::Gone).collect()
+        for upstream in &gone {
+            self.find_newest(upstream.address);
+        }
+        gone.into_iter().map(|u| Change::Gone(u.id)).collect()
     }
 
     /// When [`Self::expire`] has something to do, if ever.
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -1,6 +1,6 @@
 //! State that all requests of a gateway share, and the steps of one request.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,6 +25,9 @@
 const MAX_UNREACHED: u32 = 4;
 /// Retry-After of a host that is not ready yet.
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
+/// Refusals in a row by a service at which nothing of this host runs, from which on its groups are
+/// taken to be forming. A few may be chance where other hosts fill some of the upstreams.
+const FORMING_REFUSALS: u32 = 3;
 /// Deadline of a request that names none; the route's timeout is usually shorter.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 
@@ -87,6 +90,8 @@
     pub unreached: u32,
     /// The last upstream waits for another one of its group, as all of the group do.
     pub stalled: bool,
+    /// The last upstream had no room.
+    pub refused: bool,
 }
 
 /// What to do next with a request.
@@ -105,7 +110,7 @@
     pub usable: usize,
     /// Of these, passed over since the request was sent to them before.
     pub tried: usize,
-    /// Of these, passed over since they failed lately.
+    /// Of these, passed over since they failed lately or another one has their address.
     pub left_out: usize,
     /// Own requests in flight at the chosen one.
     pub in_flight: u32,
@@ -130,13 +135,16 @@
     Unreachable,
     /// It was sent, and the answer did not come, broke off or was not one to this request.
     Broken,
-    /// The caller left or the time ran out while the upstream was at work.
+    /// The time of the request ran out while the upstream was at work.
+    TimedOut,
+    /// The caller left while the upstream was at work.
     GivenUp,
 }
 
 impl Admitted {
     /// Notes what the end of an attempt means for the request.
     pub fn note(&mut self, upstream: &str, outcome: Outcome) {
+        self.refused = outcome == Outcome::Full;
         match outcome {
             Outcome::Full | Outcome::Misdirected => {}
             Outcome::Stalled => self.stalled = true,
@@ -162,6 +170,7 @@
             Self::Misdirected => "misdirected",
             Self::Unreachable => "unreachable",
             Self::Broken => "broken",
+            Self::TimedOut => "timed_out",
             Self::GivenUp => "given_up",
         }
     }
@@ -177,6 +186,8 @@
     pub registry: Registry,
     loads: Loads,
     trust: Trust,
+    /// Refusals in a row of each group service while nothing of this host runs there.
+    idle_refusals: BTreeMap<ServiceId, u32>,
     budget: RetryBudget,
     rng: SmallRng,
 }
@@ -194,6 +205,7 @@
             registry: Registry::default(),
             loads: Loads::default(),
             trust: Trust::default(),
+            idle_refusals: BTreeMap::new(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -297,6 +309,7 @@
             may_have_run: false,
             unreached: 0,
             stalled: false,
+            refused: false,
         })
     }
 
@@ -311,6 +324,7 @@
                 "the time ran out",
             );
         }
+        request.stalled |= request.refused && self.is_forming(&request.service);
         if request.stalled {
             let detail = "the group that serves the request waits for one of its ranks";
             return self.give_up(now, request, RefusalKind::NoUpstream, detail);
@@ -345,15 +359,13 @@
         let untried = usable.iter().filter(|u| !request.tried.contains(&u.id));
         let candidates: Vec<&Upstream> = untried.copied().collect();
         let here = &self.settings.data_centre;
-        let (loads, trust) = (&self.loads, &self.trust);
-        let chosen = placing::choose(&mut self.rng, now, here, &candidates, loads, trust)?;
+        let (loads, trust, registry) = (&self.loads, &self.trust, &self.registry);
+        let avoid = |u: &Upstream| trust.avoid(now, &u.id) || registry.is_replaced(u);
+        let chosen = placing::choose(&mut self.rng, here, &candidates, loads, trust, avoid)?;
         let reasons = Reasons {
             usable: usable.len(),
             tried: usable.len() - candidates.len(),
-            left_out: candidates
-                .iter()
-                .filter(|u| trust.avoid(now, &u.id))
-                .count(),
+            left_out: candidates.iter().filter(|u| avoid(u)).count(),
             in_flight: loads.requests(&chosen.id),
             registry: self.registry.revision(),
         };
@@ -389,9 +401,11 @@
     /// Returns whether the upstream is left out from now on.
     pub fn ended(&mut self, now: Now, upstream: &str, work: Work, outcome: Outcome) -> bool {
         self.loads.sub(upstream, work);
+        self.note_refusal(upstream, outcome);
         let observation = match outcome {
             Outcome::Answered => Observation::Good,
             Outcome::Failed => Observation::Failed,
+            Outcome::TimedOut => Observation::Late,
             Outcome::Full | Outcome::Stalled => Observation::Refused,
             Outcome::Misdirected => Observation::Replaced,
             Outcome::Unreachable | Outcome::Broken => Observation::Broken,
@@ -400,6 +414,39 @@
         self.trust.observe(now, upstream, observation)
     }
 
+    /// Counts refusals that can't come from load, since nothing of this host runs at the service.
+    fn note_refusal(&mut self, upstream: &str, outcome: Outcome) {
+        let Some(service) = self.registry.get(upstream).map(|u| &u.service) else {
+            return;
+        };
+        match outcome {
+            Outcome::Answered | Outcome::Failed => {
+                self.idle_refusals.remove(service);
+            }
+            Outcome::Full if self.is_grouped(service) => {
+                let mut usable = self.registry.usable(service);
+                if usable.all(|u| self.loads.requests(&u.id) == 0) {
+                    *self.idle_refusals.entry(service.clone()).or_default() += 1;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether the upstreams of a service are ranks of groups, which serve together or not at all.
+    fn is_grouped(&self, service: &str) -> bool {
+        let profile = self.table.as_ref().and_then(|t| t.services.get(service));
+        let engine = profile.and_then(|p| p.engine.as_ref());
+        engine.is_some_and(|e| e.experts.is_some())
+    }
+
+    /// Whether the groups of a service seem not to have formed yet. Each of their ranks refuses
+    /// requests then as a full one does.
+    fn is_forming(&self, service: &str) -> bool {
+        let refusals = self.idle_refusals.get(service);
+        refusals.is_some_and(|n| *n >= FORMING_REFUSALS)
+    }
+
     /// Drops lapsed upstreams whose time is over and forgets what is known of those that left.
     pub fn expire(&mut self, now: Now) -> Vec<super::registry::Change> {
         let changes = self.registry.expire(now);
--- a/crates/core/src/gateway/tests/mod.rs
+++ b/crates/core/src/gateway/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod follow;
+mod forming;
 mod peers;
 mod registry;
 mod requests;
@@ -11,7 +12,7 @@
 
 use super::registry::Upstream;
 
-fn ms(ms: u64) -> Duration {
+const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
--- a/crates/core/src/gateway/tests/registry.rs
+++ b/crates/core/src/gateway/tests/registry.rs
@@ -1,5 +1,5 @@
 use super::{ms, upstream};
-use crate::gateway::registry::{Change, LAPSE_GRACE, Registry};
+use crate::gateway::registry::{Change, LAPSE_GRACE, Registry, Upstream};
 
 fn usable(registry: &Registry) -> usize {
     registry.usable("drafts").count()
@@ -65,3 +65,27 @@
     assert_eq!(usable(&registry), 0);
     assert_eq!(registry.revision(), 9);
 }
+
+// Guards against requests to an upstream that crashed, and whose address another one has, for as
+// long as its entry stays: each of them is misdirected and uses up a repeated send.
+#[test]
+fn an_upstream_is_replaced_while_a_newer_one_has_its_address() {
+    let mut registry = Registry::default();
+    let old = upstream(1);
+    let mut new = upstream(2);
+    new.address = old.address;
+    registry.replace(ms(0), vec![old.clone()], 2);
+    assert!(!registry.is_replaced(&old));
+    registry.set(new.clone());
+    assert!(registry.is_replaced(&old) && !registry.is_replaced(&new));
+    // The newer one announces that it leaves: nothing is known of the address any more.
+    let mut leaving = new.clone();
+    leaving.leaving = true;
+    leaving.version = 5;
+    registry.set(leaving);
+    assert!(!registry.is_replaced(&old));
+    registry.set(Upstream { version: 6, ..new });
+    assert!(registry.is_replaced(&old));
+    registry.remove(ms(1), "u-2", 7);
+    assert!(!registry.is_replaced(&old));
+}
--- a/crates/core/src/gateway/tests/requests.rs
+++ b/crates/core/src/gateway/tests/requests.rs
@@ -221,3 +221,20 @@
         assert_ne!(send(&mut gateway, ms(20), &mut request), "u-2");
     }
 }
+
+// Guards against an upstream that never answers and gets as many requests as the others, since
+// requests that run out of time said nothing about it.
+#[test]
+fn an_upstream_at_which_requests_run_out_of_time_gets_fewer() {
+    let mut gateway = gateway(4);
+    for n in 0..10 {
+        gateway.ended(ms(n), "u-3", 0.0, Outcome::TimedOut);
+    }
+    let mut sent = Vec::new();
+    for _ in 0..40 {
+        let mut request = gateway.admit(ms(20), head("/s/x")).unwrap();
+        sent.push(send(&mut gateway, ms(20), &mut request));
+    }
+    let silent = sent.iter().filter(|s| *s == "u-3").count();
+    assert!(silent <= 4, "{silent} of 40");
+}
--- a/crates/core/src/gateway/trust.rs
+++ b/crates/core/src/gateway/trust.rs
@@ -29,6 +29,8 @@
     Good,
     /// The upstream answered with a failure of its own.
     Failed,
+    /// It did not answer before the time of the request ran out, which may have been short.
+    Late,
     /// It refused the request unrun; it may just be full.
     Refused,
     /// It could not be reached, broke off, or sent what is no answer to the request.
@@ -61,9 +63,12 @@
                 record.avoid_until = now + REPLACED_PAUSE;
                 return true;
             }
-            Observation::Failed | Observation::Broken => 1.0,
+            Observation::Failed | Observation::Late | Observation::Broken => 1.0,
         };
         record.failures += GAIN * (failure - record.failures);
+        if observation == Observation::Late {
+            return false;
+        }
         if observation != Observation::Broken {
             record.streak = 0;
             record.avoid_until = Now::ZERO;
--- a/crates/core/src/ranks/leader.rs
+++ b/crates/core/src/ranks/leader.rs
@@ -191,6 +191,9 @@
     pass_s: f64,
     /// The last pass that this process held.
     last_held: Pass,
+    /// The group's life began while this process ran, so no order of an earlier life of the process
+    /// fits it.
+    saw_epoch_begin: bool,
     /// When an order last got lost.
     last_lost: Option<Now>,
     out: Vec<Output>,
@@ -220,6 +223,7 @@
             last_pass: (0, Now::ZERO),
             pass_s: 0.0,
             last_held: 0,
+            saw_epoch_begin: false,
             last_lost: None,
             out: Vec::new(),
             settings,
@@ -392,6 +396,7 @@
     }
 
     fn new_epoch(&mut self, now: Now, view: &RankView) {
+        self.saw_epoch_begin = !self.seen.is_empty();
         self.epoch = view.epoch;
         self.size = view.size;
         self.seen.clear();
@@ -541,7 +546,8 @@
     fn start(&mut self, now: Now, me: RankIndex) -> Option<Start> {
         let (_, present) = self.present.clone()?;
         let age = now.saturating_sub(self.born);
-        let clear = !self.settings.first_start && age < ORDER_LATENESS;
+        let may_follow = !self.settings.first_start && !self.saw_epoch_begin;
+        let clear = may_follow && age < ORDER_LATENESS;
         let begun = self.last_pass.0 + if clear { CLEAR_PASSES } else { 0 };
         Some(Start {
             rank: me,
--- a/crates/ctl/src/cli/mod.rs
+++ b/crates/ctl/src/cli/mod.rs
@@ -42,6 +42,7 @@
                 .arg(host_arg("Process to shut down")),
         )
         .subcommand(timeline())
+        .subcommand(explain())
         .subcommand(
             Command::new("completions")
                 .about("Print completions for a shell")
@@ -180,6 +181,24 @@
         )
 }
 
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Tell from log lines what happened to one request")
+        .arg(
+            Arg::new("request")
+                .required(true)
+                .value_name("ID")
+                .help("Id of the request, as its caller sent it"),
+        )
+        .arg(
+            Arg::new("paths")
+                .num_args(1..)
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Logs of the processes; by default, or as -, standard input"),
+        )
+}
+
 /// A text argument, if it was given.
 pub fn text<'a>(matches: &'a ArgMatches, id: &str) -> Option<&'a str> {
     matches.get_one::<String>(id).map(String::as_str)
--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The commands, each in its module, and the errors that end them.
 
 mod config;
+mod explain;
 mod fleet;
 mod publish;
 mod timeline;
@@ -84,6 +85,22 @@
         /// Hosts, each with what it has.
         hosts: String,
     },
+    /// A log can't be read.
+    #[snafu(display("can't read {}: {source}", path.display()))]
+    Log {
+        /// Path.
+        path: std::path::PathBuf,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// No line of the logs is about a request.
+    #[snafu(display(
+        "no line is about request `{request}`; give the logs of all processes of that time"
+    ))]
+    NoLines {
+        /// Request.
+        request: String,
+    },
     /// There is no such host.
     #[snafu(display("there is no process `{host}`; `eelctl status` lists them"))]
     UnknownHost {
@@ -97,7 +114,7 @@
     #[must_use]
     pub fn exit_code(&self) -> u8 {
         match self {
-            Self::Missing { .. } | Self::Collect { .. } | Self::Tls { .. } => 2,
+            Self::Missing { .. } | Self::Collect { .. } | Self::Tls { .. } | Self::Log { .. } => 2,
             Self::Conflict { .. } | Self::Removal { .. } => 3,
             Self::Unavailable { .. }
             | Self::Read {
@@ -125,6 +142,7 @@
         Some(("status", args)) => fleet::status(args).await,
         Some(("drain", args)) => fleet::drain(args).await,
         Some(("timeline", args)) => timeline::timeline(args).await,
+        Some(("explain", args)) => explain::explain(args),
         Some(("completions", args)) => {
             completions(args);
             Ok(())
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -4,6 +4,7 @@
 mod cli;
 mod collect;
 mod commands;
+mod explain;
 mod output;
 
 use std::process::ExitCode;
--- a/crates/net/src/gateway/exchange.rs
+++ b/crates/net/src/gateway/exchange.rs
@@ -248,7 +248,7 @@
                 Sent::Ended
             }
             Err(_) => {
-                self.end(in_flight, Outcome::GivenUp);
+                self.end(in_flight, Outcome::TimedOut);
                 Sent::TimedOut
             }
         }
@@ -384,7 +384,7 @@
                 return Taken::Ended;
             }
             Err(_) => {
-                self.end(in_flight, Outcome::GivenUp);
+                self.end(in_flight, Outcome::TimedOut);
                 return Taken::TimedOut;
             }
         };
--- a/crates/net/src/gateway/relay.rs
+++ b/crates/net/src/gateway/relay.rs
@@ -75,7 +75,7 @@
                 return Err(Box::new(relay.exchange));
             }
             Step::TimedOut => {
-                relay.end_source(Outcome::GivenUp, "");
+                relay.end_source(Outcome::TimedOut, "");
                 return Err(Box::new(relay.exchange));
             }
         }
@@ -113,7 +113,7 @@
                     return None;
                 }
                 Step::TimedOut => {
-                    self.end_source(Outcome::GivenUp, "");
+                    self.end_source(Outcome::TimedOut, "");
                     return Some(Err(self.cut("the time of the request ran out")));
                 }
                 Step::Broken(reason) => {
