Reset connections to upstreams at their end

The machine beside the rank stood still for 4 s; the connections had been closed in time, but a connection that ends in order sends what is left first, so the requests were delivered when the machine went on.

--- a/crates/net/src/connect/mod.rs
+++ b/crates/net/src/connect/mod.rs
@@ -33,6 +33,14 @@
     }
 }
 
+/// Makes the end of a connection take back what its peer has not received yet. Otherwise a request
+/// that was given up reaches a peer that was paused once it goes on.
+pub(crate) fn drop_unsent_at_end(stream: &TcpStream) {
+    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        log::debug!("a connection sends what is left after its end: {error}");
+    }
+}
+
 /// Opens a connection.
 ///
 /// # Errors
@@ -46,3 +54,6 @@
     watch_silence(&stream);
     Ok(stream)
 }
+
+#[cfg(test)]
+mod tests;
