--- a/crates/core/src/ranks/leader.rs
+++ b/crates/core/src/ranks/leader.rs
@@ -43,9 +43,12 @@
 /// Time beyond that of loading after which ranks are armed. A rank that is armed too early refuses,
 /// and the group would wait for it.
 const LOADED_MARGIN: Duration = Duration::from_millis(30);
+/// Most passes that are left for arming.
+const MAX_ARM_PASSES: Pass = 16;
 /// Passes that a new life of a process stays clear of, since orders of an earlier life may still
-/// be carried out for them.
-const CLEAR_PASSES: Pass = 48;
+/// be carried out for them: those between a choice and its pass, and a few that choices in a row
+/// may add.
+const CLEAR_PASSES: Pass = MAX_ARM_PASSES + 8;
 /// Time from a plan to its effect beside the loading.
 const SWITCH_TIME: Duration = Duration::from_millis(250);
 /// Part by which passes are slower while experts are loaded.
@@ -569,7 +572,7 @@
     fn passes_in(&self, time: Duration) -> Pass {
         let passes = time.as_secs_f64() / self.pass_s.max(self.settings.fixed_pass.as_secs_f64());
         if passes.is_finite() {
-            (passes.ceil() as Pass).max(ARM_PASSES)
+            (passes.ceil() as Pass).clamp(ARM_PASSES, MAX_ARM_PASSES)
         } else {
             ARM_PASSES
         }
--- a/crates/ctl/src/explain/mod.rs
+++ b/crates/ctl/src/explain/mod.rs
@@ -113,11 +113,11 @@
         };
         let record = Record {
             stamp,
-            host: line.host.into(),
+            host: line.host,
             number,
             name: line.name,
-            request: line.request.map(Into::into),
-            group: line.group.map(Into::into),
+            request: line.request,
+            group: line.group,
             detail: line.message,
             facts: line.rest.into_iter().filter_map(fact).collect(),
         };
@@ -132,7 +132,7 @@
     #[must_use]
     pub fn events(self) -> Vec<Record> {
         let upstreams: BTreeSet<String> = self.own.iter().filter_map(upstream).collect();
-        let hosts: BTreeSet<String> = self.own.iter().map(|r| r.host.to_string()).collect();
+        let hosts: BTreeSet<String> = self.own.iter().map(|r| r.host.clone()).collect();
         let stamps = self.own.iter().map(|r| r.stamp.wall_ms);
         let (Some(first), Some(last)) = (stamps.clone().min(), stamps.max()) else {
             return Vec::new();
@@ -184,7 +184,7 @@
         }
         vec![
             format!("{offset:+}"),
-            r.host.to_string(),
+            r.host.clone(),
             format!("{}{mark}", r.number),
             r.name.clone(),
             about.join(" "),
