Leave slow ranks little expert work

All ranks of a group wait at each pass for the one that takes longest, and a rank that is four times slower held its usual part of the experts. Ranks report how much slower they are; plans now weigh work by that, and may also drop a copy that others hold, which loads nothing.

--- a/crates/core/src/ranks/even.rs
+++ b/crates/core/src/ranks/even.rs
@@ -46,15 +46,25 @@
     pub loads: usize,
 }
 
-/// Plans from the map in use and each expert's part of the work, by set. None if nothing gains.
+/// Plans from the map in use, each expert's part of the work, by set, and the time that each rank
+/// takes against a sound one. None if nothing gains.
 #[must_use]
-pub fn plan(from: &GroupMap, shares: &[Vec<f64>], limits: Limits) -> Option<EvenPlan> {
+pub fn plan(
+    from: &GroupMap,
+    shares: &[Vec<f64>],
+    paces: &[f64],
+    limits: Limits,
+) -> Option<EvenPlan> {
     if from.sets.len() != shares.len() || from.sets.is_empty() {
         return None;
     }
     let pairs = from.sets.iter().zip(shares);
-    let mut sets: Vec<SetPlan> = pairs.map(|(map, s)| SetPlan::new(map, s, limits)).collect();
     let ranks = from.sets.first().map_or(0, |s| s.ranks.len());
+    let pace = |rank: RankIndex| paces.get(rank).map_or(1.0, |pace| pace.max(1.0));
+    let paces: Vec<f64> = (0..ranks).map(pace).collect();
+    let mut sets: Vec<SetPlan> = pairs
+        .map(|(map, s)| SetPlan::new(map, s, &paces, limits))
+        .collect();
     let before = excess(&sets, ranks);
     let mut left = vec![limits.loads_per_rank; ranks];
     // The least even set goes first, since the loads are shared by all.
@@ -95,6 +105,8 @@
     /// Expert that the receiving rank gives up for it; with `swapped`, it goes to `from`.
     evicted: Option<Expert>,
     swapped: bool,
+    /// No rank gets a copy: the others that hold the expert do the work.
+    dropped: bool,
 }
 
 struct SetPlan {
@@ -102,6 +114,9 @@
     original: SetMap,
     shares: Vec<f64>,
     copies: Vec<usize>,
+    /// Time that each rank takes against a sound one.
+    paces: Vec<f64>,
+    /// Work of each rank by the time that it takes there.
     loads: Vec<f64>,
     /// Loads of this set by rank.
     loaded: Vec<usize>,
@@ -110,10 +125,11 @@
 }
 
 impl SetPlan {
-    fn new(map: &SetMap, shares: &[f64], limits: Limits) -> Self {
+    fn new(map: &SetMap, shares: &[f64], paces: &[f64], limits: Limits) -> Self {
         Self {
             copies: map.copies(shares.len()),
-            loads: map.loads(shares),
+            loads: timed(map.loads(shares), paces),
+            paces: paces.to_vec(),
             loaded: vec![0; map.ranks.len()],
             map: map.clone(),
             original: map.clone(),
@@ -167,6 +183,16 @@
         let mut changes = Vec::new();
         let heavy = self.ordered(top, |a, b| b.total_cmp(&a));
         for &expert in heavy.iter().take(HEAVY_EXPERTS) {
+            if self.copies[expert] > 1 {
+                changes.push(Change {
+                    expert,
+                    to: top,
+                    from: Some(top),
+                    evicted: None,
+                    swapped: false,
+                    dropped: true,
+                });
+            }
             for &to in targets {
                 if self.map.ranks[to].contains(&expert) || !self.may_load(to, expert, left) {
                     continue;
@@ -191,6 +217,7 @@
             from: None,
             evicted: None,
             swapped: false,
+            dropped: false,
         };
         let moved = Change {
             from: Some(top),
@@ -232,35 +259,43 @@
         loads.clone_from(&self.loads);
         let expert = change.expert;
         let part = self.part(expert);
-        if let Some(from) = change.from {
-            loads[from] -= part;
-            loads[change.to] += part;
+        if change.dropped {
+            let after = self.shares[expert] / (self.copies[expert] - 1).max(1) as f64;
+            self.shift(expert, after - part, loads);
+            self.add_work(change.to, -after, loads);
+        } else if let Some(from) = change.from {
+            self.add_work(from, -part, loads);
+            self.add_work(change.to, part, loads);
         } else {
             let after = self.shares[expert] / (self.copies[expert] + 1) as f64;
             self.shift(expert, after - part, loads);
-            loads[change.to] += after;
+            self.add_work(change.to, after, loads);
         }
         let Some(evicted) = change.evicted else {
             return;
         };
         let part = self.part(evicted);
         if change.swapped {
-            loads[change.to] -= part;
+            self.add_work(change.to, -part, loads);
             if let Some(from) = change.from {
-                loads[from] += part;
+                self.add_work(from, part, loads);
             }
             return;
         }
         let after = self.shares[evicted] / (self.copies[evicted] - 1).max(1) as f64;
         self.shift(evicted, after - part, loads);
-        loads[change.to] -= after;
+        self.add_work(change.to, -after, loads);
+    }
+
+    fn add_work(&self, rank: RankIndex, work: f64, loads: &mut [f64]) {
+        loads[rank] += work * self.paces[rank];
     }
 
     /// Adds to the loads of all ranks that hold an expert.
     fn shift(&self, expert: Expert, by: f64, loads: &mut [f64]) {
-        for (load, held) in loads.iter_mut().zip(&self.map.ranks) {
+        for (rank, held) in self.map.ranks.iter().enumerate() {
             if held.contains(&expert) {
-                *load += by;
+                self.add_work(rank, by, loads);
             }
         }
     }
@@ -275,9 +310,11 @@
                 self.add(from, evicted, left);
             }
         }
-        self.add(change.to, change.expert, left);
+        if !change.dropped {
+            self.add(change.to, change.expert, left);
+        }
         self.copies = self.map.copies(self.shares.len());
-        self.loads = self.map.loads(&self.shares);
+        self.loads = timed(self.map.loads(&self.shares), &self.paces);
     }
 
     fn add(&mut self, rank: RankIndex, expert: Expert, left: &mut [usize]) {
@@ -297,6 +334,13 @@
     }
 }
 
+fn timed(mut loads: Vec<f64>, paces: &[f64]) -> Vec<f64> {
+    for (load, pace) in loads.iter_mut().zip(paces) {
+        *load *= pace;
+    }
+    loads
+}
+
 /// The highest load, and a little of the others so that ties of the highest are worked off.
 fn score(loads: &[f64]) -> f64 {
     let highest = loads.iter().copied().fold(0.0, f64::max);
--- a/crates/core/src/ranks/leader.rs
+++ b/crates/core/src/ranks/leader.rs
@@ -497,7 +497,8 @@
         let Some(start) = self.start(now, me) else {
             return;
         };
-        let Some(plan) = self.best_plan(&start.present) else {
+        let paces: Vec<f64> = views.iter().map(|v| v.pace).collect();
+        let Some(plan) = self.best_plan(&start.present, &paces) else {
             return;
         };
         self.out.push(Output::Note(Note::Planned {
@@ -513,7 +514,7 @@
     }
 
     /// The plan that saves most time of passes, if one saves enough.
-    fn best_plan(&self, present: &GroupMap) -> Option<EvenPlan> {
+    fn best_plan(&self, present: &GroupMap, paces: &[f64]) -> Option<EvenPlan> {
         let shares = self.demand.shares()?;
         let layout = &self.settings.layout;
         let plans = LOAD_CHOICES.iter().filter_map(|loads_per_rank| {
@@ -522,7 +523,7 @@
                 loads_per_set: layout.spare as usize,
                 loads_per_rank: *loads_per_rank,
             };
-            let plan = even::plan(present, shares, limits)?;
+            let plan = even::plan(present, shares, paces, limits)?;
             Some((self.saving(&plan), plan))
         });
         let best = plans.max_by(|a, b| a.0.total_cmp(&b.0))?;
--- a/crates/core/src/ranks/mod.rs
+++ b/crates/core/src/ranks/mod.rs
@@ -79,6 +79,8 @@
     pub held: Option<Pass>,
     /// Requests that the rank runs.
     pub active: u32,
+    /// Time that the rank takes for its work against a sound one; 1 if it is sound.
+    pub pace: f64,
 }
 
 /// A rank's view and when it was asked for.
--- a/crates/core/src/ranks/tests/even.rs
+++ b/crates/core/src/ranks/tests/even.rs
@@ -33,7 +33,7 @@
     for _ in 0..40 {
         let mut map = GroupMap::dealt(SETS, RANKS, EXPERTS);
         let shares = skewed(&mut rng);
-        while let Some(step) = plan(&map, &shares, LIMITS) {
+        while let Some(step) = plan(&map, &shares, &[], LIMITS) {
             assert!(step.after < step.before, "{step:?}");
             for (old, new) in map.sets.iter().zip(&step.map.sets) {
                 assert!(new.copies(EXPERTS).iter().all(|c| *c > 0));
@@ -61,10 +61,10 @@
     let mut after = 0.0;
     for _ in 0..20 {
         let shares = skewed(&mut rng);
-        let first = plan(&GroupMap::dealt(SETS, RANKS, EXPERTS), &shares, LIMITS).unwrap();
+        let first = plan(&GroupMap::dealt(SETS, RANKS, EXPERTS), &shares, &[], LIMITS).unwrap();
         before += first.before;
         let mut last = first;
-        while let Some(next) = plan(&last.map, &shares, LIMITS) {
+        while let Some(next) = plan(&last.map, &shares, &[], LIMITS) {
             last = next;
         }
         after += last.after;
@@ -78,5 +78,25 @@
 #[test]
 fn an_even_map_is_left_alone() {
     let even = vec![vec![1.0 / EXPERTS as f64; EXPERTS]; SETS];
-    assert!(plan(&GroupMap::dealt(SETS, RANKS, EXPERTS), &even, LIMITS).is_none());
+    assert!(plan(&GroupMap::dealt(SETS, RANKS, EXPERTS), &even, &[], LIMITS).is_none());
+}
+
+/// Guards against a slow rank that keeps its part of the work: all ranks wait for it at each pass.
+#[test]
+fn a_slow_rank_is_left_with_little_work() {
+    let mut rng = SmallRng::seed_from_u64(3);
+    let shares = skewed(&mut rng);
+    let mut paces = vec![1.0; RANKS];
+    paces[4] = 4.0;
+    let mut map = GroupMap::dealt(SETS, RANKS, EXPERTS);
+    let mut steps = 0;
+    while let Some(step) = plan(&map, &shares, &paces, LIMITS) {
+        map = step.map;
+        steps += 1;
+    }
+    for (set, shares) in map.sets.iter().zip(&shares) {
+        let loads = set.loads(shares);
+        let highest = loads.iter().copied().fold(0.0, f64::max);
+        assert!(loads[4] * 4.0 <= highest * 1.001, "{loads:?} after {steps}");
+    }
 }
--- a/crates/core/tests/rank_fuzz/group.rs
+++ b/crates/core/tests/rank_fuzz/group.rs
@@ -154,6 +154,7 @@
             armed: r.armed,
             held: r.held,
             active: 3,
+            pace: 1.0,
         }
     }
 
