Pass over unknown settings in the roles gateway and rank

The platform may write fields of its own into the settings file, and a gateway refused to start with one. The roles gateway and rank now log each unknown field and go on; entry and upstream still refuse it, with the field named, since there it is a misspelt setting. Tests check that each bad value of a gateway's section is named.

--- a/crates/daemon/src/run/mod.rs
+++ b/crates/daemon/src/run/mod.rs
@@ -107,6 +107,9 @@
 
 async fn run_role(path: &Path, settings: Settings) -> Result<(), RunError> {
     let mut signals = Signals::new()?;
+    for path in &settings.unknown {
+        log::warn!("setting `{path}` is not known and is passed over");
+    }
     if let Some(gateway) = &settings.gateway {
         let host = GatewayHost::start(gateway_options(&settings, gateway)).await?;
         while signals.next().await == Wanted::Reload {
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -43,6 +43,14 @@
         (_, Some(_)) => report("gateway", "only the role `gateway` has it; remove it"),
         _ => {}
     }
+    if !matches!(settings.role, Some(Role::Gateway | Role::Rank)) {
+        for path in &settings.unknown {
+            report(
+                path,
+                "there is no such setting; correct its name or remove it",
+            );
+        }
+    }
     if let Some(engine) = &settings.engine {
         if engine.service.is_empty() {
             report("engine.service", "must name the service");
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -61,14 +61,18 @@
 /// If they are malformed or have values that are not allowed.
 pub fn parse(name: &str, text: &str) -> Result<Settings, SettingsError> {
     let mut deserializer = serde_json::Deserializer::from_str(text);
-    let settings: Settings =
-        serde_path_to_error::deserialize(&mut deserializer).map_err(|error| {
-            SettingsError::Parse {
-                path: name.to_owned(),
-                at: error.path().to_string(),
-                reason: error.inner().to_string(),
-            }
-        })?;
+    let mut track = serde_path_to_error::Track::new();
+    let mut unknown = Vec::new();
+    let tracked = serde_path_to_error::Deserializer::new(&mut deserializer, &mut track);
+    let parsed: Result<Settings, _> =
+        // An optional section has a `?` in its path.
+        serde_ignored::deserialize(tracked, |p| unknown.push(p.to_string().replace(".?", "")));
+    let mut settings = parsed.map_err(|error| SettingsError::Parse {
+        path: name.to_owned(),
+        at: track.path().to_string(),
+        reason: error.to_string(),
+    })?;
+    settings.unknown = unknown;
     deserializer.end().map_err(|error| SettingsError::Parse {
         path: name.to_owned(),
         at: ".".to_owned(),
--- a/crates/daemon/src/settings/tests.rs
+++ b/crates/daemon/src/settings/tests.rs
@@ -48,3 +48,51 @@
     at `seeds`: an upstream process needs the control address of an entry host
     ");
 }
+
+const GATEWAY: &str = r#"{
+  "role": "gateway",
+  "host": "edge-1",
+  "data_centre": "erie-1",
+  "data_address": "127.0.0.1:8080",
+  "control_address": "127.0.0.1:7000",
+  "platform_url": "http://127.0.0.1:9000",
+  "gateway": {
+    "ready_address": "127.0.0.1:8081",
+    "directory_address": "127.0.0.1:8082",
+    "answer_validity_s": 5,
+    "retry_ratio": 0.2,
+    "retry_allowance": 100,
+    "retry_window_s": 10,
+    "max_descriptors": 4096
+  }
+}"#;
+
+// Guards against a host that does not start because the platform's settings have a field more.
+#[test]
+fn gateways_pass_over_settings_that_they_do_not_know() {
+    let more = GATEWAY.replace("\"retry_ratio\"", "\"colour\": 1, \"retry_ratio\"");
+    let settings = parse("edge.json", &more).unwrap();
+    assert_eq!(settings.unknown, ["gateway.colour"]);
+}
+
+// Guards against an error that leaves the operator to look for the field.
+#[test]
+fn bad_settings_of_a_gateway_are_named() {
+    for (field, bad) in [
+        ("\"answer_validity_s\": 5", "\"answer_validity_s\": 0"),
+        ("\"retry_ratio\": 0.2", "\"retry_ratio\": -1"),
+        ("\"retry_allowance\": 100", "\"retry_allowance\": \"many\""),
+        ("\"retry_window_s\": 10", "\"retry_window_s\": 1e9"),
+        ("\"max_descriptors\": 4096", "\"max_descriptors\": 3"),
+        (
+            "\"ready_address\": \"127.0.0.1:8081\"",
+            "\"ready_address\": \"here\"",
+        ),
+    ] {
+        let name = field.split('"').nth(1).unwrap();
+        let text = GATEWAY.replace(field, bad);
+        assert_ne!(text, GATEWAY);
+        let error = parse("edge.json", &text).unwrap_err().to_string();
+        assert!(error.contains(&format!("gateway.{name}")), "{error}");
+    }
+}
