--- a/crates/net/src/ranks/links.rs
+++ b/crates/net/src/ranks/links.rs
@@ -20,6 +20,9 @@
 /// Time for which a process that did not answer is passed over, and its engine called directly:
 /// a group may be waiting for what this process finds out.
 const SILENT_PAUSE: Duration = Duration::from_secs(1);
+/// Time without any answer after which a process counts as silent. Single calls also take too long
+/// while a map goes to all ranks over a slow link.
+const SILENT_AFTER: Duration = Duration::from_millis(700);
 
 /// What to read, on the wire.
 pub(super) type WireSight = u8;
@@ -76,7 +79,14 @@
     address: SocketAddr,
     engine: Engine,
     client: Mutex<Option<BesideClient>>,
-    silent_until: StdMutex<Option<Instant>>,
+    heard: StdMutex<Heard>,
+}
+
+/// When a process answered last, and until when it is passed over.
+#[derive(Debug)]
+struct Heard {
+    at: Instant,
+    silent_until: Option<Instant>,
 }
 
 /// What was read of another rank.
@@ -94,7 +104,10 @@
             address: process,
             engine: Engine::new(engine, experts),
             client: Mutex::new(None),
-            silent_until: StdMutex::new(None),
+            heard: StdMutex::new(Heard {
+                at: Instant::now(),
+                silent_until: None,
+            }),
         }
     }
 
@@ -109,6 +122,7 @@
         if let Some(client) = self.client().await {
             match client.look(rpc::within(CALL_TIMEOUT), asker, wire).await {
                 Ok(look) => {
+                    self.note_answer();
                     let from_afar = false;
                     return look.map(|look| Seen { look, from_afar });
                 }
@@ -130,7 +144,10 @@
             return self.engine.carry(order).await;
         };
         match client.carry(rpc::within(CALL_TIMEOUT), order.clone()).await {
-            Ok(result) => result,
+            Ok(result) => {
+                self.note_answer();
+                result
+            }
             Err(error) => {
                 self.drop_client(&error).await;
                 OrderResult::Unknown
@@ -163,13 +180,21 @@
     }
 
     fn is_silent(&self) -> bool {
-        let until = *lock(&self.silent_until);
+        let until = lock(&self.heard).silent_until;
         until.is_some_and(|until| Instant::now() < until)
     }
 
+    fn note_answer(&self) {
+        lock(&self.heard).at = Instant::now();
+    }
+
     fn note_silent(&self, error: &dyn std::error::Error) {
         log::info!("the process at {} did not answer: {error}", self.address);
-        *lock(&self.silent_until) = Some(Instant::now() + SILENT_PAUSE);
+        let now = Instant::now();
+        let mut heard = lock(&self.heard);
+        if now.duration_since(heard.at) >= SILENT_AFTER {
+            heard.silent_until = Some(now + SILENT_PAUSE);
+        }
     }
 }
 
