Read counts of large groups less often

On the grown sites, a leader read 36,864 counts of 24 ranks eight times a second, about 7 Mbit/s of its link of 8 Mbit/s. A leader now takes at most 120,000 counts a second, about 3 Mbit/s.

Groups of 12 ranks with 3 sets are read as before.

--- a/crates/core/src/ranks/leader.rs
+++ b/crates/core/src/ranks/leader.rs
@@ -24,6 +24,9 @@
 /// Time between two readings of all ranks. Popularity jumps every few seconds, and what is lost
 /// until a jump is seen can't be made good.
 const POLL: Duration = Duration::from_millis(125);
+/// Counts that the process that leads takes in a second; each is about three bytes. In a large group
+/// more would fill the link of its host, and orders would wait behind them.
+const MAX_COUNTS_PER_S: f64 = 120_000.0;
 /// Time without a question of a lower rank after which a process leads: six readings. Two that lead
 /// at once do no harm, and a group may be waiting for one that is silent.
 const LEADER_SILENCE: Duration = Duration::from_millis(750);
@@ -276,7 +279,12 @@
     /// When the next [`Input::Tick`] is due at the latest.
     #[must_use]
     pub fn next_tick(&self, now: Now) -> Now {
-        let step = now + if self.leads { POLL } else { IDLE_TICK };
+        let step = now
+            + if self.leads {
+                self.poll_interval()
+            } else {
+                IDLE_TICK
+            };
         let poll = if self.leads { self.next_poll } else { step };
         let order = self.rollout.as_ref().and_then(Rollout::next_at);
         let earliest = order.unwrap_or(step).min(poll).min(step);
@@ -312,11 +320,18 @@
         }
     }
 
+    /// Time between two readings of all ranks.
+    fn poll_interval(&self) -> Duration {
+        let layout = &self.settings.layout;
+        let counts = self.size as f64 * f64::from(layout.sets) * f64::from(layout.experts);
+        POLL.max(Duration::from_secs_f64(counts / MAX_COUNTS_PER_S))
+    }
+
     fn poll(&mut self, now: Now) {
         if now < self.next_poll {
             return;
         }
-        self.next_poll = now + POLL;
+        self.next_poll = now + self.poll_interval();
         self.demand.fold();
         let known = |rank: &RankIndex| {
             let version = self.seen.get(rank).map(|s| s.view.map);
@@ -486,11 +501,11 @@
         if now < self.next_plan || self.expected.is_some() {
             return;
         }
-        let Some(views) = self.fresh(now, POLL * 2) else {
+        let Some(views) = self.fresh(now, self.poll_interval() * 2) else {
             return;
         };
         let at_rest = |v: &RankView| v.armed.is_none() && v.held.is_none();
-        let idle = now.saturating_sub(self.last_pass.1) > POLL * 2;
+        let idle = now.saturating_sub(self.last_pass.1) > self.poll_interval() * 2;
         let version = self.present.as_ref().map(|p| p.0);
         let one_map = views.iter().all(|v| Some(v.map) == version);
         if idle || !one_map || !views.iter().all(at_rest) {
