--- a/crates/core/src/ranks/leader.rs
+++ b/crates/core/src/ranks/leader.rs
@@ -26,7 +26,7 @@
 const POLL: Duration = Duration::from_millis(125);
 /// Counts that the process that leads takes in a second; each is about three bytes. In a large group
 /// more would fill the link of its host, and orders would wait behind them.
-const MAX_COUNTS_PER_S: f64 = 120_000.0;
+const MAX_COUNTS_PER_S: f64 = 180_000.0;
 /// Time without a question of a lower rank after which a process leads: six readings. Two that lead
 /// at once do no harm, and a group may be waiting for one that is silent.
 const LEADER_SILENCE: Duration = Duration::from_millis(750);
