--- a/crates/net/src/ranks/links.rs
+++ b/crates/net/src/ranks/links/mod.rs
@@ -89,6 +89,29 @@
     silent_until: Option<Instant>,
 }
 
+impl Heard {
+    fn new(now: Instant) -> Self {
+        Self {
+            at: now,
+            silent_until: None,
+        }
+    }
+
+    fn note_answer(&mut self, now: Instant) {
+        self.at = now;
+    }
+
+    fn note_failure(&mut self, now: Instant) {
+        if now.duration_since(self.at) >= SILENT_AFTER {
+            self.silent_until = Some(now + SILENT_PAUSE);
+        }
+    }
+
+    fn is_silent(&self, now: Instant) -> bool {
+        self.silent_until.is_some_and(|until| now < until)
+    }
+}
+
 /// What was read of another rank.
 #[derive(Debug)]
 pub(super) struct Seen {
@@ -104,10 +127,7 @@
             address: process,
             engine: Engine::new(engine, experts),
             client: Mutex::new(None),
-            heard: StdMutex::new(Heard {
-                at: Instant::now(),
-                silent_until: None,
-            }),
+            heard: StdMutex::new(Heard::new(Instant::now())),
         }
     }
 
@@ -180,24 +200,22 @@
     }
 
     fn is_silent(&self) -> bool {
-        let until = lock(&self.heard).silent_until;
-        until.is_some_and(|until| Instant::now() < until)
+        lock(&self.heard).is_silent(Instant::now())
     }
 
     fn note_answer(&self) {
-        lock(&self.heard).at = Instant::now();
+        lock(&self.heard).note_answer(Instant::now());
     }
 
     fn note_silent(&self, error: &dyn std::error::Error) {
         log::info!("the process at {} did not answer: {error}", self.address);
-        let now = Instant::now();
-        let mut heard = lock(&self.heard);
-        if now.duration_since(heard.at) >= SILENT_AFTER {
-            heard.silent_until = Some(now + SILENT_PAUSE);
-        }
+        lock(&self.heard).note_failure(Instant::now());
     }
 }
 
 fn lock<T>(mutex: &StdMutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
+
+#[cfg(test)]
+mod tests;
