Take a group as formed once it runs a request of the host

After three refusals without anything in flight, a group counted as forming until the first answer had ended, so callers who met full ranks in its first second were told to come back late. A refusal while a request of the host is in flight now ends that belief.

--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -427,6 +427,8 @@
                 let mut usable = self.registry.usable(service);
                 if usable.all(|u| self.loads.requests(&u.id) == 0) {
                     *self.idle_refusals.entry(service.clone()).or_default() += 1;
+                } else {
+                    self.idle_refusals.remove(service);
                 }
             }
             _ => {}
--- a/crates/core/src/gateway/tests/forming.rs
+++ b/crates/core/src/gateway/tests/forming.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::{ms, upstream};
 use crate::gateway::budget::RetryBound;
@@ -81,6 +82,18 @@
     gateway
 }
 
+fn head() -> RequestHead<'static> {
+    RequestHead {
+        id: "r",
+        host: "h.example",
+        path: "/s/x",
+        key: None,
+        deadline: Some(ms(7_000)),
+        prompt_tokens: 700,
+        answer_tokens: 150,
+    }
+}
+
 struct Played {
     served: usize,
     refused_twice: usize,
@@ -104,16 +117,7 @@
             let ((at, _), (id, work)) = entry.remove_entry();
             gateway.ended(at, &id, work, Outcome::Answered);
         }
-        let head = RequestHead {
-            id: "r",
-            host: "h.example",
-            path: "/s/x",
-            key: None,
-            deadline: Some(ms(7_000)),
-            prompt_tokens: 700,
-            answer_tokens: 150,
-        };
-        let mut request = gateway.admit(now, head).unwrap();
+        let mut request = gateway.admit(now, head()).unwrap();
         loop {
             match gateway.next(now, &mut request) {
                 Next::Send(upstream, _) if now < FORMS_AT => {
@@ -155,38 +159,47 @@
     assert!(played.sends_while_forming <= arrivals + 6);
 }
 
+/// Refuses a new request at all upstreams that it is sent to and returns when it should come back.
+fn refuse(gateway: &mut Gateway, now: Now) -> Duration {
+    let mut request = gateway.admit(now, head()).unwrap();
+    loop {
+        match gateway.next(now, &mut request) {
+            Next::Send(upstream, _) => {
+                request.note(&upstream.id, Outcome::Full);
+                gateway.ended(now, &upstream.id, request.work, Outcome::Full);
+            }
+            Next::Refuse(refusal) => return refusal.retry_after.unwrap(),
+        }
+    }
+}
+
+fn run_one(gateway: &mut Gateway, now: Now) {
+    let mut request = gateway.admit(now, head()).unwrap();
+    assert!(matches!(gateway.next(now, &mut request), Next::Send(..)));
+}
+
 /// Guards against the long pause where upstreams are just full: they have room again soon.
 #[test]
 fn upstreams_that_are_no_ranks_or_run_own_requests_are_just_full() {
     let mut plain = gateway(None);
     let mut busy = gateway(Some(engine()));
-    for (gateway, in_flight) in [(&mut plain, false), (&mut busy, true)] {
-        let head = RequestHead {
-            id: "r",
-            host: "h.example",
-            path: "/s/x",
-            key: None,
-            deadline: Some(ms(7_000)),
-            prompt_tokens: 700,
-            answer_tokens: 150,
-        };
-        if in_flight {
-            let mut request = gateway.admit(ms(0), head).unwrap();
-            assert!(matches!(gateway.next(ms(0), &mut request), Next::Send(..)));
-        }
+    run_one(&mut busy, ms(0));
+    for gateway in [&mut plain, &mut busy] {
         for n in 0..20 {
-            let now = ms(n);
-            let mut request = gateway.admit(now, head).unwrap();
-            let refusal = loop {
-                match gateway.next(now, &mut request) {
-                    Next::Send(upstream, _) => {
-                        request.note(&upstream.id, Outcome::Full);
-                        gateway.ended(now, &upstream.id, request.work, Outcome::Full);
-                    }
-                    Next::Refuse(refusal) => break refusal,
-                }
-            };
-            assert!(refusal.retry_after.unwrap() <= ms(700), "{refusal:?}");
+            assert!(refuse(gateway, ms(n)) <= ms(700));
         }
     }
 }
+
+/// Guards against the long pause after the group has formed, while its first answers still run.
+#[test]
+fn a_group_that_runs_a_request_has_formed() {
+    let mut gateway = gateway(Some(engine()));
+    for n in 0..5 {
+        refuse(&mut gateway, ms(n));
+    }
+    assert!(refuse(&mut gateway, ms(10)) > ms(1_000));
+    run_one(&mut gateway, ms(20));
+    refuse(&mut gateway, ms(30));
+    assert!(refuse(&mut gateway, ms(40)) <= ms(700));
+}
--- a/crates/ctl/src/explain/mod.rs
+++ b/crates/ctl/src/explain/mod.rs
@@ -18,7 +18,7 @@
 const BELIEF_SPAN_MS: u64 = 10_000;
 
 /// Decisions and beliefs about an upstream that other requests or the registry brought about.
-const BELIEFS: [EventKind; 9] = [
+const BELIEFS: [EventKind; 8] = [
     EventKind::SuspectNoted,
     EventKind::UpstreamEjected,
     EventKind::UpstreamReturned,
@@ -27,7 +27,6 @@
     EventKind::UpstreamLapsed,
     EventKind::UpstreamRelisted,
     EventKind::UpstreamGone,
-    EventKind::MapSwitched,
 ];
 
 /// Name of the fact that says which upstream an event is about.
