Give daemons of the process tests ports of their own

Of the five fleets that start at the same time, 24 of 25 daemons wrote their first line; the missing entry host had ended because another fleet's daemon had taken its port, and that one answered the question whether it listens. Ports were bound, released and bound again from the range that the system also gives to connections. They are now counted up in a range below it, with a test. Lack of time was ruled out: the other four fleets were ready within 0.1 s.

--- a/crates/standins/src/process/mod.rs
+++ b/crates/standins/src/process/mod.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU16, AtomicU64, Ordering};
 use std::time::Duration;
 
 use eelgrasshold_net::admin::Status;
@@ -23,6 +23,13 @@
 const LISTEN_PAUSE: Duration = Duration::from_millis(10);
 /// Looks after which a daemon counts as never listening.
 const LISTEN_LOOKS: u32 = 1_000;
+/// Ports that daemons are given. They lie below those that the system gives to connections, which
+/// may take a port between the moment at which it was found free and the start of the daemon.
+const PORTS: std::ops::Range<u16> = 20_000..32_000;
+/// Distance of the first ports of two test programs that run at the same time.
+const PORTS_PER_PROCESS: u16 = 600;
+/// Counts the ports that were given, so that two daemons of a test program never get the same.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 /// Makes the names of settings files differ.
 static NEXT_FILE: AtomicU64 = AtomicU64::new(0);
 
@@ -194,14 +201,25 @@
     }
 }
 
-/// Addresses that were free a moment ago. All are held at once, so that they differ.
+/// Addresses that are free and that no other daemon of this program is given.
 fn free_addresses() -> io::Result<[SocketAddr; 3]> {
-    let bind = || TcpListener::bind("127.0.0.1:0");
-    let listeners = [bind()?, bind()?, bind()?];
-    let [data, control, admin] = &listeners;
-    Ok([
-        data.local_addr()?,
-        control.local_addr()?,
-        admin.local_addr()?,
-    ])
+    Ok([free_address()?, free_address()?, free_address()?])
 }
+
+fn free_address() -> io::Result<SocketAddr> {
+    let span = PORTS.end - PORTS.start;
+    let programs = u32::from(span / PORTS_PER_PROCESS);
+    let program = u16::try_from(std::process::id() % programs).unwrap_or(0);
+    for _ in 0..span {
+        let given = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let port = PORTS.start + (program * PORTS_PER_PROCESS).wrapping_add(given) % span;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    Err(io::Error::other("all ports for daemons are taken"))
+}
+
+#[cfg(test)]
+mod tests;
