Release the earliest of several held passes first

Two processes had left a held pass each, 299 at rank 1 and 313 at rank 0. The process that led found the later one first, waited for the group to reach it, and never looked at the other. Late orders were ruled out: all were carried out by 36 s, and the ranks stayed as they were. The process now takes the earliest.

--- a/crates/core/src/ranks/leader.rs
+++ b/crates/core/src/ranks/leader.rs
@@ -473,11 +473,12 @@
 
     /// Finishes a rollout of another process that lets the group wait. True if there is one.
     fn finish_other(&mut self, now: Now, me: RankIndex) -> bool {
-        let held = self.seen.values().find_map(|s| {
+        let held = self.seen.values().filter_map(|s| {
             let pass = s.view.held.filter(|_| s.view.epoch == self.epoch)?;
             Some((s.view.rank, pass))
         });
-        let Some((holder, pass)) = held else {
+        // The group waits for the earliest of several.
+        let Some((holder, pass)) = held.min_by_key(|(_, pass)| *pass) else {
             return false;
         };
         let (begun, since) = self.last_pass;
--- a/crates/core/src/ranks/tests/mod.rs
+++ b/crates/core/src/ranks/tests/mod.rs
@@ -2,4 +2,5 @@
 
 mod demand;
 mod even;
+mod leader;
 mod rollout;
--- a/crates/core/tests/rank_fuzz.rs
+++ b/crates/core/tests/rank_fuzz.rs
@@ -293,6 +293,23 @@
         .unwrap_or(default)
 }
 
+/// Worlds that failed once.
+const REGRESSIONS: [u64; 1] = [
+    // Two processes had left a held pass each. Another one waited for the later pass, which the
+    // group can't reach, and never released the earlier one.
+    21_006_527,
+];
+
+/// Guards against the faults that the fuzzer found before.
+#[test]
+fn fuzz_worlds_that_failed_once_pass() {
+    for world_seed in REGRESSIONS {
+        if let Err(fault) = World::new(world_seed).run() {
+            panic!("world seed {world_seed}: {fault}");
+        }
+    }
+}
+
 /// Guards against two ranks of a group that run a pass on different maps, and against a group
 /// that waits for a release that nobody gives.
 #[test]
