Remove code that nothing calls and merge what was written twice

Found by reading the whole change once more; behaviour stays as it is.

Removed, since nothing calls it: the follower's second way to start over, the time of the registry's next expiry, the count of requests in flight, and whether a rollout goes forward. The version beside the kept document of the configuration was written and never read.

Written twice, now once: the client of the users' store, which gateways and processes beside ranks each set up; the lock of a mutex in the folder of ranks; the pause after a failed accept, which the HTTP server had before; the check of method and path before three short answers; the outcome of an attempt, which had a second enum for the records of trust; the merge of events, which eelctl explain had beside the time line's; the status of an answer and the start of a rollout in tests.

Done twice on a hot path, now once: each event took the lock and the clock of the time line again to ask whether lines had been left out, and each choice of an upstream judged all candidates a second time for the log.

No test lost an assertion.

--- a/crates/core/src/gateway/follow.rs
+++ b/crates/core/src/gateway/follow.rs
@@ -110,11 +110,6 @@
         (self.not_before, call)
     }
 
-    /// Starts over with a list, since what is known is doubted.
-    pub fn read_again(&mut self) {
-        self.phase = Self::first_page();
-    }
-
     /// Takes the reply to the last call.
     pub fn take(&mut self, now: Now, reply: KindReply) -> Option<News> {
         match (&mut self.phase, reply) {
--- a/crates/core/src/gateway/placing.rs
+++ b/crates/core/src/gateway/placing.rs
@@ -59,21 +59,14 @@
     }
 }
 
-/// Chooses among candidates; one to avoid only if there is no other, none only if there are none.
+/// Chooses among candidates; none only if there are none.
 pub fn choose<'a>(
     rng: &mut SmallRng,
     here: &DataCentreId,
     candidates: &[&'a Upstream],
     loads: &Loads,
     trust: &Trust,
-    avoid: impl Fn(&Upstream) -> bool,
 ) -> Option<&'a Upstream> {
-    let trusted: Vec<&&Upstream> = candidates.iter().filter(|u| !avoid(u)).collect();
-    let from = if trusted.is_empty() {
-        candidates.iter().collect()
-    } else {
-        trusted
-    };
     let cost = |u: &Upstream, rng: &mut SmallRng| {
         let slots = f64::from(u.slots.max(1));
         let distance = if u.data_centre == *here {
@@ -85,7 +78,7 @@
         filled * trust.slowness(&u.id) + rng.random_range(0.0..0.01)
     };
     let mut best: Option<(f64, &'a Upstream)> = None;
-    for upstream in from {
+    for &upstream in candidates {
         let cost = cost(upstream, rng);
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, upstream));
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -239,15 +239,6 @@
         gone.into_iter().map(|u| Change::Gone(u.id)).collect()
     }
 
-    /// When [`Self::expire`] has something to do, if ever.
-    #[must_use]
-    pub fn expires_at(&self) -> Option<Now> {
-        match self.outage {
-            Outage::Until(at) => Some(at),
-            _ => None,
-        }
-    }
-
     /// An upstream that may be used or is leaving.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&Upstream> {
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -12,7 +12,7 @@
 use super::registry::{Registry, Upstream, UpstreamId};
 use super::returning;
 use super::routes::{Route, RouteTable, TableVersion};
-use super::trust::{Observation, Trust};
+use super::trust::Trust;
 use crate::platform::Version;
 use crate::types::{
     DataCentreId, Now, Refusal, RefusalKind, RequestId, ServiceId, TeamId, WorkClass,
@@ -249,12 +249,6 @@
         self.budget.set_hosts(hosts);
     }
 
-    /// Own requests in flight at an upstream.
-    #[must_use]
-    pub fn in_flight(&self, upstream: &str) -> u32 {
-        self.loads.requests(upstream)
-    }
-
     /// Admits a request.
     ///
     /// # Errors
@@ -360,12 +354,19 @@
         let candidates: Vec<&Upstream> = untried.copied().collect();
         let here = &self.settings.data_centre;
         let (loads, trust, registry) = (&self.loads, &self.trust, &self.registry);
-        let avoid = |u: &Upstream| trust.avoid(now, &u.id) || registry.is_replaced(u);
-        let chosen = placing::choose(&mut self.rng, here, &candidates, loads, trust, avoid)?;
+        let (left_out, trusted): (Vec<&Upstream>, Vec<&Upstream>) = candidates
+            .iter()
+            .partition(|u| trust.avoid(now, &u.id) || registry.is_replaced(u));
+        let from = if trusted.is_empty() {
+            &left_out
+        } else {
+            &trusted
+        };
+        let chosen = placing::choose(&mut self.rng, here, from, loads, trust)?;
         let reasons = Reasons {
             usable: usable.len(),
             tried: usable.len() - candidates.len(),
-            left_out: candidates.iter().filter(|u| avoid(u)).count(),
+            left_out: left_out.len(),
             in_flight: loads.requests(&chosen.id),
             registry: self.registry.revision(),
         };
@@ -402,16 +403,7 @@
     pub fn ended(&mut self, now: Now, upstream: &str, work: Work, outcome: Outcome) -> bool {
         self.loads.sub(upstream, work);
         self.note_refusal(upstream, outcome);
-        let observation = match outcome {
-            Outcome::Answered => Observation::Good,
-            Outcome::Failed => Observation::Failed,
-            Outcome::TimedOut => Observation::Late,
-            Outcome::Full | Outcome::Stalled => Observation::Refused,
-            Outcome::Misdirected => Observation::Replaced,
-            Outcome::Unreachable | Outcome::Broken => Observation::Broken,
-            Outcome::GivenUp => return false,
-        };
-        self.trust.observe(now, upstream, observation)
+        self.trust.observe(now, upstream, outcome)
     }
 
     /// Counts refusals that can't come from load, since nothing of this host runs at the service.
--- a/crates/core/src/gateway/trust.rs
+++ b/crates/core/src/gateway/trust.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::Outcome;
 use super::registry::UpstreamId;
 use crate::types::Now;
 
@@ -22,23 +23,6 @@
 /// Factor by which an upstream that fails everything seems fuller than it is.
 const FAILING_FACTOR: f64 = 6.0;
 
-/// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Observation {
-    /// A whole answer came.
-    Good,
-    /// The upstream answered with a failure of its own.
-    Failed,
-    /// It did not answer before the time of the request ran out, which may have been short.
-    Late,
-    /// It refused the request unrun; it may just be full.
-    Refused,
-    /// It could not be reached, broke off, or sent what is no answer to the request.
-    Broken,
-    /// Another upstream has its address.
-    Replaced,
-}
-
 #[derive(Clone, Copy, Debug, Default)]
 struct Record {
     failures: f64,
@@ -46,6 +30,20 @@
     avoid_until: Now,
 }
 
+impl Record {
+    fn count(&mut self, failure: f64) {
+        self.failures += GAIN * (failure - self.failures);
+    }
+
+    /// Takes a whole answer, which ends a row of failures; the upstream is not left out.
+    fn answered(&mut self, failure: f64) -> bool {
+        self.count(failure);
+        self.streak = 0;
+        self.avoid_until = Now::ZERO;
+        false
+    }
+}
+
 /// Records of upstreams.
 #[derive(Clone, Debug, Default)]
 pub struct Trust {
@@ -53,31 +51,31 @@
 }
 
 impl Trust {
-    /// Takes an observation; returns whether the upstream is now left out.
-    pub fn observe(&mut self, now: Now, id: &str, observation: Observation) -> bool {
+    /// Takes how an attempt ended; returns whether the upstream is now left out.
+    pub fn observe(&mut self, now: Now, id: &str, outcome: Outcome) -> bool {
         let record = self.records.entry(id.to_owned()).or_default();
-        let failure = match observation {
-            Observation::Good => 0.0,
-            Observation::Refused => return false,
-            Observation::Replaced => {
+        match outcome {
+            // It may just be full, or the caller impatient.
+            Outcome::Full | Outcome::Stalled | Outcome::GivenUp => false,
+            Outcome::Answered => record.answered(0.0),
+            Outcome::Failed => record.answered(1.0),
+            Outcome::TimedOut => {
+                // The time of the request may have been short.
+                record.count(1.0);
+                false
+            }
+            Outcome::Misdirected => {
                 record.avoid_until = now + REPLACED_PAUSE;
-                return true;
+                true
+            }
+            Outcome::Unreachable | Outcome::Broken => {
+                record.count(1.0);
+                let pause = (FIRST_PAUSE * (1 << record.streak.min(10))).min(LONGEST_PAUSE);
+                record.streak += 1;
+                record.avoid_until = now + pause;
+                true
             }
-            Observation::Failed | Observation::Late | Observation::Broken => 1.0,
-        };
-        record.failures += GAIN * (failure - record.failures);
-        if observation == Observation::Late {
-            return false;
-        }
-        if observation != Observation::Broken {
-            record.streak = 0;
-            record.avoid_until = Now::ZERO;
-            return false;
         }
-        let pause = (FIRST_PAUSE * (1 << record.streak.min(10))).min(LONGEST_PAUSE);
-        record.streak += 1;
-        record.avoid_until = now + pause;
-        true
     }
 
     /// Whether an upstream is left out now.
--- a/crates/core/src/ranks/mod.rs
+++ b/crates/core/src/ranks/mod.rs
@@ -23,7 +23,7 @@
 pub use even::{EvenPlan, Limits, plan};
 pub use leader::{Input, Leader, LeaderSettings, Note, Output, Sight, order_name};
 pub use map::{GroupMap, SetMap};
-pub use rollout::{Direction, Ended, Order, OrderResult, RankOrder, Rollout, Start};
+pub use rollout::{Ended, Order, OrderResult, RankOrder, Rollout, Start};
 
 use crate::types::Now;
 
--- a/crates/core/src/ranks/rollout.rs
+++ b/crates/core/src/ranks/rollout.rs
@@ -109,15 +109,6 @@
     Unknown,
 }
 
-/// Whether a rollout completes its version or makes it impossible.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Direction {
-    /// All ranks get the version.
-    Forward,
-    /// No rank can get it any more, since all take this higher one.
-    Kill(MapVersion),
-}
-
 /// How a rollout ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ended {
@@ -325,16 +316,6 @@
         self.pass
     }
 
-    /// Whether the version is completed or made impossible.
-    #[must_use]
-    pub fn direction(&self) -> Direction {
-        if self.dead || self.phase == Phase::Kill {
-            Direction::Kill(self.kill_version)
-        } else {
-            Direction::Forward
-        }
-    }
-
     /// Rank whose hold is used.
     #[must_use]
     pub fn holder(&self) -> RankIndex {
@@ -350,15 +331,6 @@
         }
     }
 
-    /// Whether a group may be waiting for this rollout, so that it must not be slow.
-    #[must_use]
-    pub fn holds(&self) -> bool {
-        matches!(
-            self.phase,
-            Phase::Hold | Phase::Arm | Phase::Kill | Phase::Release
-        )
-    }
-
     /// Ranks whose state has to be read before the rollout can go on.
     #[must_use]
     pub fn unclear(&self) -> Vec<RankIndex> {
--- a/crates/core/src/ranks/tests/rollout.rs
+++ b/crates/core/src/ranks/tests/rollout.rs
@@ -18,21 +18,24 @@
     Duration::from_millis(ms)
 }
 
-fn rollout() -> Rollout {
-    let start = Start {
-        rank: 0,
+fn start(rank: RankIndex, version: MapVersion) -> Start {
+    Start {
+        rank,
         size: RANKS,
         epoch: EPOCH,
-        version: VERSION,
-        kill_version: VERSION + 512,
+        version,
+        kill_version: version + 512,
         present: Arc::new(GroupMap::dealt(1, RANKS, 8)),
         lead: LEAD,
         lossy_lead: LOSSY_LEAD,
         lossy: false,
         after: 0,
-    };
+    }
+}
+
+fn rollout() -> Rollout {
     let map = Arc::new(GroupMap::dealt(1, RANKS, 8));
-    Rollout::new(ms(0), start, map, LOADING)
+    Rollout::new(ms(0), start(0, VERSION), map, LOADING)
 }
 
 fn view(rank: RankIndex, prepared: Option<MapVersion>) -> RankView {
@@ -189,18 +192,7 @@
 /// Guards against a group that stands still because the process that held it is gone.
 #[test]
 fn another_process_finishes_a_rollout_that_was_left_with_a_held_pass() {
-    let start = Start {
-        rank: 1,
-        size: RANKS,
-        epoch: EPOCH,
-        version: VERSION + 1_025,
-        kill_version: VERSION + 1_025 + 512,
-        present: Arc::new(GroupMap::dealt(1, RANKS, 8)),
-        lead: LEAD,
-        lossy_lead: LOSSY_LEAD,
-        lossy: false,
-        after: 0,
-    };
+    let start = start(1, VERSION + 1_025);
     let views: Vec<RankView> = (0..RANKS)
         .map(|rank| RankView {
             held: (rank == 0).then_some(6),
--- a/crates/ctl/src/explain/mod.rs
+++ b/crates/ctl/src/explain/mod.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, BufRead};
 
-use eelgrasshold_core::event::{EventKind, Fact, Record, Stamp};
+use eelgrasshold_core::event::{EventKind, Fact, Filter, Record, Stamp, merge};
 use serde::Deserialize;
 
 #[cfg(test)]
@@ -142,11 +142,8 @@
                 && hosts.contains(r.host.as_str())
                 && upstream(r).is_some_and(|u| upstreams.contains(&u))
         };
-        let mut events = self.own;
-        events.extend(self.beliefs.into_iter().filter(bears));
-        events.sort_by(|a, b| (a.stamp, &a.host).cmp(&(b.stamp, &b.host)));
-        events.dedup();
-        events
+        let beliefs = self.beliefs.into_iter().filter(bears).collect();
+        merge(vec![self.own, beliefs], &Filter::default())
     }
 }
 
--- a/crates/net/src/connect/mod.rs
+++ b/crates/net/src/connect/mod.rs
@@ -17,6 +17,9 @@
 /// Time for which sent data may stay unacknowledged. A lossy link repeats packets for this long.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_secs(4);
 
+/// Pause after a failed accept, so that a lack of file descriptors causes no busy loop.
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Makes a connection notice by itself that its peer or the way there is gone.
 pub(crate) fn watch_silence(stream: &TcpStream) {
     let keepalive = TcpKeepalive::new()
--- a/crates/net/src/gateway/callers.rs
+++ b/crates/net/src/gateway/callers.rs
@@ -15,8 +15,7 @@
 
 use super::intake;
 use super::shared::Shared;
-use crate::connect::watch_silence;
-use crate::rpc::ACCEPT_PAUSE;
+use crate::connect::{ACCEPT_PAUSE, watch_silence};
 
 /// Smallest buffer of a connection that the HTTP library allows, in bytes.
 const MIN_BUFFER: usize = 8 << 10;
--- a/crates/net/src/gateway/directory.rs
+++ b/crates/net/src/gateway/directory.rs
@@ -3,22 +3,18 @@
 
 use std::sync::atomic::Ordering;
 
-use eelgrasshold_platform::callers::{READY_PATH, RESOLVE_PATH, resolve_answer};
-use http::{Method, Request, Response, StatusCode, header};
-use hyper::body::Incoming;
+use eelgrasshold_platform::callers::resolve_answer;
+use http::{Response, StatusCode, header};
 
 use super::shared::Shared;
 use crate::http::{Body, empty, full};
 use crate::metrics::Metrics;
 
 /// Path of the metrics.
-const METRICS_PATH: &str = "/metrics";
+pub(super) const METRICS_PATH: &str = "/metrics";
 
-/// Answers `GET` of whether the host takes callers.
-pub(super) fn ready(shared: &Shared, request: &Request<Incoming>) -> Response<Body> {
-    if request.method() != Method::GET || request.uri().path() != READY_PATH {
-        return status(StatusCode::NOT_FOUND);
-    }
+/// Whether the host takes callers.
+pub(super) fn ready(shared: &Shared) -> Response<Body> {
     let ready = shared.core().is_ready() && !shared.draining.load(Ordering::Relaxed);
     status(if ready {
         StatusCode::OK
@@ -27,11 +23,8 @@
     })
 }
 
-/// Answers `GET` of where to connect.
-pub(super) fn resolve(shared: &Shared, request: &Request<Incoming>) -> Response<Body> {
-    if request.method() != Method::GET || request.uri().path() != RESOLVE_PATH {
-        return status(StatusCode::NOT_FOUND);
-    }
+/// Where to connect.
+pub(super) fn resolve(shared: &Shared) -> Response<Body> {
     let addresses = shared.addresses();
     if addresses.is_empty() {
         return status(StatusCode::SERVICE_UNAVAILABLE);
@@ -43,18 +36,15 @@
     response
 }
 
-/// Answers `GET` of the metrics, as Prometheus text.
-pub(super) fn metrics(metrics: &Metrics, request: &Request<Incoming>) -> Response<Body> {
-    if request.method() != Method::GET || request.uri().path() != METRICS_PATH {
-        return status(StatusCode::NOT_FOUND);
-    }
+/// The metrics, as Prometheus text.
+pub(super) fn metrics(metrics: &Metrics) -> Response<Body> {
     let mut response = Response::new(full(metrics.render()));
     let text = http::HeaderValue::from_static("text/plain; version=0.0.4");
     response.headers_mut().insert(header::CONTENT_TYPE, text);
     response
 }
 
-fn status(status: StatusCode) -> Response<Body> {
+pub(super) fn status(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(empty());
     *response.status_mut() = status;
     response
--- a/crates/net/src/gateway/follow.rs
+++ b/crates/net/src/gateway/follow.rs
@@ -54,7 +54,7 @@
     if !shared.core().set_table(shared.now(), Arc::new(table)) {
         return;
     }
-    shared.keep_document(version, document);
+    shared.keep_document(document);
     let event = Event::new(EventKind::ConfigApplied, "")
         .with("table", version)
         .with("before", before)
--- a/crates/net/src/gateway/host.rs
+++ b/crates/net/src/gateway/host.rs
@@ -12,8 +12,9 @@
 use eelgrasshold_core::gateway::peers::{PeerRecord, Peers, Standing};
 use eelgrasshold_core::gateway::{Gateway, GatewaySettings};
 use eelgrasshold_core::types::Now;
+use eelgrasshold_platform::callers::{READY_PATH, RESOLVE_PATH};
 use eelgrasshold_platform::store;
-use http::{Request, Response};
+use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -27,11 +28,11 @@
 use super::pool::Pool;
 use super::shared::Shared;
 use super::{GatewayOptions, callers, directory, follow, gossip, pulls};
+use crate::connect::{ACCEPT_PAUSE, watch_silence};
 use crate::host::{Drained, StartError, new_incarnation};
 use crate::http::Body;
 use crate::metrics::Metrics;
 use crate::platform::{Dialect, Platform};
-use crate::rpc::ACCEPT_PAUSE;
 use crate::runtime::{Clock, Timeline};
 
 /// Longest time that a question about addresses or readiness may take to arrive; they are short.
@@ -82,13 +83,13 @@
             tokio::spawn(follow::expire(Arc::clone(&shared))),
             tokio::spawn(gossip::run(Arc::clone(&shared), peers)),
             tokio::spawn(pulls::serve(Arc::clone(&shared), links)),
-            tokio::spawn(answer(ready, {
+            tokio::spawn(answer(ready, READY_PATH, {
                 let shared = Arc::clone(&shared);
-                move |request| directory::ready(&shared, request)
+                move || directory::ready(&shared)
             })),
-            tokio::spawn(answer(directory, {
+            tokio::spawn(answer(directory, RESOLVE_PATH, {
                 let shared = Arc::clone(&shared);
-                move |request| directory::resolve(&shared, request)
+                move || directory::resolve(&shared)
             })),
             tokio::spawn(callers::serve(
                 Arc::clone(&shared),
@@ -219,19 +220,14 @@
         peers: options.peers,
         standing: Standing::Starting,
     };
-    let limits = PlatformLimits {
-        failures_to_open: NEVER_OPEN,
-        ..PlatformLimits::default()
-    };
-    let platform = Platform::new(&options.platform, clock, limits, options.seed);
     Shared {
         timeline: Timeline::logging_all(options.host.clone(), Some(metrics.clone()), clock),
         metrics: GatewayMetrics::new(metrics),
         core: Mutex::new(Gateway::new(clock.now(), settings, options.seed)),
         peers: Mutex::new(Peers::new(me, options.seeds.clone(), options.seed)),
         pool: Pool::default(),
-        platform: platform.speaking(users_dialect()),
-        document: Mutex::new((0, Bytes::new())),
+        platform: users_platform(&options.platform, clock, options.seed),
+        document: Mutex::new(Bytes::new()),
         draining: AtomicBool::new(false),
         held: AtomicUsize::new(0),
         ended: Notify::new(),
@@ -294,14 +290,18 @@
     u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// How the users' platform speaks.
-pub(crate) fn users_dialect() -> Dialect {
-    Dialect {
+/// Client of the store of the users' platform.
+pub(crate) fn users_platform(address: &str, clock: Clock, seed: u64) -> Platform {
+    let limits = PlatformLimits {
+        failures_to_open: NEVER_OPEN,
+        ..PlatformLimits::default()
+    };
+    Platform::new(address, clock, limits, seed).speaking(Dialect {
         object_request: store::object_request,
         object_reply: store::object_reply,
         kind_request: store::kind_request,
         kind_reply: store::kind_reply,
-    }
+    })
 }
 
 /// Binds the same port over TCP and UDP.
@@ -330,14 +330,18 @@
     metrics: Metrics,
 ) -> Result<JoinHandle<()>, StartError> {
     let listener = bind(address).await?;
-    let handler = move |request: &Request<Incoming>| directory::metrics(&metrics, request);
-    Ok(tokio::spawn(answer(listener, handler)))
+    let handler = move || directory::metrics(&metrics);
+    Ok(tokio::spawn(answer(
+        listener,
+        directory::METRICS_PATH,
+        handler,
+    )))
 }
 
-/// Answers short questions on a listener; never returns.
-async fn answer<F>(listener: TcpListener, handler: F)
+/// Answers `GET` of one path on a listener; never returns.
+async fn answer<F>(listener: TcpListener, path: &'static str, handler: F)
 where
-    F: Fn(&Request<Incoming>) -> Response<Body> + Clone + Send + Sync + 'static,
+    F: Fn() -> Response<Body> + Clone + Send + Sync + 'static,
 {
     loop {
         let stream = match listener.accept().await {
@@ -348,11 +352,16 @@
                 continue;
             }
         };
-        crate::connect::watch_silence(&stream);
+        watch_silence(&stream);
         let handler = handler.clone();
         tokio::spawn(async move {
-            let service = service_fn(move |request| {
-                let response = handler(&request);
+            let service = service_fn(move |request: Request<Incoming>| {
+                let is_known = request.method() == Method::GET && request.uri().path() == path;
+                let response = if is_known {
+                    handler()
+                } else {
+                    directory::status(StatusCode::NOT_FOUND)
+                };
                 async move { Ok::<_, Infallible>(response) }
             });
             let connection = http1::Builder::new()
--- a/crates/net/src/gateway/mod.rs
+++ b/crates/net/src/gateway/mod.rs
@@ -20,5 +20,5 @@
 mod sse;
 
 pub use host::GatewayHost;
-pub(crate) use host::{serve_metrics, users_dialect};
+pub(crate) use host::{serve_metrics, users_platform};
 pub use options::{GatewayOptions, GatewayOptionsBuilder};
--- a/crates/net/src/gateway/pulls.rs
+++ b/crates/net/src/gateway/pulls.rs
@@ -35,7 +35,7 @@
     async fn table(self, _: Context) -> Vec<u8> {
         let document = &self.0.document;
         let kept = document.lock().unwrap_or_else(PoisonError::into_inner);
-        kept.1.to_vec()
+        kept.to_vec()
     }
 
     async fn registry(self, _: Context) -> Option<(Vec<Upstream>, Version)> {
--- a/crates/net/src/gateway/shared.rs
+++ b/crates/net/src/gateway/shared.rs
@@ -11,7 +11,6 @@
 use eelgrasshold_core::gateway::Gateway;
 use eelgrasshold_core::gateway::peers::{Knowledge, Peers};
 use eelgrasshold_core::gateway::registry::{Change, Upstream};
-use eelgrasshold_core::gateway::routes::TableVersion;
 use eelgrasshold_core::types::Now;
 use eelgrasshold_platform::callers::MAX_ADDRESSES;
 use tokio::sync::Notify;
@@ -33,8 +32,8 @@
     pub(super) peers: Mutex<Peers>,
     pub(super) pool: Pool,
     pub(super) platform: Platform,
-    /// Version and document of the configuration in force, for hosts that can't see the store.
-    pub(super) document: Mutex<(TableVersion, Bytes)>,
+    /// Document of the configuration in force, for hosts that can't see the store; empty at first.
+    pub(super) document: Mutex<Bytes>,
     /// The host takes no new callers.
     pub(super) draining: AtomicBool,
     /// Requests that are being served.
@@ -80,9 +79,9 @@
     }
 
     /// Keeps the document of the configuration in force.
-    pub(super) fn keep_document(&self, version: TableVersion, document: &[u8]) {
+    pub(super) fn keep_document(&self, document: &[u8]) {
         let mut kept = self.document.lock().unwrap_or_else(PoisonError::into_inner);
-        *kept = (version, Bytes::copy_from_slice(document));
+        *kept = Bytes::copy_from_slice(document);
     }
 
     /// An idle connection to an upstream, or a new one.
--- a/crates/net/src/http/server.rs
+++ b/crates/net/src/http/server.rs
@@ -15,11 +15,9 @@
 use tokio_util::sync::CancellationToken;
 
 use super::Body;
+use crate::connect::ACCEPT_PAUSE;
 use crate::tls::{Identity, server_stream};
 
-/// Pause after a failed accept, so that a lack of file descriptors causes no busy loop.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Limits of a listener.
 #[derive(Clone, Debug)]
 pub struct Limits {
--- a/crates/net/src/ranks/group.rs
+++ b/crates/net/src/ranks/group.rs
@@ -302,6 +302,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/net/src/ranks/host.rs
+++ b/crates/net/src/ranks/host.rs
@@ -5,7 +5,6 @@
 use std::time::{Duration, SystemTime};
 
 use eelgrasshold_core::event::{Event, EventKind};
-use eelgrasshold_core::fleet::platform_policy::PlatformLimits;
 use eelgrasshold_core::gateway::routes::{EngineProfile, ExpertLayout};
 use eelgrasshold_core::platform::{KindCall, KindReply, StoredObject};
 use eelgrasshold_core::ranks::LeaderSettings;
@@ -18,7 +17,7 @@
 
 use super::group::{Candidate, Group};
 use super::links;
-use crate::gateway::{serve_metrics, users_dialect};
+use crate::gateway::{serve_metrics, users_platform};
 use crate::host::StartError;
 use crate::metrics::Metrics;
 use crate::platform::Platform;
@@ -98,12 +97,7 @@
         .with("service", options.service.as_str())
         .with("platform", options.platform.as_str());
     timeline.record(event);
-    let limits = PlatformLimits {
-        failures_to_open: u32::MAX,
-        ..PlatformLimits::default()
-    };
-    let platform =
-        Platform::new(&options.platform, clock, limits, rand::random()).speaking(users_dialect());
+    let platform = users_platform(&options.platform, clock, rand::random());
     let (profile, layout) = profile(&platform, &options.service).await;
     let settings = LeaderSettings {
         layout,
--- a/crates/net/src/ranks/links/mod.rs
+++ b/crates/net/src/ranks/links/mod.rs
@@ -1,7 +1,7 @@
 //! Calls between the processes beside the ranks of a group.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex as StdMutex, PoisonError};
+use std::sync::{Arc, Mutex as StdMutex};
 use std::time::{Duration, Instant};
 
 use eelgrasshold_core::ranks::{Input, OrderResult, RankIndex, RankOrder, Sight};
@@ -12,7 +12,7 @@
 use tokio::sync::Mutex;
 
 use super::engine::{Engine, Look};
-use super::group::Group;
+use super::group::{Group, lock};
 use crate::rpc;
 
 /// Longest time of a call: the other process's call to its engine and a round trip.
@@ -213,9 +213,5 @@
     }
 }
 
-fn lock<T>(mutex: &StdMutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/net/src/rpc/mod.rs
+++ b/crates/net/src/rpc/mod.rs
@@ -12,12 +12,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::LengthDelimitedCodec;
 
-use crate::connect::{connect, watch_silence};
+use crate::connect::{ACCEPT_PAUSE, connect, watch_silence};
 
 /// Largest message, in bytes: a configuration is at most as large as a value of the store.
 const MAX_MESSAGE_BYTES: usize = 8 << 20;
-/// Pause after a failed accept, so that a lack of file descriptors causes no busy loop.
-pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Messages on a link.
 pub(crate) type Link<Item, SinkItem> =
--- a/crates/net/src/runtime/timeline.rs
+++ b/crates/net/src/runtime/timeline.rs
@@ -68,42 +68,31 @@
         let kind = event.kind;
         let mut state = self.lock();
         let stamp = state.clock.tick(SystemTime::now());
-        let verdict = match &self.logs_all {
-            Some(clock) => state.cap.judge(clock.now(), kind),
-            None => Verdict::Write,
+        let Some(clock) = &self.logs_all else {
+            write(Self::level(kind.number()), state.ring.push(stamp, event));
+            return;
         };
+        let now = clock.now();
+        let verdict = state.cap.judge(now, kind);
         let record = state.ring.push(stamp, event);
         if verdict == Verdict::Write {
-            write(self.level(kind.number()), record);
+            write(log::Level::Info, record);
         }
-        drop(state);
-        if self.logs_all.is_some() {
-            self.account();
+        for (kind, count) in state.cap.account(now) {
+            let stamp = state.clock.tick(SystemTime::now());
+            let event = Event::new(EventKind::LinesLeftOut, kind.name()).with("count", count);
+            write(log::Level::Warn, state.ring.push(stamp, event));
         }
     }
 
-    fn level(&self, number: u16) -> log::Level {
-        if self.logs_all.is_none() && FREQUENT.contains(&number) {
+    fn level(number: u16) -> log::Level {
+        if FREQUENT.contains(&number) {
             log::Level::Debug
         } else {
             log::Level::Info
         }
     }
 
-    /// Tells which lines were left out, if any were.
-    fn account(&self) {
-        let Some(clock) = &self.logs_all else {
-            return;
-        };
-        let mut state = self.lock();
-        let left_out = state.cap.account(clock.now());
-        let stamp = state.clock.tick(SystemTime::now());
-        for (kind, count) in left_out {
-            let event = Event::new(EventKind::LinesLeftOut, kind.name()).with("count", count);
-            write(log::Level::Warn, state.ring.push(stamp, event));
-        }
-    }
-
     /// Stamp for an outgoing message.
     pub fn stamp(&self) -> Stamp {
         self.lock().clock.tick(SystemTime::now())
--- a/crates/standins/tests/gateway/world.rs
+++ b/crates/standins/tests/gateway/world.rs
@@ -210,11 +210,7 @@
     let end = bytes.windows(4).position(|w| w == b"\r\n\r\n")? + 4;
     let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
     let mut got = Got {
-        status: head
-            .split(' ')
-            .nth(1)
-            .and_then(|s| s.parse().ok())
-            .unwrap_or(0),
+        status: status_of(&head),
         head,
         ..Got::default()
     };
@@ -236,17 +232,19 @@
     let head = String::from_utf8_lossy(&bytes[..end + 4]).into_owned();
     let (body, whole) = dechunk(&bytes[end + 4..]);
     Got {
-        status: head
-            .split(' ')
-            .nth(1)
-            .and_then(|s| s.parse().ok())
-            .unwrap_or(0),
+        status: status_of(&head),
         head,
         body: String::from_utf8_lossy(&body).into_owned(),
         whole,
     }
 }
 
+/// Status in a head; 0 if there is none.
+fn status_of(head: &str) -> u16 {
+    let status = head.split(' ').nth(1);
+    status.and_then(|s| s.parse().ok()).unwrap_or(0)
+}
+
 /// The content of chunks, and whether the last one is there.
 fn dechunk(mut bytes: &[u8]) -> (Vec<u8>, bool) {
     let mut body = Vec::new();
