Log how old a host's list of upstreams is, and how long an upstream has been silent

A line about a dispatch had the revision of the registry, but not how long ago the store had confirmed it, and a line about the end of an attempt did not tell an upstream that works from one that stands still. RequestDispatched has registry_age_ms; AttemptEnded has head, events and silent_ms.

--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -119,6 +119,8 @@
     pub in_flight: u32,
     /// Revision of the registry at the choice.
     pub registry: Version,
+    /// Time since the store last confirmed the registry.
+    pub registry_age: Duration,
 }
 
 /// How an attempt ended.
@@ -394,6 +396,7 @@
             avoided: avoided.len(),
             in_flight: loads.requests(&chosen.id),
             registry: self.registry.revision(),
+            registry_age: now.saturating_sub(self.registry.last_answer_at()),
         };
         Some((chosen.clone(), reasons))
     }
--- a/crates/net/src/gateway/exchange.rs
+++ b/crates/net/src/gateway/exchange.rs
@@ -30,10 +30,42 @@
     pub(super) upstream: UpstreamId,
     work: Work,
     sent_at: Now,
+    /// When bytes of the answer last arrived; [`Self::sent_at`] before the first.
+    heard_at: Now,
+    /// Whether the head of an answer arrived.
+    has_head: bool,
+    /// Number of events that arrived.
+    events: u32,
     ended: bool,
 }
 
 impl InFlight {
+    fn start(exchange: &Exchange, upstream: &Upstream, now: Now) -> Self {
+        Self {
+            shared: Arc::clone(&exchange.shared),
+            request: exchange.admitted.id.clone(),
+            upstream: upstream.id.clone(),
+            work: exchange.admitted.work,
+            sent_at: now,
+            heard_at: now,
+            has_head: false,
+            events: 0,
+            ended: false,
+        }
+    }
+
+    /// Records that the head of the answer arrived.
+    fn record_head(&mut self) {
+        self.has_head = true;
+        self.heard_at = self.shared.now();
+    }
+
+    /// Records that a whole event of the answer arrived.
+    pub(super) fn record_event(&mut self) {
+        self.events += 1;
+        self.heard_at = self.shared.now();
+    }
+
     pub(super) fn end(mut self, outcome: Outcome) {
         self.report(outcome);
     }
@@ -53,7 +85,10 @@
             .about_request(self.request.as_str())
             .with("upstream", self.upstream.as_str())
             .with("outcome", outcome.name())
-            .with("took_ms", now.saturating_sub(self.sent_at));
+            .with("took_ms", now.saturating_sub(self.sent_at))
+            .with("head", u32::from(self.has_head))
+            .with("events", self.events)
+            .with("silent_ms", now.saturating_sub(self.heard_at));
         shared.timeline.record(event);
         if ejected {
             let event = Event::new(EventKind::UpstreamEjected, "left out for a while")
@@ -222,23 +257,19 @@
             Next::Refuse(refusal) => return SendResult::Refused(refusal),
         };
         self.record_dispatch(&upstream, reasons, resume_after);
-        let in_flight = InFlight {
-            shared: Arc::clone(&self.shared),
-            request: self.admitted.id.clone(),
-            upstream: upstream.id.clone(),
-            work: self.admitted.work,
-            sent_at: now,
-            ended: false,
-        };
+        let mut in_flight = InFlight::start(self, &upstream, now);
         let sending = self.exchange(&upstream, resume_after);
         match tokio::time::timeout_at(self.deadline, sending).await {
-            Ok(Ok((parts, body, sender))) => SendResult::Answer(Box::new(Answer {
-                address: upstream.address,
-                parts,
-                body,
-                sender,
-                in_flight,
-            })),
+            Ok(Ok((parts, body, sender))) => {
+                in_flight.record_head();
+                SendResult::Answer(Box::new(Answer {
+                    address: upstream.address,
+                    parts,
+                    body,
+                    sender,
+                    in_flight,
+                }))
+            }
             Ok(Err(outcome)) => {
                 self.end(in_flight, outcome);
                 SendResult::Ended
@@ -268,6 +299,7 @@
             .with("left_out", reasons.avoided)
             .with("own_in_flight", reasons.in_flight)
             .with("registry", reasons.registry)
+            .with("registry_age_ms", reasons.registry_age)
             .with("resume_after", resume_after.unwrap_or_default());
         self.shared.timeline.record(event);
     }
--- a/crates/net/src/gateway/relay.rs
+++ b/crates/net/src/gateway/relay.rs
@@ -154,6 +154,9 @@
         let deadline = self.exchange.deadline;
         loop {
             if let Some(event) = self.splitter.next_event() {
+                if let Some(source) = &mut self.source {
+                    source.in_flight.record_event();
+                }
                 return Step::Event(event);
             }
             if self.splitter.is_too_long() {
