Add a failing test: the answers to all watches of the store are lost

An upstream says that it leaves at 25.508 s; at 27.843 s edge-macon-1 sends it a request. The watch that waited during the fault is never answered, and its time limit is 32 s.

--- a/crates/standins/src/users/store.rs
+++ b/crates/standins/src/users/store.rs
@@ -54,6 +54,8 @@
     compacted_rev: u64,
     access: AccessMode,
     calls: u64,
+    /// Number of times that the waiting watches were abandoned.
+    abandoned: u64,
 }
 
 /// Handle of a running store.
@@ -109,6 +111,13 @@
         self.shared.changed.send_modify(|_| {});
     }
 
+    /// Never answers the watches that are waiting now, and leaves their connections open, as when
+    /// their answers are lost on the way. Later calls are executed.
+    pub fn abandon_waiting_watches(&self) {
+        self.shared.lock().abandoned += 1;
+        self.shared.changed.send_modify(|_| {});
+    }
+
     /// Creates or replaces an object without a condition.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
         self.shared.change(kind, name, Some(spec));
@@ -235,8 +244,12 @@
         let wait_ms = query_value(query, "wait_ms").and_then(|w| w.parse().ok());
         let wait = Duration::from_millis(wait_ms.unwrap_or(0));
         let mut changed = self.changed.subscribe();
+        let abandoned = self.lock().abandoned;
         let deadline = tokio::time::Instant::now() + wait;
         loop {
+            if self.lock().abandoned != abandoned {
+                return std::future::pending().await;
+            }
             if let Some(answer) = self.events(kind, after) {
                 return answer;
             }
--- a/crates/standins/tests/gateway/store.rs
+++ b/crates/standins/tests/gateway/store.rs
@@ -74,6 +74,30 @@
         .await;
 }
 
+/// Longest time from the end of a fault at the store until the hosts know what changed meanwhile.
+const STORE_SETTLE_TIME: Duration = Duration::from_secs(3);
+
+// Guards against new requests for a draining replica, and requests that a new configuration forbids,
+// when the answers to all waiting watches are lost.
+#[tokio::test]
+async fn lost_answers_to_watches_hide_no_leaving_replica_and_no_configuration() {
+    let cluster = Cluster::start(2, 3).await;
+    cluster.store.abandon_waiting_watches();
+    let leaving = cluster.replicas[0].registry_entry("drafts", true);
+    cluster.store.put("servers", "i-0", leaving);
+    cluster.store.put("config", "main", with_route(5));
+    tokio::time::sleep(STORE_SETTLE_TIME).await;
+    let before = cluster.replicas[0].arrivals().len();
+    for gateway in 0..3 {
+        for n in 0..6 {
+            let id = format!("r-{gateway}-{n}");
+            let answer = cluster.call_at(gateway, "GET", "/v5/x", &id).await;
+            assert_eq!(answer.status, 200, "gateway {gateway}");
+        }
+    }
+    assert_eq!(cluster.replicas[0].arrivals().len(), before);
+}
+
 // Guards against new requests for a replica that is draining or whose entry was deleted.
 #[tokio::test]
 async fn leaving_or_removed_replica_gets_no_new_requests() {
