Notice within the settle time that a watch of the store is never answered

Callers saw requests sent to an upstream over two seconds after it had said that it was leaving, and configurations applied late, on hosts that the store had stopped answering for a while. Cause: a watch waited for up to 30 s with a time limit of 32 s and no keepalive. If its answer was lost - the store fell silent, the path was cut - the host went on with what it knew although the store answered new calls, and the hosts around it could be in the same state.

A watch now waits for 0.6 of the time after a fault in which hosts must be up to date again (new setting store_settle_ms, on the users' platform its stable window), and has 0.7 s more to be answered; a list has 1.2 s. The same cause was looked for elsewhere: follows of other hosts' copies wait for 1 s, calls between sidecars and orders have limits below a second, and sidecars make no watches.

--- a/crates/core/src/gateway/follow.rs
+++ b/crates/core/src/gateway/follow.rs
@@ -7,6 +7,9 @@
 //! A watch whose history is gone restarts with a list. Failed calls are retried after a jittered
 //! delay that grows up to [`MAX_RETRY_DELAY`], which is short because the configuration must be in
 //! force everywhere two seconds after the store accepted it.
+//!
+//! The answer to a watch may be lost without a sign of it, so a watch waits only for a part of the
+//! time after a fault in which hosts must be up to date again; see [`watch_wait`].
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -17,8 +20,11 @@
 use crate::platform::{Change, KindCall, KindReply, StoredObject, Version};
 use crate::types::Now;
 
-/// Time for which the store holds a watch without a change; this is the store's own limit.
-pub const WATCH_WAIT: Duration = Duration::from_secs(30);
+/// Part of the settle time for which a watch waits; the rest is for noticing that its answer was lost
+/// and for the list that follows.
+const WATCH_SHARE_OF_SETTLE_TIME: f64 = 0.6;
+/// Longest time for which the store holds a watch without a change.
+const MAX_WATCH_WAIT: Duration = Duration::from_secs(30);
 /// Delay after the first failure, before jitter.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Longest delay after repeated failures.
@@ -58,6 +64,15 @@
     Watch(Version),
 }
 
+/// Time for which a watch may wait, if a host has to be up to date `settle_time` after the end of a
+/// fault of the store or of the path to it.
+#[must_use]
+pub fn watch_wait(settle_time: Duration) -> Duration {
+    settle_time
+        .mul_f64(WATCH_SHARE_OF_SETTLE_TIME)
+        .min(MAX_WATCH_WAIT)
+}
+
 /// Follower of one kind of objects.
 #[derive(Clone, Debug)]
 pub struct Follower {
@@ -67,21 +82,23 @@
     revision: Version,
     failures: u32,
     not_before: Now,
+    watch_wait: Duration,
     watch_delay: Duration,
     changed_at: Option<Now>,
     rng: SmallRng,
 }
 
 impl Follower {
-    /// Creates a follower that begins with a list.
+    /// Creates a follower that begins with a list. Its watches wait for `watch_wait`.
     #[must_use]
-    pub fn new(kind: &str, seed: u64) -> Self {
+    pub fn new(kind: &str, watch_wait: Duration, seed: u64) -> Self {
         Self {
             kind: kind.to_owned(),
             phase: Self::first_page(),
             revision: 0,
             failures: 0,
             not_before: Now::ZERO,
+            watch_wait,
             watch_delay: MIN_WATCH_DELAY,
             changed_at: None,
             rng: SmallRng::seed_from_u64(seed),
@@ -108,7 +125,7 @@
             Phase::Watch(after) => KindCall::Watch {
                 kind,
                 after: *after,
-                wait: WATCH_WAIT,
+                wait: self.watch_wait,
             },
         };
         (self.not_before, call)
--- a/crates/core/src/gateway/tests/follow.rs
+++ b/crates/core/src/gateway/tests/follow.rs
@@ -1,5 +1,5 @@
 use super::ms;
-use crate::gateway::follow::{FollowUpdate, Follower};
+use crate::gateway::follow::{FollowUpdate, Follower, watch_wait};
 use crate::platform::{Change, KindCall, KindReply, StoredObject};
 
 fn object(name: &str, version: u64) -> StoredObject {
@@ -28,7 +28,7 @@
 // Guards against a list that ends after its first page.
 #[test]
 fn a_list_is_read_page_by_page_and_then_watched_from_its_revision() {
-    let mut follower = Follower::new("servers", 1);
+    let mut follower = Follower::new("servers", ms(1_800), 1);
     assert_eq!(
         follower.handle_reply(ms(1), page(&["a", "b"], true, 7)),
         None
@@ -46,7 +46,7 @@
 // Guards against changes that are lost between two watches.
 #[test]
 fn a_watch_continues_from_the_revision_of_the_last_reply() {
-    let mut follower = Follower::new("servers", 1);
+    let mut follower = Follower::new("servers", ms(1_800), 1);
     follower.handle_reply(ms(1), page(&[], false, 8));
     let changes = vec![Change::Deleted("a".into())];
     let reply = KindReply::Changes {
@@ -70,18 +70,31 @@
             reason: "reset".into(),
         },
     ] {
-        let mut follower = Follower::new("config", 1);
+        let mut follower = Follower::new("config", ms(1_800), 1);
         follower.handle_reply(ms(1), page(&[], false, 8));
         assert!(follower.handle_reply(ms(2), reply).is_some());
         assert_eq!(watched_from(&follower), None);
     }
 }
 
+// Guards against a watch whose answer was lost and that hides changes for longer than hosts may be
+// outdated after a fault.
+#[test]
+fn a_watch_ends_well_before_the_settle_time() {
+    for settle in [ms(500), ms(3_000), ms(5_000)] {
+        let wait = watch_wait(settle);
+        assert!(wait <= settle.mul_f64(0.7), "{wait:?} of {settle:?}");
+        let mut follower = Follower::new("servers", wait, 1);
+        follower.handle_reply(ms(1), page(&[], false, 8));
+        assert!(matches!(follower.next().1, KindCall::Watch { wait: used, .. } if used == wait));
+    }
+}
+
 // Guards against all hosts calling a failing store again at once, and against delays that leave a
 // host outdated for seconds.
 #[test]
 fn retry_delays_grow_to_less_than_a_second() {
-    let mut follower = Follower::new("config", 1);
+    let mut follower = Follower::new("config", ms(1_800), 1);
     let mut longest = ms(0);
     for n in 0..20 {
         let now = ms(n * 1_000);
@@ -98,7 +111,7 @@
 // change late.
 #[test]
 fn a_series_of_changes_arrives_in_few_watches() {
-    let mut follower = Follower::new("servers", 1);
+    let mut follower = Follower::new("servers", ms(1_800), 1);
     follower.handle_reply(ms(0), page(&[], false, 1));
     let (mut now, mut watches) = (ms(0), 0);
     while now < ms(10_000) {
--- a/crates/daemon/src/run/mod.rs
+++ b/crates/daemon/src/run/mod.rs
@@ -179,6 +179,7 @@
         .directory(gateway.directory_address)
         .peers(settings.control_address, settings.seeds.clone())
         .metrics(settings.metrics_address)
+        .settle_time(Duration::from_millis(gateway.store_settle_ms))
         .retry_bound(retry_bound)
         .first_start(settings.first_start)
         .answer_validity(validity)
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -113,6 +113,9 @@
     if !(0.1..=3_600.0).contains(&gateway.answer_validity_s) {
         report("gateway.answer_validity_s", "must be 0.1 to 3600");
     }
+    if !(500..=60_000).contains(&gateway.store_settle_ms) {
+        report("gateway.store_settle_ms", "must be 500 to 60000");
+    }
     if !(0.0..=10.0).contains(&gateway.retry_ratio) {
         report("gateway.retry_ratio", "must be 0 to 10");
     }
--- a/crates/daemon/src/settings/model.rs
+++ b/crates/daemon/src/settings/model.rs
@@ -78,6 +78,9 @@
     pub directory_address: SocketAddr,
     /// Time for which callers may use an answer of the directory, in seconds.
     pub answer_validity_s: f64,
+    /// Time after a fault of the platform's API within which the host must be up to date again, in
+    /// milliseconds.
+    pub store_settle_ms: u64,
     /// Retries allowed per request to a service within a window.
     pub retry_ratio: f64,
     /// Retries allowed within a window in addition to `retry_ratio`, summed over all hosts.
--- a/crates/daemon/src/settings/tests.rs
+++ b/crates/daemon/src/settings/tests.rs
@@ -60,6 +60,7 @@
     "ready_address": "127.0.0.1:8081",
     "directory_address": "127.0.0.1:8082",
     "answer_validity_s": 5,
+    "store_settle_ms": 3000,
     "retry_ratio": 0.2,
     "retry_allowance": 100,
     "retry_window_s": 10,
@@ -80,6 +81,7 @@
 fn errors_name_the_invalid_gateway_setting() {
     for (field, bad) in [
         ("\"answer_validity_s\": 5", "\"answer_validity_s\": 0"),
+        ("\"store_settle_ms\": 3000", "\"store_settle_ms\": 0"),
         ("\"retry_ratio\": 0.2", "\"retry_ratio\": -1"),
         ("\"retry_allowance\": 100", "\"retry_allowance\": \"many\""),
         ("\"retry_window_s\": 10", "\"retry_window_s\": 1e9"),
--- a/crates/net/src/gateway/follow.rs
+++ b/crates/net/src/gateway/follow.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use eelgrasshold_core::event::{Event, EventKind};
-use eelgrasshold_core::gateway::follow::{FollowUpdate, Follower};
+use eelgrasshold_core::gateway::follow::{FollowUpdate, Follower, watch_wait};
 use eelgrasshold_core::gateway::registry::Upstream;
 use eelgrasshold_core::gateway::sources::{Source, Sources};
 use eelgrasshold_core::platform::{Change, KindCall, KindReply, StoredObject};
@@ -126,7 +126,8 @@
 }
 
 async fn follow(shared: &Arc<Shared>, kind: &str, mut apply: impl FnMut(FollowUpdate)) {
-    let mut follower = Follower::new(kind, rand::random());
+    let wait = watch_wait(shared.options.settle_time);
+    let mut follower = Follower::new(kind, wait, rand::random());
     let first_start = shared.options.first_start;
     let mut sources = Sources::new(shared.now(), first_start, rand::random());
     let mut link = CopyLink::default();
--- a/crates/net/src/gateway/options.rs
+++ b/crates/net/src/gateway/options.rs
@@ -19,6 +19,7 @@
     pub(super) metrics: Option<SocketAddr>,
     pub(super) seeds: Vec<SocketAddr>,
     pub(super) platform: String,
+    pub(super) settle_time: Duration,
     pub(super) retry_bound: RetryBound,
     pub(super) first_start: bool,
     pub(super) answer_validity: Duration,
@@ -52,6 +53,7 @@
                 metrics: None,
                 seeds: Vec::new(),
                 platform: platform.to_owned(),
+                settle_time: Duration::from_secs(3),
                 retry_bound: RetryBound {
                     window: Duration::from_secs(10),
                     ratio: 0.1,
@@ -114,6 +116,13 @@
         self
     }
 
+    /// Sets the time after a fault of the store within which the host must be up to date again.
+    #[must_use]
+    pub fn settle_time(mut self, time: Duration) -> Self {
+        self.options.settle_time = time;
+        self
+    }
+
     /// Sets the limit on retries, which holds over all entry hosts together.
     #[must_use]
     pub fn retry_bound(mut self, bound: RetryBound) -> Self {
--- a/crates/net/src/platform/mod.rs
+++ b/crates/net/src/platform/mod.rs
@@ -24,8 +24,13 @@
 /// Largest answer to a call about a kind, in bytes: a page or a batch of changes with objects of
 /// full size.
 const MAX_KIND_REPLY_BYTES: usize = 16 << 20;
-/// Time limit of a call; for a watch, in addition to the time for which the platform holds it.
+/// Time limit of a call; for a watch of an object, in addition to the time for which the platform
+/// holds it.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time limit of a list of a kind.
+const LIST_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Time limit of a watch of a kind, beyond the time for which the platform holds it.
+const WATCH_MARGIN: Duration = Duration::from_millis(700);
 /// Time that the platform holds a watch of an unchanged object.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -111,8 +116,8 @@
     async fn send_kind(&self, call: &KindCall) -> KindReply {
         let failed = |reason: String| KindReply::Failed { reason };
         let limit = match call {
-            KindCall::Watch { wait, .. } => *wait + CALL_TIMEOUT,
-            KindCall::List { .. } => CALL_TIMEOUT,
+            KindCall::Watch { wait, .. } => *wait + WATCH_MARGIN,
+            KindCall::List { .. } => LIST_TIMEOUT,
         };
         let request = match (self.dialect.kind_request)(&self.base, call) {
             Ok(request) => request.map(full),
