Add a failing test: the callers of a frozen rank give up

Nothing can stop the work there; the other ranks refuse what waits for it after 1.5 s and name it, and the callers leave after 2 s.

--- a/crates/standins/src/users/replica.rs
+++ b/crates/standins/src/users/replica.rs
@@ -49,6 +49,17 @@
     Normal,
     /// An event stream of this many events, whose connection closes in the middle of the next one.
     CutAfter(u64),
+    /// An event stream that falls silent after this many events; the connection stays open.
+    HangAfter(u64),
+    /// An event stream with this time between two events.
+    Paced(Duration),
+    /// After a delay, a refusal of a request that was not executed.
+    NotRunAfter {
+        /// Time until the refusal.
+        delay: Duration,
+        /// Address of the replica at fault, sent as `At-Server`.
+        at: SocketAddr,
+    },
     /// A refusal of a request that was not executed.
     NotRun {
         /// HTTP status of the refusal.
@@ -222,7 +233,7 @@
     } else {
         state.replies.pop_front().unwrap_or(Reply::Normal)
     };
-    arrival.ran = !matches!(reply, Reply::NotRun { .. });
+    arrival.ran = !matches!(reply, Reply::NotRun { .. } | Reply::NotRunAfter { .. });
     state.arrivals.push(arrival);
     (state.arrivals.len() - 1, reply, state.id.clone())
 }
@@ -277,13 +288,27 @@
     id: &str,
 ) -> io::Result<bool> {
     match reply {
-        Reply::Normal => write_normal(stream, arrival, id, None).await?,
+        Reply::Normal => write_normal(stream, arrival, id, Ending::Whole, EVENT_INTERVAL).await?,
         Reply::CutAfter(events) => {
-            write_normal(stream, arrival, id, Some(events)).await?;
+            let ending = Ending::CutAfter(events);
+            write_normal(stream, arrival, id, ending, EVENT_INTERVAL).await?;
             return Ok(false);
         }
+        Reply::HangAfter(events) => {
+            let ending = Ending::SilentAfter(events);
+            write_normal(stream, arrival, id, ending, EVENT_INTERVAL).await?;
+            return read_to_end(stream).await;
+        }
+        Reply::Paced(interval) => {
+            write_normal(stream, arrival, id, Ending::Whole, interval).await?;
+        }
+        Reply::NotRunAfter { delay, at } => {
+            tokio::time::sleep(delay).await;
+            let head = format!("X-Not-Executed: 1\r\nX-Instance: {id}\r\nAt-Server: {at}\r\n");
+            write_head(stream, arrival, 503, &head, Some(0)).await?;
+        }
         Reply::NormalThen(bytes) => {
-            write_normal(stream, arrival, id, None).await?;
+            write_normal(stream, arrival, id, Ending::Whole, EVENT_INTERVAL).await?;
             stream.write_all(&bytes).await?;
         }
         Reply::NotRun { status, at } => {
@@ -299,20 +324,22 @@
         }
         Reply::Bytes(bytes) => stream.write_all(&bytes).await?,
         Reply::Close => return Ok(false),
-        Reply::Hang => {
-            // Returns when the client closes the connection.
-            let mut rest = [0; 64];
-            while stream.read(&mut rest).await? > 0 {}
-            return Err(io::ErrorKind::ConnectionAborted.into());
-        }
+        Reply::Hang => return read_to_end(stream).await,
         Reply::Delayed(time) => {
             tokio::time::sleep(time).await;
-            write_normal(stream, arrival, id, None).await?;
+            write_normal(stream, arrival, id, Ending::Whole, EVENT_INTERVAL).await?;
         }
     }
     Ok(true)
 }
 
+/// Waits until the client closes the connection, which is an error.
+async fn read_to_end(stream: &mut TcpStream) -> io::Result<bool> {
+    let mut rest = [0; 64];
+    while stream.read(&mut rest).await? > 0 {}
+    Err(io::ErrorKind::ConnectionAborted.into())
+}
+
 async fn write_head(
     stream: &mut TcpStream,
     arrival: &Arrival,
@@ -342,11 +369,23 @@
     stream.write_all(body.as_bytes()).await
 }
 
+/// How an event stream ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ending {
+    /// With its last event.
+    Whole,
+    /// Within the event after this many.
+    CutAfter(u64),
+    /// After this many events, without the end of the body.
+    SilentAfter(u64),
+}
+
 async fn write_normal(
     stream: &mut TcpStream,
     arrival: &Arrival,
     id: &str,
-    cut_after: Option<u64>,
+    ending: Ending,
+    interval: Duration,
 ) -> io::Result<()> {
     let digest = format!("X-Signature: digest.{id}\r\n");
     if !arrival.path.starts_with("/stream/") {
@@ -359,7 +398,10 @@
     let after: u64 = arrival.header("last-event-id").parse().unwrap_or(0);
     for event in after + 1..=STREAM_EVENTS {
         let text = format!("id: {event}\ndata: piece {event}\n\n");
-        if cut_after.is_some_and(|cut| event > after + cut) {
+        if matches!(ending, Ending::SilentAfter(events) if event > after + events) {
+            return Ok(());
+        }
+        if matches!(ending, Ending::CutAfter(events) if event > after + events) {
             let half = &text[..text.len() / 2];
             return stream
                 .write_all(format!("{:x}\r\n{half}", text.len()).as_bytes())
@@ -368,7 +410,7 @@
         stream
             .write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())
             .await?;
-        tokio::time::sleep(EVENT_INTERVAL).await;
+        tokio::time::sleep(interval).await;
     }
     stream.write_all(b"0\r\n\r\n").await
 }
--- a/crates/standins/tests/gateway/main.rs
+++ b/crates/standins/tests/gateway/main.rs
@@ -6,4 +6,5 @@
 mod endless;
 mod hosts;
 mod ranks;
+mod stalls;
 mod store;
--- /dev/null
+++ b/crates/standins/tests/gateway/stalls.rs
@@ -0,0 +1,101 @@
+//! Groups whose ranks wait for one of them, as callers and replicas see it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use eelgrasshold_standins::users::Reply;
+use futures::future::join_all;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use super::cluster::{Cluster, request};
+
+/// Time without an event after which a caller gives up.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// Time for which ranks wait for another before they refuse what they have not begun.
+const STALL_TIME: Duration = Duration::from_millis(1_500);
+
+/// How a request ended for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    /// With bytes that contain the end of an answer, or a closed connection.
+    Ended,
+    /// The caller gave up.
+    GivenUp,
+}
+
+/// Sends a request for a stream and reads until it ends or its caller gives up.
+async fn patient_call(address: SocketAddr, id: &str) -> End {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let text = request("POST", "/stream/x", id).replace("2500", "8000");
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut bytes = Vec::new();
+    let mut chunk = [0; 4_096];
+    loop {
+        match tokio::time::timeout(PATIENCE, stream.read(&mut chunk)).await {
+            Err(_) => return End::GivenUp,
+            Ok(Ok(read)) if read > 0 => bytes.extend_from_slice(&chunk[..read]),
+            Ok(_) => return End::Ended,
+        }
+        let text = String::from_utf8_lossy(&bytes);
+        if text.ends_with("0\r\n\r\n") || !text.starts_with("HTTP/1.1 200") {
+            return End::Ended;
+        }
+    }
+}
+
+/// Sends requests for streams at the same time; returns how many callers gave up.
+async fn callers_that_give_up(cluster: &Cluster, requests: usize) -> usize {
+    let address = cluster.gateways[0].callers_address();
+    let calls =
+        (0..requests).map(|n| async move { patient_call(address, &format!("r-{n}")).await });
+    let ends = join_all(calls).await;
+    ends.into_iter().filter(|e| *e == End::GivenUp).count()
+}
+
+// Guards against work that goes on for callers that have left: nothing reaches a frozen machine, so its
+// callers have to be answered before they give up, once the ranks that wait for it say so.
+#[tokio::test]
+async fn callers_of_a_frozen_rank_are_answered_before_they_give_up() {
+    let cluster = Cluster::start(3, 1).await;
+    let frozen = &cluster.replicas[0];
+    frozen.queue_replies([Reply::HangAfter(2), Reply::Hang, Reply::HangAfter(1)]);
+    frozen.queue_replies(vec![Reply::Hang; 9]);
+    let waiting = Reply::NotRunAfter {
+        delay: STALL_TIME,
+        at: frozen.address(),
+    };
+    for replica in &cluster.replicas[1..] {
+        replica.queue_replies(vec![waiting.clone(); 12]);
+    }
+    assert_eq!(callers_that_give_up(&cluster, 12).await, 0);
+    assert!(cluster.replicas[0].arrivals().len() >= 3);
+}
+
+// Guards against slow streams that are ended because another rank reports a stall.
+#[tokio::test]
+async fn slow_streams_go_on_while_a_rank_reports_a_stall() {
+    let cluster = Cluster::start(2, 1).await;
+    let slow = Reply::Paced(Duration::from_millis(700));
+    cluster.replicas[0].queue_replies(vec![slow; 6]);
+    let waiting = Reply::NotRunAfter {
+        delay: STALL_TIME,
+        at: cluster.replicas[0].address(),
+    };
+    cluster.replicas[1].queue_replies(vec![waiting; 6]);
+    assert_eq!(callers_that_give_up(&cluster, 6).await, 0);
+    let arrivals = cluster.replicas[0].arrivals();
+    assert!(!arrivals.is_empty() && arrivals.iter().all(|a| !a.abandoned));
+}
+
+// Guards against work that is given up at a replica that is only silent for a while.
+#[tokio::test]
+async fn a_silent_replica_keeps_its_work_while_no_other_reports_a_stall() {
+    let cluster = Cluster::start(1, 1).await;
+    let late = Reply::Delayed(Duration::from_millis(1_900));
+    cluster.replicas[0].queue_replies(vec![late; 3]);
+    assert_eq!(callers_that_give_up(&cluster, 3).await, 0);
+    let arrivals = cluster.replicas[0].arrivals();
+    assert_eq!(arrivals.len(), 3);
+    assert!(arrivals.iter().all(|a| !a.abandoned));
+}
