Move streams away from an upstream that stands still

Cause: the gateway waited until its callers left, and nothing can be cancelled at a frozen machine; the other ranks of the group go on meanwhile. A stream is now lost when nothing came from its upstream for half of the callers' patience while other upstreams of the service went on, or one reported that its group waits. It goes on elsewhere, or is refused at once. Silence alone, a group that waits as a whole and a paused gateway give nothing up; tests guard these.

--- a/crates/core/src/gateway/health.rs
+++ b/crates/core/src/gateway/health.rs
@@ -68,7 +68,7 @@
                 record.ejected_until = now + REPLACED_EJECTION;
                 true
             }
-            Outcome::Unreachable | Outcome::Broken => {
+            Outcome::Unreachable | Outcome::Broken | Outcome::Silent => {
                 record.update_failure_rate(1.0);
                 let ejection =
                     (MIN_EJECTION * (1 << record.consecutive_failures.min(10))).min(MAX_EJECTION);
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 pub mod registry;
 pub mod retry_after;
 pub mod routes;
+pub mod silence;
 pub mod sources;
 mod state;
 
--- a/crates/core/src/gateway/routes.rs
+++ b/crates/core/src/gateway/routes.rs
@@ -85,7 +85,23 @@
     pub services: Vec<(ServiceId, u32)>,
 }
 
+/// Shortest time without an event after which callers abandon a stream.
+const MIN_PATIENCE: Duration = Duration::from_secs(2);
+/// Multiple of the target time to the first event after which callers abandon a stream, if longer.
+const PATIENCE_PER_TARGET_LATENCY: u32 = 4;
+/// Multiple of the target pause between events after which callers abandon a stream, if longer.
+const PATIENCE_PER_TARGET_PAUSE: u32 = 8;
+
 impl Route {
+    /// Time without an event after which callers abandon a stream.
+    #[must_use]
+    pub fn patience(&self) -> Duration {
+        let pause = self.target_pause.unwrap_or_default();
+        MIN_PATIENCE
+            .max(self.target_latency * PATIENCE_PER_TARGET_LATENCY)
+            .max(pause * PATIENCE_PER_TARGET_PAUSE)
+    }
+
     /// Chooses the service of a request at random by weight. `None` if the route has no service.
     pub fn choose_service(&self, rng: &mut impl Rng) -> Option<&ServiceId> {
         let total: u32 = self.services.iter().map(|s| s.1).sum();
--- /dev/null
+++ b/crates/core/src/gateway/silence.rs
@@ -0,0 +1,171 @@
+//! Streams at upstreams that stand still.
+//!
+//! A frozen machine says nothing, and a request to cancel does not reach it. The callers of its
+//! streams would give up without an answer, with time left in which another upstream could serve
+//! them, and the work that they had asked for would go on when the machine does.
+//!
+//! Silence alone is no evidence: the upstream may be slow, its group may wait for a rank, or this host
+//! may have been paused. A stream is lost if nothing at all has come from its upstream for most of
+//! the time that a caller waits, and meanwhile either other upstreams of the service went on, or one
+//! of them reported that its group waits for a rank.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::registry::UpstreamId;
+use crate::types::{Now, ServiceId};
+
+/// Share of a caller's patience after which a stream that has begun is lost, and with it all others at
+/// its upstream. Another upstream needs the rest to send its next event.
+const BEGUN_SHARE_OF_PATIENCE: f64 = 0.5;
+/// The same for a stream without an event at an upstream that sends no other; the first event may
+/// take longer.
+const NEW_SHARE_OF_PATIENCE: f64 = 0.75;
+/// Signs of other upstreams count once in this time, so that bytes which waited for this host while
+/// it was paused are no evidence of an upstream's silence.
+const BEAT: Duration = Duration::from_millis(100);
+/// Number of beats of other upstreams that show that they go on.
+const MIN_BEATS: u64 = 3;
+/// Time for which the report of a stall counts: ranks that wait report again with each request.
+const REPORT_VALIDITY: Duration = Duration::from_secs(1);
+/// Time after which an undecided attempt is looked at again.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// An attempt to have a stream served.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamAttempt<'a> {
+    /// Service of the request.
+    pub service: &'a str,
+    /// Upstream that it was sent to.
+    pub upstream: &'a str,
+    /// When it was sent.
+    pub sent_at: Now,
+    /// Whether an event has arrived.
+    pub has_begun: bool,
+    /// Time without an event after which the caller gives up.
+    pub patience: Duration,
+}
+
+/// Whether an attempt can be expected to go on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Prospect {
+    /// It can; decide again at this time unless something arrives.
+    GoesOn(Now),
+    /// Its upstream stands still.
+    Lost,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Service {
+    beats: u64,
+    last_beat_at: Option<Now>,
+    stall_reported_at: Option<Now>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Sign {
+    at: Now,
+    /// Beats of the service at that time.
+    beats: u64,
+    /// A stream was lost since.
+    stands_still: bool,
+}
+
+/// Signs of life of the upstreams that this host has sent requests to.
+#[derive(Clone, Debug, Default)]
+pub struct Signs {
+    services: BTreeMap<ServiceId, Service>,
+    last: BTreeMap<UpstreamId, Sign>,
+}
+
+impl Signs {
+    /// Records that a request is sent to an upstream. `is_idle` tells that this host has no other
+    /// one there, so that it could not have heard of the upstream.
+    pub fn record_send(&mut self, now: Now, service: &str, upstream: &str, is_idle: bool) {
+        let beats = self.services.get(service).map_or(0, |s| s.beats);
+        let sign = Sign {
+            at: now,
+            beats,
+            stands_still: false,
+        };
+        if is_idle || !self.last.contains_key(upstream) {
+            self.last.insert(upstream.to_owned(), sign);
+        }
+    }
+
+    /// Records that a part of an answer arrived from an upstream.
+    pub fn record(&mut self, now: Now, service: &str, upstream: &str) {
+        if !self.services.contains_key(service) {
+            self.services.insert(service.to_owned(), Service::default());
+        }
+        let Some(state) = self.services.get_mut(service) else {
+            return;
+        };
+        if state.last_beat_at.is_none_or(|at| now >= at + BEAT) {
+            state.beats += 1;
+            state.last_beat_at = Some(now);
+        }
+        let beats = state.beats;
+        if let Some(sign) = self.last.get_mut(upstream) {
+            *sign = Sign {
+                at: now,
+                beats,
+                stands_still: false,
+            };
+        }
+    }
+
+    /// Records that an upstream of a service waits for another one of its group.
+    pub fn record_stall(&mut self, now: Now, service: &str) {
+        let state = self.services.entry(service.to_owned()).or_default();
+        state.stall_reported_at = Some(now);
+    }
+
+    /// Prospect of an attempt.
+    #[must_use]
+    pub fn prospect(&mut self, now: Now, attempt: StreamAttempt<'_>) -> Prospect {
+        let sign = self.last.get(attempt.upstream);
+        if sign.is_some_and(|s| s.stands_still) {
+            return Prospect::Lost;
+        }
+        let heard_at = sign.map_or(attempt.sent_at, |s| s.at);
+        let after = |since: Now, share| since + attempt.patience.mul_f64(share);
+        let decided_at = if attempt.has_begun {
+            after(heard_at.max(attempt.sent_at), BEGUN_SHARE_OF_PATIENCE)
+        } else {
+            after(heard_at.max(attempt.sent_at), NEW_SHARE_OF_PATIENCE)
+        };
+        if now < decided_at {
+            // Streams that have begun may be lost sooner.
+            let begun_decided_at = after(heard_at, BEGUN_SHARE_OF_PATIENCE) + RECHECK_INTERVAL;
+            let next = if now < begun_decided_at {
+                decided_at.min(begun_decided_at)
+            } else {
+                decided_at.min(now + RECHECK_INTERVAL)
+            };
+            return Prospect::GoesOn(next);
+        }
+        let beats = self.services.get(attempt.service).map_or(0, |s| s.beats);
+        let beats_since = beats - sign.map_or(beats, |s| s.beats);
+        if beats_since >= MIN_BEATS || self.stall_reported(now, attempt.service) {
+            if let Some(sign) = self.last.get_mut(attempt.upstream) {
+                sign.stands_still = true;
+            }
+            Prospect::Lost
+        } else {
+            Prospect::GoesOn(now + RECHECK_INTERVAL)
+        }
+    }
+
+    /// Whether an upstream of a service reported a moment ago that it waits for another one.
+    #[must_use]
+    pub fn stall_reported(&self, now: Now, service: &str) -> bool {
+        let reported_at = self.services.get(service).and_then(|s| s.stall_reported_at);
+        reported_at.is_some_and(|at| now < at + REPORT_VALIDITY)
+    }
+
+    /// Drops what is recorded of upstreams that are no longer known.
+    pub fn retain(&mut self, known: impl Fn(&UpstreamId) -> bool) {
+        self.last.retain(|id, _| known(id));
+    }
+}
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -13,6 +13,7 @@
 use super::registry::{Registry, Upstream, UpstreamId};
 use super::retry_after;
 use super::routes::{Route, RouteTable, TableVersion};
+use super::silence::{Prospect, Signs, StreamAttempt};
 use crate::platform::Version;
 use crate::serving::subset::even_subset;
 use crate::types::{
@@ -93,8 +94,8 @@
     pub failed_connections: u32,
     /// Whether its group waits for one of its ranks, or seems to be forming.
     pub stalled: bool,
-    /// Whether the last upstream was full.
-    pub upstream_full: bool,
+    /// How the last attempt ended.
+    pub last_outcome: Option<Outcome>,
 }
 
 /// Next step of a request.
@@ -141,6 +142,8 @@
     /// The request was sent, but its answer did not arrive, broke off or belonged to another
     /// request.
     Broken,
+    /// The upstream stands still: nothing arrived from it while other upstreams went on.
+    Silent,
     /// The deadline passed while the upstream was working.
     TimedOut,
     /// The caller disconnected while the upstream was working.
@@ -148,9 +151,16 @@
 }
 
 impl Admitted {
+    /// Whether the request may be sent to one more upstream.
+    fn is_repeatable(&self) -> bool {
+        let attempts_left = (self.tried.len() as u32) < self.route.attempts;
+        let may_run_again = !self.may_have_run || self.route.kind.class() == WorkClass::Idempotent;
+        may_run_again && attempts_left
+    }
+
     /// Records what the outcome of an attempt means for the request.
     pub fn record_outcome(&mut self, upstream: &str, outcome: Outcome) {
-        self.upstream_full = outcome == Outcome::Full;
+        self.last_outcome = Some(outcome);
         match outcome {
             Outcome::Full | Outcome::Misdirected => {}
             Outcome::Stalled => self.stalled = true,
@@ -176,6 +186,7 @@
             Self::Misdirected => "misdirected",
             Self::Unreachable => "unreachable",
             Self::Broken => "broken",
+            Self::Silent => "silent",
             Self::TimedOut => "timed_out",
             Self::GivenUp => "given_up",
         }
@@ -192,6 +203,7 @@
     pub registry: Registry,
     loads: Loads,
     health: UpstreamHealth,
+    signs: Signs,
     /// Entry hosts that share the upstreams.
     fleet: BTreeSet<HostId>,
     /// Upstreams of each service that this host uses first, with the registry's revision for which
@@ -216,6 +228,7 @@
             registry: Registry::default(),
             loads: Loads::default(),
             health: UpstreamHealth::default(),
+            signs: Signs::default(),
             fleet: BTreeSet::new(),
             subsets: BTreeMap::new(),
             idle_refusals: BTreeMap::new(),
@@ -322,7 +335,7 @@
             may_have_run: false,
             failed_connections: 0,
             stalled: false,
-            upstream_full: false,
+            last_outcome: None,
         })
     }
 
@@ -337,7 +350,11 @@
                 "the time ran out",
             );
         }
-        request.stalled |= request.upstream_full && self.is_forming(&request.service);
+        request.stalled |= match request.last_outcome {
+            Some(Outcome::Full) => self.is_forming(&request.service),
+            Some(Outcome::Silent) => self.signs.stall_reported(now, &request.service),
+            _ => false,
+        };
         if request.stalled {
             let detail = "the group that serves the request waits for one of its ranks";
             return self.refuse(now, request, RefusalKind::NoUpstream, detail);
@@ -347,10 +364,7 @@
             return self.refuse(now, request, RefusalKind::NoUpstream, detail);
         }
         let repeated = !request.tried.is_empty();
-        let attempts_left = (request.tried.len() as u32) < request.route.attempts;
-        let repeatable =
-            !request.may_have_run || request.route.kind.class() == WorkClass::Idempotent;
-        if repeated && !(repeatable && attempts_left) {
+        if repeated && !request.is_repeatable() {
             let detail = "the upstreams that were tried did not serve the request";
             return self.refuse(now, request, RefusalKind::Overloaded, detail);
         }
@@ -363,6 +377,9 @@
             return self.refuse(now, request, RefusalKind::Overloaded, detail);
         }
         request.tried.insert(chosen.id.clone());
+        let is_idle = self.loads.requests(&chosen.id) == 0;
+        self.signs
+            .record_send(now, &request.service, &chosen.id, is_idle);
         self.loads.add(now, &chosen.id, request.work);
         Next::Send(chosen, reasons)
     }
@@ -456,10 +473,42 @@
         if outcome == Outcome::Full {
             self.loads.record_full(now, upstream);
         }
+        if let (Outcome::Stalled, Some(u)) = (outcome, self.registry.get(upstream)) {
+            self.signs.record_stall(now, &u.service);
+        }
         self.count_idle_refusal(upstream, outcome);
         self.health.observe(now, upstream, outcome)
     }
 
+    /// Records that a part of an answer arrived from an upstream.
+    pub fn record_sign(&mut self, now: Now, service: &str, upstream: &str) {
+        self.signs.record(now, service, upstream);
+    }
+
+    /// Prospect of the last attempt of a request for a stream, which was sent to an upstream at
+    /// `sent_at`. One that can't be repeated is left to its caller.
+    #[must_use]
+    pub fn prospect(
+        &mut self,
+        now: Now,
+        request: &Admitted,
+        upstream: &str,
+        sent_at: Now,
+        has_begun: bool,
+    ) -> Prospect {
+        if !(request.route.kind.is_stream() && request.is_repeatable()) {
+            return Prospect::GoesOn(request.deadline);
+        }
+        let attempt = StreamAttempt {
+            service: &request.service,
+            upstream,
+            sent_at,
+            has_begun,
+            patience: request.route.patience(),
+        };
+        self.signs.prospect(now, attempt)
+    }
+
     /// Counts refusals that are not caused by load, since this host has nothing running at the
     /// service.
     fn count_idle_refusal(&mut self, upstream: &str, outcome: Outcome) {
@@ -503,6 +552,7 @@
         let registry = &self.registry;
         self.health.retain(|id| registry.get(id).is_some());
         self.loads.retain(|id| registry.get(id).is_some());
+        self.signs.retain(|id| registry.get(id).is_some());
         changes
     }
 }
--- a/crates/core/src/gateway/tests/mod.rs
+++ b/crates/core/src/gateway/tests/mod.rs
@@ -8,6 +8,7 @@
 mod placing;
 mod registry;
 mod requests;
+mod silence;
 mod sources;
 
 use std::net::SocketAddr;
--- /dev/null
+++ b/crates/core/src/gateway/tests/silence.rs
@@ -0,0 +1,115 @@
+use std::time::Duration;
+
+use super::ms;
+use crate::gateway::silence::{Prospect, Signs, StreamAttempt};
+use crate::types::Now;
+
+const PATIENCE: Duration = Duration::from_secs(2);
+
+fn attempt(sent_at: Now, has_begun: bool) -> StreamAttempt<'static> {
+    StreamAttempt {
+        service: "drafts",
+        upstream: "u-1",
+        sent_at,
+        has_begun,
+        patience: PATIENCE,
+    }
+}
+
+/// When an attempt is lost, if it is looked at whenever it asks for that.
+fn lost_at(signs: &mut Signs, attempt: StreamAttempt<'_>) -> Now {
+    let mut now = attempt.sent_at.max(ms(1_000));
+    while let Prospect::GoesOn(next) = signs.prospect(now, attempt) {
+        assert!(next > now && next < ms(60_000));
+        now = next;
+    }
+    now
+}
+
+/// Signs of `u-1` until 1 s and of `u-2` until `others_until`.
+fn signs(others_until: u64) -> Signs {
+    let mut signs = Signs::default();
+    for upstream in ["u-1", "u-2"] {
+        signs.record_send(ms(0), "drafts", upstream, true);
+    }
+    for now in (100..=1_000).step_by(50) {
+        signs.record(ms(now), "drafts", "u-1");
+    }
+    for now in (1_000..=others_until).step_by(50) {
+        signs.record(ms(now), "drafts", "u-2");
+    }
+    signs
+}
+
+// Guards against callers that give up at an upstream that stands still while others go on.
+#[test]
+fn streams_at_a_silent_upstream_are_lost_before_their_callers_give_up() {
+    for (sent_at, has_begun) in [(ms(0), true), (ms(0), false), (ms(1_700), false)] {
+        let lost_at = lost_at(&mut signs(5_000), attempt(sent_at, has_begun));
+        let given_up_at = sent_at.max(ms(1_000)) + PATIENCE;
+        assert!(lost_at > ms(1_900), "{lost_at:?}");
+        assert!(lost_at + ms(400) < given_up_at, "{lost_at:?}");
+    }
+}
+
+// Guards against callers without an event that wait where the streams of others were lost.
+#[test]
+fn all_streams_at_an_upstream_are_lost_together() {
+    let mut known = signs(5_000);
+    let lost_at = lost_at(&mut known, attempt(ms(0), true));
+    let new = attempt(ms(900), false);
+    assert_eq!(known.prospect(lost_at, new), Prospect::Lost);
+    let Prospect::GoesOn(next) = signs(5_000).prospect(ms(1_000), new) else {
+        panic!("no stream is lost yet");
+    };
+    assert!(next <= lost_at + ms(200), "{next:?}");
+    known.record(lost_at, "drafts", "u-1");
+    assert_ne!(known.prospect(lost_at, new), Prospect::Lost);
+}
+
+// Guards against work that is given up because its upstream is silent while the whole group waits, or
+// because this host was paused and reads what waited for it.
+#[test]
+fn streams_go_on_while_no_upstream_shows_that_others_do() {
+    let attempt = attempt(ms(0), true);
+    let mut group_waits = signs(1_000);
+    assert_ne!(group_waits.prospect(ms(60_000), attempt), Prospect::Lost);
+    let mut paused = signs(1_000);
+    for n in 0..20 {
+        paused.record(ms(6_000 + n), "drafts", "u-2");
+    }
+    assert_ne!(paused.prospect(ms(6_020), attempt), Prospect::Lost);
+}
+
+// Guards against slow streams that are cut, and against a late answer to one request that does not
+// count for the others.
+#[test]
+fn any_part_of_an_answer_keeps_all_streams_of_its_upstream() {
+    let mut signs = signs(5_000);
+    signs.record(ms(4_000), "drafts", "u-1");
+    let begun = attempt(ms(0), true);
+    let next = Prospect::GoesOn(ms(5_000));
+    assert_eq!(signs.prospect(ms(4_900), begun), next);
+}
+
+// Guards against callers that give up at one rank after another one has reported the stall.
+#[test]
+fn streams_at_a_silent_rank_are_lost_once_another_reports_a_stall() {
+    let mut signs = signs(1_000);
+    let begun = attempt(ms(0), true);
+    signs.record_stall(ms(2_500), "other");
+    assert_ne!(signs.prospect(ms(2_500), begun), Prospect::Lost);
+    signs.record_stall(ms(1_400), "drafts");
+    assert_ne!(signs.prospect(ms(2_500), begun), Prospect::Lost);
+    signs.record_stall(ms(2_500), "drafts");
+    assert_eq!(signs.prospect(ms(2_500), begun), Prospect::Lost);
+}
+
+// Guards against an upstream that counts as silent for the time in which nothing was asked of it.
+#[test]
+fn an_idle_upstream_is_not_silent() {
+    let mut signs = signs(9_000);
+    signs.record_send(ms(8_000), "drafts", "u-1", true);
+    let new = attempt(ms(8_000), false);
+    assert_ne!(signs.prospect(ms(9_400), new), Prospect::Lost);
+}
--- a/crates/net/src/gateway/exchange.rs
+++ b/crates/net/src/gateway/exchange.rs
@@ -8,7 +8,7 @@
 use eelgrasshold_core::gateway::placing::Work;
 use eelgrasshold_core::gateway::registry::{Upstream, UpstreamId};
 use eelgrasshold_core::gateway::{Admitted, Next, Outcome, Reasons};
-use eelgrasshold_core::types::{Now, Refusal, RefusalKind, WorkClass};
+use eelgrasshold_core::types::{Now, Refusal, RefusalKind, ServiceId, WorkClass};
 use eelgrasshold_platform::headers as names;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use http::{request, response};
@@ -23,19 +23,23 @@
 use crate::http::{Body, full};
 use crate::wire::headers::{parsed, remove_hop_by_hop, text, value};
 
+/// Reason for giving up an attempt, for logs.
+pub(super) const STANDS_STILL: &str = "the upstream has long been silent while others were not";
+
 /// An attempt in flight. Dropping it without an outcome reports [`Outcome::GivenUp`].
 pub(super) struct InFlight {
     shared: Arc<Shared>,
     request: String,
+    service: ServiceId,
     pub(super) upstream: UpstreamId,
     work: Work,
-    sent_at: Now,
+    pub(super) sent_at: Now,
     /// When bytes of the answer last arrived; [`Self::sent_at`] before the first.
     heard_at: Now,
     /// Whether the head of an answer arrived.
     has_head: bool,
     /// Number of events that arrived.
-    events: u32,
+    pub(super) events: u32,
     ended: bool,
 }
 
@@ -44,6 +48,7 @@
         Self {
             shared: Arc::clone(&exchange.shared),
             request: exchange.admitted.id.clone(),
+            service: exchange.admitted.service.clone(),
             upstream: upstream.id.clone(),
             work: exchange.admitted.work,
             sent_at: now,
@@ -57,13 +62,19 @@
     /// Records that the head of the answer arrived.
     fn record_head(&mut self) {
         self.has_head = true;
+        self.record_bytes();
+    }
+
+    /// Records that bytes of the answer arrived.
+    pub(super) fn record_bytes(&mut self) {
         self.heard_at = self.shared.now();
+        let mut core = self.shared.core();
+        core.record_sign(self.heard_at, &self.service, &self.upstream);
     }
 
     /// Records that a whole event of the answer arrived.
     pub(super) fn record_event(&mut self) {
         self.events += 1;
-        self.heard_at = self.shared.now();
     }
 
     pub(super) fn end(mut self, outcome: Outcome) {
@@ -259,7 +270,14 @@
         self.record_dispatch(&upstream, reasons, resume_after);
         let mut in_flight = InFlight::start(self, &upstream, now);
         let sending = self.exchange(&upstream, resume_after);
-        match tokio::time::timeout_at(self.deadline, sending).await {
+        let sent = tokio::select! {
+            sent = tokio::time::timeout_at(self.deadline, sending) => sent,
+            () = self.shared.lost(&self.admitted, &upstream.id, now, false) => {
+                self.record_dropped_answer(&upstream.id, STANDS_STILL);
+                Ok(Err(Outcome::Silent))
+            }
+        };
+        match sent {
             Ok(Ok((parts, body, sender))) => {
                 in_flight.record_head();
                 SendResult::Answer(Box::new(Answer {
--- a/crates/net/src/gateway/relay.rs
+++ b/crates/net/src/gateway/relay.rs
@@ -16,7 +16,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 
-use super::exchange::{Answer, Exchange, InFlight, SendResult, forward_answer};
+use super::exchange::{Answer, Exchange, InFlight, STANDS_STILL, SendResult, forward_answer};
 use super::pool::{Sender, idle_limit};
 use super::sse::{EventSplitter, event_id};
 use crate::http::Body;
@@ -34,8 +34,8 @@
     Event(Bytes),
     /// The stream ended after a whole event.
     Complete,
-    /// The connection failed or the stream ended within an event.
-    Broken(String),
+    /// The connection failed, the stream ended within an event, or the upstream stands still.
+    Failed(Outcome, String),
     TimedOut,
 }
 
@@ -71,8 +71,8 @@
         match relay.step().await {
             Step::Event(event) => relay.record_first_event(event),
             Step::Complete => relay.finish(),
-            Step::Broken(reason) => {
-                relay.end_source(Outcome::Broken, &reason);
+            Step::Failed(outcome, reason) => {
+                relay.end_source(outcome, &reason);
                 return Err(Box::new(relay.exchange));
             }
             Step::TimedOut => {
@@ -123,8 +123,8 @@
                         self.cut("the request's deadline passed during the stream")
                     ));
                 }
-                Step::Broken(reason) => {
-                    self.end_source(Outcome::Broken, &reason);
+                Step::Failed(outcome, reason) => {
+                    self.end_source(outcome, &reason);
                     if !self.resume().await {
                         return Some(Err(self.cut(&reason)));
                     }
@@ -160,25 +160,37 @@
                 return Step::Event(event);
             }
             if self.splitter.is_too_long() {
-                return Step::Broken("an event of the stream does not end".to_owned());
+                return broken("an event of the stream does not end");
             }
             let Some(source) = &mut self.source else {
-                return Step::Broken("no upstream supplies the stream".to_owned());
+                return broken("no upstream supplies the stream");
             };
-            let Ok(frame) = tokio::time::timeout_at(deadline, source.body.frame()).await else {
+            let (shared, admitted) = (&self.exchange.shared, &self.exchange.admitted);
+            let InFlight {
+                upstream,
+                sent_at,
+                events,
+                ..
+            } = &source.in_flight;
+            let frame = tokio::select! {
+                frame = tokio::time::timeout_at(deadline, source.body.frame()) => frame,
+                () = shared.lost(admitted, upstream, *sent_at, *events > 0) => {
+                    return Step::Failed(Outcome::Silent, STANDS_STILL.to_owned());
+                }
+            };
+            let Ok(frame) = frame else {
                 return Step::TimedOut;
             };
             match frame {
                 Some(Ok(frame)) => {
+                    source.in_flight.record_bytes();
                     if let Some(data) = frame.data_ref() {
                         self.splitter.push(data);
                     }
                 }
-                Some(Err(error)) => {
-                    return Step::Broken(format!("the stream was interrupted: {error}"));
-                }
+                Some(Err(error)) => return broken(&format!("the stream was interrupted: {error}")),
                 None if self.splitter.has_partial() => {
-                    return Step::Broken("the stream ended within an event".to_owned());
+                    return broken("the stream ended within an event");
                 }
                 None => return Step::Complete,
             }
@@ -239,6 +251,10 @@
     }
 }
 
+fn broken(reason: &str) -> Step {
+    Step::Failed(Outcome::Broken, reason.to_owned())
+}
+
 fn source(answer: Answer) -> Source {
     Source {
         body: answer.body,
--- a/crates/net/src/gateway/shared.rs
+++ b/crates/net/src/gateway/shared.rs
@@ -8,9 +8,10 @@
 
 use bytes::Bytes;
 use eelgrasshold_core::event::{Event, EventKind};
-use eelgrasshold_core::gateway::Gateway;
 use eelgrasshold_core::gateway::peers::{Peers, StoreVersions};
 use eelgrasshold_core::gateway::registry::{Change, Upstream};
+use eelgrasshold_core::gateway::silence::Prospect;
+use eelgrasshold_core::gateway::{Admitted, Gateway};
 use eelgrasshold_core::types::Now;
 use eelgrasshold_platform::callers::MAX_ADDRESSES;
 use tokio::sync::Notify;
@@ -110,6 +111,29 @@
         self.pool.keep(self.now(), upstream, sender, limit);
     }
 
+    /// Waits until the attempt of a request that was sent to an upstream at `sent_at` can't be
+    /// expected to go on. `has_begun` tells that an event of the stream has arrived.
+    pub(super) async fn lost(
+        &self,
+        request: &Admitted,
+        upstream: &str,
+        sent_at: Now,
+        has_begun: bool,
+    ) {
+        loop {
+            let now = self.now();
+            let prospect = self
+                .core()
+                .prospect(now, request, upstream, sent_at, has_begun);
+            match prospect {
+                Prospect::GoesOn(until) => {
+                    tokio::time::sleep_until(self.clock.instant(until)).await;
+                }
+                Prospect::Lost => return,
+            }
+        }
+    }
+
     /// Records changes of the registry in the event timeline.
     pub(super) fn record_registry_changes(&self, changes: Vec<Change>) {
         for change in changes {
