Copy a registry from another host only if it is newer as a whole

Hosts compared the revision of the last change that each knew. A list from the store counts with the revision of its newest entry, so a host with a fresh list pulled the list of one that had missed a removal, and kept it: its own watch tells only what comes later. Entries that had lapsed at the other host came as present ones.

A registry now has the revision up to which it holds all changes; a copy is applied only if its own is higher, has no lapsed entries, and says whether the store answers its host. If it does, what is missing from it is gone, also for a host that the store does not answer. Answers of the store that are older than a copy are passed over. The tests use the new calls, so they could not be run on the old code.

--- a/crates/core/src/gateway/peers.rs
+++ b/crates/core/src/gateway/peers.rs
@@ -410,7 +410,7 @@
 
     /// Returns what to pull from a host that has been ahead of the local one for [`PULL_DELAY`].
     /// Each host follows the store on its own and cannot detect by itself that it has fallen
-    /// behind.
+    /// behind. `own` has the revisions up to which the local host holds all changes.
     pub fn pull(&mut self, now: Now, own: StoreVersions) -> Option<Pull> {
         let live = || self.others.values().filter(|p| !p.unresponsive);
         let newest_table = live().max_by_key(|p| p.store_versions.table);
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -5,6 +5,11 @@
 //! they reappear soon after the store does. Upstreams whose entries lapsed then stay usable for
 //! [`LAPSE_GRACE`] after the store's recovery.
 //!
+//! Hosts copy the registry from one another. The revision of the last change does not tell which of two
+//! registries is newer: a list from the store shows no deletions, and the revision of its newest entry
+//! may be far behind. Each registry therefore has the revision up to which it holds all changes, see
+//! [`Registry::as_of`].
+//!
 //! A crashed upstream stays listed for some seconds. If another one uses its address meanwhile, the
 //! newer entry reveals the crash, see [`Registry::is_replaced`].
 
@@ -63,6 +68,20 @@
     Gone(UpstreamId),
 }
 
+/// The registry of a host, for another one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RegistryCopy {
+    /// Entries that the host knows to exist.
+    pub upstreams: Vec<Upstream>,
+    /// Revision of the last known change.
+    pub revision: Version,
+    /// Revision up to which all changes are included.
+    pub as_of: Version,
+    /// Whether the store answers the host, so that no entry is missing because of an outage.
+    pub is_certain: bool,
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     upstream: Upstream,
@@ -81,6 +100,8 @@
     complete: bool,
     /// Revision of the last known change.
     revision: Version,
+    /// Revision up to which all changes are included.
+    as_of: Version,
     /// When the store last answered.
     last_answer_at: Now,
 }
@@ -132,6 +153,44 @@
         self.revision
     }
 
+    /// Revision up to which all changes are included; 0 before the first list.
+    #[must_use]
+    pub fn as_of(&self) -> Version {
+        self.as_of
+    }
+
+    /// Records that all changes up to a revision are included.
+    pub fn set_as_of(&mut self, revision: Version) {
+        self.as_of = self.as_of.max(revision);
+    }
+
+    /// A copy for another host; `None` before the first list.
+    #[must_use]
+    pub fn copy(&self) -> Option<RegistryCopy> {
+        let present = self.entries.values().filter(|l| !l.lapsed);
+        self.complete.then(|| RegistryCopy {
+            upstreams: present.map(|l| l.upstream.clone()).collect(),
+            revision: self.revision,
+            as_of: self.as_of,
+            is_certain: self.outage == Outage::None,
+        })
+    }
+
+    /// Replaces all entries by the copy of another host, unless the own ones are as new.
+    pub fn apply_copy(&mut self, now: Now, copy: RegistryCopy) -> Vec<Change> {
+        if copy.as_of <= self.as_of {
+            return Vec::new();
+        }
+        let own_outage = self.outage;
+        if copy.is_certain {
+            self.outage = Outage::None;
+        }
+        let changes = self.replace(now, copy.upstreams, copy.revision);
+        self.outage = own_outage;
+        self.set_as_of(copy.as_of);
+        changes
+    }
+
     /// Replaces all entries by a complete list. The revision of a list says nothing about deletions
     /// before it, so `revision` is that of the newest entry.
     pub fn replace(&mut self, now: Now, list: Vec<Upstream>, revision: Version) -> Vec<Change> {
--- a/crates/core/src/gateway/tests/registry.rs
+++ b/crates/core/src/gateway/tests/registry.rs
@@ -1,5 +1,5 @@
 use super::{ms, upstream};
-use crate::gateway::registry::{Change, LAPSE_GRACE, Registry, Upstream};
+use crate::gateway::registry::{Change, LAPSE_GRACE, Registry, RegistryCopy, Upstream};
 
 fn usable(registry: &Registry) -> usize {
     registry.usable("drafts").count()
@@ -89,3 +89,57 @@
     registry.remove(ms(1), "u-2", 7);
     assert!(!registry.is_replaced(&old));
 }
+
+/// A copy with the given upstreams, as of a revision.
+fn copy(upstreams: &[u8], revision: u64, as_of: u64, is_certain: bool) -> RegistryCopy {
+    RegistryCopy {
+        upstreams: upstreams.iter().map(|n| upstream(*n)).collect(),
+        revision,
+        as_of,
+        is_certain,
+    }
+}
+
+// Guards against an upstream that left and comes back from the copy of a host that missed it: the
+// revision of the newest entry in a fresh list is below that of the last change the other host saw.
+#[test]
+fn an_older_copy_with_a_later_change_does_not_bring_an_upstream_back() {
+    let mut restarted = Registry::default();
+    restarted.replace(ms(0), vec![upstream(1)], 2);
+    restarted.set_as_of(20);
+    assert!(
+        restarted
+            .apply_copy(ms(1), copy(&[1, 2], 15, 18, true))
+            .is_empty()
+    );
+    assert_eq!(usable(&restarted), 1);
+    let changes = restarted.apply_copy(ms(2), copy(&[1, 3], 22, 22, true));
+    assert_eq!(changes, [Change::Joined("u-3".into())]);
+    assert_eq!((restarted.revision(), restarted.as_of()), (22, 22));
+}
+
+// Guards against an entry that lapsed at one host and is taken from there as a present one.
+#[test]
+fn a_copy_has_no_lapsed_entries_and_says_that_some_may_be_missing() {
+    let mut cut = Registry::default();
+    cut.replace(ms(0), vec![upstream(1), upstream(2)], 3);
+    cut.store_failed();
+    cut.remove(ms(1), "u-1", 4);
+    let copy = cut.copy().unwrap();
+    assert_eq!(copy.upstreams, [upstream(2)]);
+    assert!(!copy.is_certain);
+}
+
+// Guards against requests to an upstream that is gone by a host that the store does not answer, while
+// another host is answered and says so.
+#[test]
+fn an_entry_that_is_missing_from_a_certain_copy_is_gone() {
+    for (is_certain, left) in [(true, 1), (false, 2)] {
+        let mut cut = Registry::default();
+        cut.replace(ms(0), vec![upstream(1), upstream(2)], 3);
+        cut.store_failed();
+        cut.apply_copy(ms(1), copy(&[2], 9, 9, is_certain));
+        assert_eq!(usable(&cut), left);
+        assert!(!cut.store_answers());
+    }
+}
--- a/crates/net/src/gateway/follow.rs
+++ b/crates/net/src/gateway/follow.rs
@@ -78,8 +78,16 @@
         let mut core = shared.core();
         let was_ready = core.is_ready();
         let changes = match update {
-            FollowUpdate::All(objects, _) => {
+            // Another host's copy may already hold later changes.
+            FollowUpdate::All(_, as_of) | FollowUpdate::Changes(_, as_of)
+                if as_of < core.registry.as_of() =>
+            {
                 core.registry.store_answered(now);
+                Vec::new()
+            }
+            FollowUpdate::All(objects, as_of) => {
+                core.registry.store_answered(now);
+                core.registry.set_as_of(as_of);
                 let list: Vec<Upstream> = objects
                     .iter()
                     .filter_map(|o| read_upstream(&shared, o))
@@ -89,6 +97,7 @@
             }
             FollowUpdate::Changes(changes, revision) => {
                 core.registry.store_answered(now);
+                core.registry.set_as_of(revision);
                 let registry = &mut core.registry;
                 let apply = |change| match change {
                     Change::Set(object) => match read_upstream(&shared, &object) {
--- a/crates/net/src/gateway/gossip.rs
+++ b/crates/net/src/gateway/gossip.rs
@@ -6,7 +6,9 @@
 
 use bincode::Options;
 use eelgrasshold_core::event::{Event, EventKind};
-use eelgrasshold_core::gateway::peers::{Gossip, PeerChange, PeerState, ROUND_INTERVAL};
+use eelgrasshold_core::gateway::peers::{
+    Gossip, PeerChange, PeerState, ROUND_INTERVAL, StoreVersions,
+};
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
 
@@ -46,11 +48,15 @@
 fn round(shared: &Arc<Shared>, socket: &UdpSocket) {
     update_state(shared);
     let store_versions = shared.store_versions();
+    let known = StoreVersions {
+        registry: shared.core().registry.as_of(),
+        ..store_versions
+    };
     let mut peers = shared.peers();
     let (sends, changes) = peers.round(shared.now(), store_versions);
     let hosts = peers.count();
     let live = peers.live_hosts().iter().map(|p| p.host.clone()).collect();
-    let pull = peers.pull(shared.now(), store_versions);
+    let pull = peers.pull(shared.now(), known);
     drop(peers);
     if let Some(pull) = pull {
         shared.copies.mark_behind();
--- a/crates/net/src/gateway/pulls.rs
+++ b/crates/net/src/gateway/pulls.rs
@@ -9,8 +9,8 @@
 
 use eelgrasshold_core::event::{Event, EventKind};
 use eelgrasshold_core::gateway::peers::Pull;
-use eelgrasshold_core::gateway::registry::Upstream;
-use eelgrasshold_core::platform::{KindCall, Version};
+use eelgrasshold_core::gateway::registry::RegistryCopy;
+use eelgrasshold_core::platform::KindCall;
 use futures::StreamExt;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
@@ -30,8 +30,8 @@
     async fn follow(call: KindCall) -> Vec<u8>;
     /// Document of the configuration in force; empty if there is none.
     async fn table() -> Vec<u8>;
-    /// The upstreams and the revision of the last change; `None` if the host has no complete list.
-    async fn registry() -> Option<(Vec<Upstream>, Version)>;
+    /// The registry of upstreams; `None` if the host has no complete list.
+    async fn registry() -> Option<RegistryCopy>;
 }
 
 #[derive(Clone)]
@@ -48,11 +48,8 @@
         stored.to_vec()
     }
 
-    async fn registry(self, _: Context) -> Option<(Vec<Upstream>, Version)> {
-        let core = self.0.core();
-        let registry = &core.registry;
-        let list = registry.all().cloned().collect();
-        registry.is_complete().then(|| (list, registry.revision()))
+    async fn registry(self, _: Context) -> Option<RegistryCopy> {
+        self.0.core().registry.copy()
     }
 }
 
@@ -85,7 +82,8 @@
         .with("what", what)
         .with("peer", address.to_string())
         .with("table", known.table)
-        .with("registry", known.registry);
+        .with("registry", known.registry)
+        .with("registry_as_of", shared.core().registry.as_of());
     shared.timeline.record(event);
 }
 
@@ -101,23 +99,20 @@
             }
         }
         Pull::Registry(_) => {
-            let listed = client.registry(cx).await.map_err(|e| e.to_string())?;
-            if let Some((list, revision)) = listed {
-                apply_registry(shared, list, revision);
+            let copy = client.registry(cx).await.map_err(|e| e.to_string())?;
+            if let Some(copy) = copy {
+                apply_registry(shared, copy);
             }
         }
     }
     Ok(())
 }
 
-fn apply_registry(shared: &Shared, list: Vec<Upstream>, revision: Version) {
+fn apply_registry(shared: &Shared, copy: RegistryCopy) {
     let now = shared.now();
     let mut core = shared.core();
-    if revision <= core.registry.revision() {
-        return;
-    }
     let was_ready = core.is_ready();
-    let changes = core.registry.replace(now, list, revision);
+    let changes = core.registry.apply_copy(now, copy);
     drop(core);
     shared.record_registry_changes(changes);
     shared.record_readiness(was_ready);
