Watch a kind from the revision of its list's first page

Looked for beside the second cause of requests to leaving upstreams: changes that a host never hears of. A list of several pages was followed by a watch from the revision of its last page, so a change of an object of an earlier page, made while a later one was read, was lost until the object changed again. The watch starts from the revision of the first page now; changes that a later page has already shown come once more and change nothing.

The test asserted the wrong revision; it now asserts the first page's, as strictly, and fails on the old code (the list is complete with revision 8, not 7).

--- a/crates/core/src/gateway/follow.rs
+++ b/crates/core/src/gateway/follow.rs
@@ -60,6 +60,8 @@
     List {
         pages: BTreeMap<String, StoredObject>,
         after: Option<String>,
+        /// Revision of the first page: later changes of its objects are in no other page.
+        revision: Option<Version>,
     },
     Watch(Version),
 }
@@ -109,6 +111,7 @@
         Phase::List {
             pages: BTreeMap::new(),
             after: None,
+            revision: None,
         }
     }
 
@@ -136,14 +139,19 @@
     pub fn handle_reply(&mut self, now: Now, reply: KindReply) -> Option<FollowUpdate> {
         match (&mut self.phase, reply) {
             (
-                Phase::List { pages, after },
+                Phase::List {
+                    pages,
+                    after,
+                    revision: first_page_revision,
+                },
                 KindReply::Items {
                     items,
                     more,
-                    revision,
+                    revision: page_revision,
                 },
             ) => {
                 self.failures = 0;
+                let revision = *first_page_revision.get_or_insert(page_revision);
                 *after = items.last().map(|o| o.name.clone());
                 pages.extend(items.into_iter().map(|o| (o.name.clone(), o)));
                 if more && after.is_some() {
