Log which upstreams have ended under a request, and the shared parts of its prompt

The logs could not tell an upstream that ended from an answer that broke off, nor which requests have a part in common. RequestAdmitted has the shared parts; after an attempt that broke off before its third event, the gateway looks whether the upstream still accepts connections, and records SuspectNoted if not. The connection of one that does goes into the pool.

--- a/crates/net/src/gateway/exchange.rs
+++ b/crates/net/src/gateway/exchange.rs
@@ -6,9 +6,9 @@
 use bytes::Bytes;
 use eelgrasshold_core::event::{Event, EventKind};
 use eelgrasshold_core::gateway::placing::Work;
-use eelgrasshold_core::gateway::registry::{Upstream, UpstreamId};
+use eelgrasshold_core::gateway::registry::Upstream;
 use eelgrasshold_core::gateway::{Admitted, Next, Outcome, Reasons};
-use eelgrasshold_core::types::{Now, Refusal, RefusalKind, ServiceId, WorkClass};
+use eelgrasshold_core::types::{Now, Refusal, RefusalKind, WorkClass};
 use eelgrasshold_platform::headers as names;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use http::{request, response};
@@ -16,6 +16,7 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use super::ends;
 use super::intake::refuse;
 use super::pool::{Sender, idle_limit};
 use super::relay::Relay;
@@ -23,6 +24,9 @@
 use crate::http::{Body, full};
 use crate::wire::headers::{parsed, remove_hop_by_hop, text, value};
 
+/// Events after which a request is not the one that makes its upstream end.
+const MIN_EVENTS_OF_SOUND_REQUEST: u32 = 3;
+
 /// Reason for giving up an attempt, for logs.
 pub(super) const STANDS_STILL: &str = "the upstream has long been silent while others were not";
 
@@ -30,8 +34,7 @@
 pub(super) struct InFlight {
     shared: Arc<Shared>,
     request: String,
-    service: ServiceId,
-    pub(super) upstream: UpstreamId,
+    pub(super) upstream: Upstream,
     work: Work,
     pub(super) sent_at: Now,
     /// When bytes of the answer last arrived; [`Self::sent_at`] before the first.
@@ -48,8 +51,7 @@
         Self {
             shared: Arc::clone(&exchange.shared),
             request: exchange.admitted.id.clone(),
-            service: exchange.admitted.service.clone(),
-            upstream: upstream.id.clone(),
+            upstream: upstream.clone(),
             work: exchange.admitted.work,
             sent_at: now,
             heard_at: now,
@@ -69,7 +71,7 @@
     pub(super) fn record_bytes(&mut self) {
         self.heard_at = self.shared.now();
         let mut core = self.shared.core();
-        core.record_sign(self.heard_at, &self.service, &self.upstream);
+        core.record_sign(self.heard_at, &self.upstream.service, &self.upstream.id);
     }
 
     /// Records that a whole event of the answer arrived.
@@ -90,21 +92,24 @@
         let now = shared.now();
         let ejected = shared
             .core()
-            .attempt_ended(now, &self.upstream, self.work, outcome);
+            .attempt_ended(now, &self.upstream.id, self.work, outcome);
         shared.metrics.attempt_ended(outcome);
         let event = Event::new(EventKind::AttemptEnded, "")
             .about_request(self.request.as_str())
-            .with("upstream", self.upstream.as_str())
+            .with("upstream", self.upstream.id.as_str())
             .with("outcome", outcome.name())
             .with("took_ms", now.saturating_sub(self.sent_at))
             .with("head", u32::from(self.has_head))
             .with("events", self.events)
             .with("silent_ms", now.saturating_sub(self.heard_at));
         shared.timeline.record(event);
+        if outcome == Outcome::Broken && self.events < MIN_EVENTS_OF_SOUND_REQUEST {
+            ends::check(shared, &self.upstream, &self.request, self.has_head);
+        }
         if ejected {
             let event = Event::new(EventKind::UpstreamEjected, "left out for a while")
                 .about_request(self.request.as_str())
-                .with("upstream", self.upstream.as_str())
+                .with("upstream", self.upstream.id.as_str())
                 .with("outcome", outcome.name());
             shared.timeline.record(event);
         }
@@ -323,7 +328,8 @@
     }
 
     pub(super) fn end(&mut self, in_flight: InFlight, outcome: Outcome) {
-        self.admitted.record_outcome(&in_flight.upstream, outcome);
+        self.admitted
+            .record_outcome(&in_flight.upstream.id, outcome);
         in_flight.end(outcome);
     }
 
@@ -405,7 +411,7 @@
         let rejection = answer.rejection();
         if status.is_success() && !answer.is_genuine() {
             self.record_dropped_answer(
-                &answer.in_flight.upstream,
+                &answer.in_flight.upstream.id,
                 "a success answer lacks a digest or has a content encoding",
             );
             self.end(answer.in_flight, Outcome::Broken);
@@ -427,7 +433,7 @@
             Ok(Ok(body)) => body,
             Ok(Err(error)) => {
                 self.record_dropped_answer(
-                    &in_flight.upstream,
+                    &in_flight.upstream.id,
                     &format!("can't read the body of the answer: {error}"),
                 );
                 self.end(in_flight, rejection.unwrap_or(Outcome::Broken));
@@ -439,7 +445,7 @@
             }
         };
         self.shared
-            .keep_connection(&in_flight.upstream, sender, idle_limit(&parts.headers));
+            .keep_connection(&in_flight.upstream.id, sender, idle_limit(&parts.headers));
         if let Some(rejection) = rejection {
             self.end(in_flight, rejection);
             return AnswerResult::Ended;
--- a/crates/net/src/gateway/host.rs
+++ b/crates/net/src/gateway/host.rs
@@ -240,6 +240,7 @@
         copies: Copies::default(),
         answer_buffers: AnswerBuffers::default(),
         connections: TaskTracker::new(),
+        end_checks: TaskTracker::new(),
         document: Mutex::new(Bytes::new()),
         draining: AtomicBool::new(false),
         open_requests: AtomicUsize::new(0),
--- a/crates/net/src/gateway/intake.rs
+++ b/crates/net/src/gateway/intake.rs
@@ -18,6 +18,8 @@
 
 /// Largest request body while there is no configuration, in bytes.
 const DEFAULT_MAX_BODY_BYTES: usize = 4 << 20;
+/// Largest number of parts of a prompt that are looked at.
+const MAX_PARTS: usize = 32;
 /// Longest time for the request body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -60,6 +62,7 @@
         .with("service", admitted.service.as_str())
         .with("team", admitted.team.as_deref().unwrap_or(""))
         .with("priority", u32::from(admitted.priority))
+        .with("parts", shared_parts_of(headers).join(","))
         .with(
             "time_ms",
             admitted.deadline.saturating_sub(admitted.arrived),
@@ -97,6 +100,14 @@
     }
 }
 
+/// Ids of the parts of the prompt that other requests may share, at most [`MAX_PARTS`].
+fn shared_parts_of(headers: &HeaderMap) -> Vec<&str> {
+    let value = text(headers, &names::PROMPT_PARTS).unwrap_or_default();
+    let mut parts = names::shared_parts(value);
+    parts.truncate(MAX_PARTS);
+    parts
+}
+
 /// Records a refusal and returns the response for the caller.
 pub(super) fn refuse(shared: &Shared, refusal: &Refusal, id: &str) -> Response<Body> {
     shared.metrics.request_refused(refusal.kind.slug());
--- a/crates/net/src/gateway/mod.rs
+++ b/crates/net/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod copies;
 mod directory;
+mod ends;
 mod exchange;
 mod follow;
 mod gossip;
--- a/crates/net/src/gateway/pool.rs
+++ b/crates/net/src/gateway/pool.rs
@@ -7,11 +7,12 @@
 
 use std::collections::BTreeMap;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
-use eelgrasshold_core::gateway::registry::{Upstream, UpstreamId};
+use eelgrasshold_core::gateway::registry::UpstreamId;
 use eelgrasshold_core::types::Now;
 use http::HeaderMap;
 use http_body_util::Full;
@@ -54,8 +55,8 @@
     /// # Errors
     ///
     /// If the upstream refuses the connection or does not accept it in time.
-    pub(super) async fn open(upstream: &Upstream) -> io::Result<Sender> {
-        let stream = connect(upstream.address).await?;
+    pub(super) async fn open(address: SocketAddr) -> io::Result<Sender> {
+        let stream = connect(address).await?;
         reset_on_close(&stream);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
--- a/crates/net/src/gateway/relay.rs
+++ b/crates/net/src/gateway/relay.rs
@@ -137,7 +137,10 @@
     fn accept_event(&mut self, event: &Bytes) -> bool {
         let id = event_id(event);
         if id.is_some() && id <= self.last_event_id {
-            let upstream = self.source.as_ref().map_or("", |s| &s.in_flight.upstream);
+            let upstream = self
+                .source
+                .as_ref()
+                .map_or("", |s| &s.in_flight.upstream.id);
             self.exchange
                 .record_dropped_answer(upstream, "an event that was already forwarded");
             return false;
@@ -174,7 +177,7 @@
             } = &source.in_flight;
             let frame = tokio::select! {
                 frame = tokio::time::timeout_at(deadline, source.body.frame()) => frame,
-                () = shared.lost(admitted, upstream, *sent_at, *events > 0) => {
+                () = shared.lost(admitted, &upstream.id, *sent_at, *events > 0) => {
                     return Step::Failed(Outcome::Silent, STANDS_STILL.to_owned());
                 }
             };
@@ -225,7 +228,7 @@
     fn finish(&mut self) {
         if let Some(source) = self.source.take() {
             let limit = idle_limit(&source.headers);
-            let upstream = &source.in_flight.upstream;
+            let upstream = &source.in_flight.upstream.id;
             self.exchange
                 .shared
                 .keep_connection(upstream, source.sender, limit);
@@ -244,7 +247,7 @@
         if let Some(source) = self.source.take() {
             if !reason.is_empty() {
                 self.exchange
-                    .record_dropped_answer(&source.in_flight.upstream, reason);
+                    .record_dropped_answer(&source.in_flight.upstream.id, reason);
             }
             self.exchange.end(source.in_flight, outcome);
         }
--- a/crates/net/src/gateway/shared.rs
+++ b/crates/net/src/gateway/shared.rs
@@ -40,6 +40,8 @@
     pub(super) answer_buffers: AnswerBuffers,
     /// Connections of callers.
     pub(super) connections: TaskTracker,
+    /// Checks whether upstreams have ended.
+    pub(super) end_checks: TaskTracker,
     /// Document of the configuration in force, for pulls of other hosts; empty until there is one.
     pub(super) document: Mutex<Bytes>,
     /// A graceful shutdown has begun; the host is no longer ready for new callers.
@@ -101,7 +103,7 @@
         if let Some(sender) = self.pool.take(self.now(), &upstream.id) {
             return Ok(sender);
         }
-        let opened = Pool::open(upstream).await;
+        let opened = Pool::open(upstream.address).await;
         self.metrics.connection_opened(opened.is_ok());
         opened
     }
