Add failing tests: requests with something in common end replica after replica

Stand-in replicas end when they begin to answer a request with one part in its prompt; such requests come at every host, no two alike, beside sound ones that share their caller and their other parts. More tests repeat one request, restart all hosts, and let two hosts not hear each other.

--- a/crates/standins/src/users/replica.rs
+++ b/crates/standins/src/users/replica.rs
@@ -4,12 +4,13 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::JoinHandle;
+use tokio::sync::Notify;
+use tokio::task::{JoinHandle, JoinSet};
 
 use super::RankGroup;
 
@@ -87,6 +88,26 @@
     replies: VecDeque<Reply>,
     arrivals: Vec<Arrival>,
     rank: Option<(usize, Arc<RankGroup>)>,
+    fatal: Option<Fatal>,
+    /// When the process ended, for each time that it did.
+    ends: Vec<Instant>,
+}
+
+/// Requests that end the process when it begins to answer them.
+#[derive(Clone, Debug)]
+struct Fatal {
+    /// Text in their path or in the parts of their prompt.
+    marker: String,
+    /// Time until the process has started again.
+    down_time: Duration,
+}
+
+impl Fatal {
+    fn is_in(&self, arrival: &Arrival) -> bool {
+        let mut parts = arrival.header("x-prefix-hash").split(',');
+        arrival.path.contains(&self.marker)
+            || parts.any(|p| p.split(':').next() == Some(&self.marker))
+    }
 }
 
 /// Handle of a running replica.
@@ -97,6 +118,12 @@
     task: JoinHandle<()>,
 }
 
+/// What the connections of one start of the process share.
+#[derive(Debug, Default)]
+struct Process {
+    ended: Notify,
+}
+
 impl Replica {
     /// Starts a replica on an ephemeral port of loopback.
     ///
@@ -120,8 +147,10 @@
             replies: VecDeque::new(),
             arrivals: Vec::new(),
             rank: None,
+            fatal: None,
+            ends: Vec::new(),
         }));
-        let task = tokio::spawn(accept(listener, Arc::clone(&state)));
+        let task = tokio::spawn(run(listener, address, Arc::clone(&state)));
         Ok(Self {
             address,
             state,
@@ -146,6 +175,19 @@
         id.clone_into(&mut lock(&self.state).id);
     }
 
+    /// Makes the process end when it has sent the head of its answer to a request with `marker` in its
+    /// path or as a part of its prompt. It starts again after `down_time`, under the same id.
+    pub fn end_at(&self, marker: &str, down_time: Duration) {
+        let marker = marker.to_owned();
+        lock(&self.state).fatal = Some(Fatal { marker, down_time });
+    }
+
+    /// When the process ended, for each time that it did.
+    #[must_use]
+    pub fn ends(&self) -> Vec<Instant> {
+        lock(&self.state).ends.clone()
+    }
+
     /// Queues the replies to the next requests. Without a queued reply, requests are answered with
     /// [`Reply::Normal`].
     pub fn queue_replies(&self, replies: impl IntoIterator<Item = Reply>) {
@@ -183,14 +225,39 @@
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-async fn accept(listener: TcpListener, state: Arc<Mutex<State>>) {
-    while let Ok((stream, _)) = listener.accept().await {
-        tokio::spawn(serve(stream, Arc::clone(&state)));
+/// Runs the process, and starts it again after each end.
+async fn run(listener: TcpListener, address: SocketAddr, state: Arc<Mutex<State>>) {
+    let mut listener = listener;
+    loop {
+        let process = Arc::new(Process::default());
+        let mut connections = JoinSet::new();
+        let ended = process.ended.notified();
+        tokio::pin!(ended);
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let Ok((stream, _)) = accepted else { return };
+                    connections.spawn(serve(stream, Arc::clone(&state), Arc::clone(&process)));
+                }
+                () = &mut ended => break,
+            }
+        }
+        drop(listener);
+        connections.shutdown().await;
+        let down_time = lock(&state).fatal.as_ref().map(|f| f.down_time);
+        tokio::time::sleep(down_time.unwrap_or_default()).await;
+        listener = match TcpListener::bind(address).await {
+            Ok(bound) => bound,
+            Err(error) => {
+                log::error!("can't start a replica at {address} again: {error}");
+                return;
+            }
+        };
     }
 }
 
 /// Serves a connection until either side closes it.
-async fn serve(mut stream: TcpStream, state: Arc<Mutex<State>>) {
+async fn serve(mut stream: TcpStream, state: Arc<Mutex<State>>, process: Arc<Process>) {
     let mut buf = Vec::new();
     while let Ok(Some(arrival)) = read_request(&mut stream, &mut buf).await {
         if arrival.path == "/report"
@@ -208,6 +275,20 @@
             continue;
         }
         let (index, reply, id) = record_arrival(&state, arrival.clone());
+        let is_fatal = {
+            let state = lock(&state);
+            let ran = state.arrivals[index].ran;
+            ran && state.fatal.as_ref().is_some_and(|f| f.is_in(&arrival))
+        };
+        if is_fatal {
+            let head = format!("X-Signature: digest.{id}\r\n");
+            // The process ends whether the head can be written or not.
+            let _ = write_head(&mut stream, &arrival, 200, &head, None).await;
+            tokio::time::sleep(EVENT_INTERVAL).await;
+            lock(&state).ends.push(Instant::now());
+            process.ended.notify_one();
+            return;
+        }
         let answered = answer(&mut stream, &arrival, reply, &id).await;
         match answered {
             Ok(true) => {}
--- a/crates/standins/tests/gateway/cluster.rs
+++ b/crates/standins/tests/gateway/cluster.rs
@@ -121,6 +121,15 @@
         GatewayHost::start(options).await.unwrap()
     }
 
+    /// Starts a gateway that may have had an earlier incarnation and knows no other gateway.
+    pub async fn restart_gateway(&self, host: &str) -> GatewayHost {
+        let platform = format!("http://{}", self.store.address());
+        let options = GatewayOptions::builder(host, &platform)
+            .place("north", "north-1")
+            .build();
+        GatewayHost::start(options).await.unwrap()
+    }
+
     /// Gateway addresses in the directory answer of a gateway.
     pub async fn resolved_addresses(&self, gateway: usize) -> Vec<String> {
         let address = self.gateways[gateway].directory_address();
--- a/crates/standins/tests/gateway/main.rs
+++ b/crates/standins/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod cluster;
+mod crashes;
 mod endless;
 mod hosts;
 mod ranks;
