Log the features of a request under which an upstream ended

SuspectNoted named the id of a request, which changes with each repetition, so that the log could not tell one request that is repeated from several, nor an innocent one that was in flight at the same upstreams. Its features do, and they are the same texts as in QuarantineBegun.

--- a/crates/net/src/gateway/ends.rs
+++ b/crates/net/src/gateway/ends.rs
@@ -48,7 +48,8 @@
         let event = Event::new(EventKind::SuspectNoted, "")
             .about_request(self.request.as_str())
             .with("upstream", self.upstream.id.as_str())
-            .with("head", u32::from(self.has_head));
+            .with("head", u32::from(self.has_head))
+            .with("features", quarantine::feature_list(&self.features));
         shared.timeline.record(event);
         let (now, upstream) = (shared.now(), &self.upstream.id);
         shared
--- a/crates/net/src/gateway/quarantine.rs
+++ b/crates/net/src/gateway/quarantine.rs
@@ -6,7 +6,7 @@
 
 use bincode::Options;
 use eelgrasshold_core::event::{Event, EventKind};
-use eelgrasshold_core::gateway::quarantine::{Change, Report, Unsaved};
+use eelgrasshold_core::gateway::quarantine::{Change, FeatureId, Report, Unsaved};
 use eelgrasshold_core::gateway::sources;
 use eelgrasshold_core::platform::{Call, Condition, KindCall, KindReply, Reply, StoredObject};
 use eelgrasshold_platform::quarantine::{self as format, Refused};
@@ -117,12 +117,17 @@
             Change::Added(set) => (EventKind::QuarantineBegun, set),
             Change::Lifted(set) => (EventKind::QuarantineLifted, set),
         };
-        let features: Vec<String> = set.iter().map(|f| format!("{f:016x}")).collect();
-        let event = Event::new(kind, "").with("features", features.join(","));
+        let event = Event::new(kind, "").with("features", feature_list(&set));
         shared.timeline.record(event);
     }
 }
 
+/// Features as text, for logs.
+pub(super) fn feature_list<'a>(features: impl IntoIterator<Item = &'a FeatureId>) -> String {
+    let features: Vec<String> = features.into_iter().map(|f| format!("{f:016x}")).collect();
+    features.join(",")
+}
+
 /// Reads what is refused from the store, and saves there what is not known to it; never returns.
 pub(super) async fn run(shared: Arc<Shared>) {
     while let Err(reason) = restore(&shared).await {
