Add failing tests: a repeated request goes on ending the upstreams of a plain service

Three upstreams of a plain service end under one request before the head of an answer, and once more when they are back; the decision to refuse the request takes four ends, so it comes only after that. An innocent request with the same ends delays it further: requests are refused that have the features of both, and none does.

--- a/crates/core/src/gateway/tests/quarantine.rs
+++ b/crates/core/src/gateway/tests/quarantine.rs
@@ -366,3 +366,140 @@
     assert!(more_than_five * 100 <= ends.len(), "{more_than_five} plays");
     assert!(ends.iter().all(|n| *n <= 10), "{ends:?}");
 }
+
+// Guards against a repeated request that ends all upstreams of a small service once more when they are
+// back, since an upstream of a plain service ends before the head of its answer.
+#[test]
+fn a_request_that_ended_three_upstreams_is_refused_before_they_are_back() {
+    let fatal = request_feature("bookings", 7);
+    let mut quarantine = Quarantine::new(1);
+    for (at, upstream) in [(0, "u-1"), (40, "u-2"), (90, "u-3")] {
+        quarantine.record_end(ms(at), ms(at), upstream, false, &[fatal]);
+    }
+    quarantine.decide(ms(1_500));
+    assert!(is_refused(&quarantine, ms(1_500), &[fatal]));
+}
+
+// Guards against an innocent request that was in flight at the same upstreams, which no request has in
+// common with the fatal one.
+#[test]
+fn an_innocent_request_with_the_same_ends_does_not_keep_a_fatal_one_in_use() {
+    let (fatal, innocent) = (
+        request_feature("bookings", 7),
+        request_feature("bookings", 8),
+    );
+    for begun in [false, true] {
+        let mut quarantine = Quarantine::new(1);
+        for (at, upstream) in [(0, "u-1"), (1_050, "u-2"), (2_100, "u-3")] {
+            for features in [[FIRST, innocent], [FIRST, fatal]] {
+                quarantine.record_end(ms(at), ms(at), upstream, begun, &features);
+            }
+        }
+        quarantine.decide(ms(3_500));
+        assert!(is_refused(&quarantine, ms(3_500), &[FIRST, fatal]));
+        let other = request_feature("bookings", 9);
+        assert!(!is_refused(&quarantine, ms(3_500), &[FIRST, other]));
+    }
+}
+
+/// A service whose upstreams end before they begin to answer a fatal request.
+struct PlainService {
+    back_at: Vec<Now>,
+    ends: Vec<Now>,
+}
+
+impl PlainService {
+    /// An upstream that runs, if there is one.
+    fn upstream(&self, now: Now, rng: &mut SmallRng) -> Option<usize> {
+        let up: Vec<usize> = (0..self.back_at.len())
+            .filter(|n| self.back_at[*n] <= now)
+            .collect();
+        up.choose(rng).copied()
+    }
+}
+
+/// Plays one request that is repeated at all hosts, beside innocent ones that are in flight at the same
+/// upstreams. Returns the times at which it reached upstreams, and those at which upstreams ended.
+fn play_repeated(seed: u64) -> (Vec<Now>, Vec<Now>) {
+    const STEP_MS: u64 = 50;
+    const DOWN_TIME: Duration = Duration::from_millis(3_500);
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let hosts = rng.random_range(1..=9);
+    let mut fleet = Fleet::new(hosts, rng.random_range(0.0..0.3), seed);
+    let mut service = PlainService {
+        back_at: vec![Now::ZERO; rng.random_range(3..=8)],
+        ends: Vec::new(),
+    };
+    let fatal = request_feature("bookings", 7);
+    let popular = request_feature("bookings", 8);
+    let rate = rng.random_range(0.05..0.6);
+    let follows = rng.random_range(0.0..0.9);
+    let mut arrivals = Vec::new();
+    let mut next_own = 100;
+    for step in 0..400 {
+        let now = ms(step * STEP_MS);
+        if step % 10 == 0 {
+            fleet.round(now);
+        }
+        if rng.random_bool(0.3) && service.upstream(now, &mut rng).is_some() {
+            let host = rng.random_range(0..fleet.hosts.len());
+            fleet.hosts[host].record_sound(now, &[popular]);
+        }
+        if !rng.random_bool(rate) {
+            continue;
+        }
+        let host = rng.random_range(0..fleet.hosts.len());
+        // An innocent request that meets the same ends, as its host and its caller repeat it too.
+        next_own += 1;
+        let innocent = request_feature("bookings", next_own);
+        for _ in 0..2 {
+            if is_refused(&fleet.hosts[host], now, &[fatal]) {
+                break;
+            }
+            let Some(upstream) = service.upstream(now, &mut rng) else {
+                break;
+            };
+            arrivals.push(now);
+            service.back_at[upstream] = now + DOWN_TIME;
+            service.ends.push(now);
+            let name = format!("u-{upstream}");
+            fleet.hosts[host].record_end(now, now, &name, false, &[fatal]);
+            let other = rng.random_range(0..fleet.hosts.len());
+            if rng.random_bool(follows) {
+                fleet.hosts[other].record_end(now, now, &name, false, &[innocent]);
+            }
+            fleet.hosts[other].record_end(now, now, &name, false, &[popular]);
+        }
+        fleet.deliver(now);
+    }
+    for (n, host) in fleet.hosts.iter().enumerate() {
+        assert!(
+            is_refused(host, ms(20_000), &[fatal]) || service.ends.len() < 3,
+            "seed {seed}: host {n} goes on"
+        );
+        assert!(
+            !is_refused(host, ms(20_000), &[popular]),
+            "seed {seed}: host {n} refuses a sound request"
+        );
+    }
+    (arrivals, service.ends)
+}
+
+// Guards against a request that goes on ending the upstreams of a plain service, whichever hosts it comes
+// to and whatever else is in flight.
+#[test]
+fn a_repeated_request_reaches_upstreams_in_no_more_than_three_retries() {
+    const WINDOW: Duration = Duration::from_secs(3);
+    for seed in 0..400 {
+        let (arrivals, ends) = play_repeated(seed);
+        let Some(third) = ends.get(2) else {
+            continue;
+        };
+        let late = arrivals.iter().filter(|at| **at > *third + WINDOW).count();
+        assert!(
+            late <= 3,
+            "seed {seed}: {late} retries, {} ends",
+            ends.len()
+        );
+    }
+}
