Refuse a repeated request before the upstreams that it ended are back

Cause: two rules of the quarantine that were made for parts of prompts. A feature was refused after two incidents of upstreams that had sent the head of an answer, or four ends. A plain service sends no head before it ends, and three upstreams give no fourth end until they are back. And features with the same ends were refused only together; a request as a whole is such a feature, so that an innocent request with the same ends made a set that no request has.

Change: features tell requests from parts. A request is refused alone, after three ends in any case; several with the same ends are refused each. Parts of a refused request keep their ends and still need one under another request. The hash of a feature has a new form, so quarantines that an older build saved are not found again.

--- a/crates/core/src/gateway/quarantine/mod.rs
+++ b/crates/core/src/gateway/quarantine/mod.rs
@@ -10,8 +10,9 @@
 //! just begun to answer. Three rules keep them in use:
 //!
 //! - A feature is sound if a request with it was answered shortly before the end or at any time after.
-//! - If several features are the only ones that explain the same ends, requests are refused that have
+//! - If several parts are the only ones that explain the same ends, requests are refused that have
 //!   all of them. Any further end under other features, or an answer, tells them apart.
+//! - A request that explains the ends itself is refused alone, and its parts are not.
 //! - An end that a refused feature explains counts for no other.
 //!
 //! Features that are refused also go to the platform's store, since all hosts may be restarted at the
@@ -40,8 +41,13 @@
 const INCIDENT_GAP: Duration = Duration::from_secs(1);
 /// Incidents after which a feature is refused, of upstreams that had sent the head of an answer.
 const MIN_INCIDENTS: usize = 2;
-/// Ends after which a feature is refused in any case.
+/// Ends after which a part is refused in any case.
 const MIN_ENDS: usize = 4;
+/// Ends after which a request as a whole is refused in any case: it is rarely at an ending upstream by
+/// chance, and an upstream of a plain service ends before the head of its answer.
+const MIN_ENDS_OF_REQUEST: usize = 3;
+/// Bit of a feature that tells a request as a whole from a part.
+const REQUEST_BIT: FeatureId = 1 << 63;
 /// Largest set of features that is refused together; a larger one is left for further evidence.
 const MAX_SET: usize = 8;
 /// Time before an end in which an answer shows that a feature is sound. A new version of an engine may
@@ -83,14 +89,19 @@
 /// Feature of requests to a service whose prompts have a part.
 #[must_use]
 pub fn part_feature(service: &str, part: &str) -> FeatureId {
-    rendezvous::weight(rendezvous::hash(service), rendezvous::hash(part))
+    rendezvous::weight(rendezvous::hash(service), rendezvous::hash(part)) & !REQUEST_BIT
 }
 
 /// Feature of all repetitions of a request to a service. `content` is a hash of all that the request
 /// consists of.
 #[must_use]
 pub fn request_feature(service: &str, content: u64) -> FeatureId {
-    rendezvous::weight(content, rendezvous::hash(service))
+    rendezvous::weight(content, rendezvous::hash(service)) | REQUEST_BIT
+}
+
+/// Whether a feature is that of a request as a whole.
+fn is_request(feature: FeatureId) -> bool {
+    feature & REQUEST_BIT != 0
 }
 
 /// Hash of what a request consists of: the lines of its head that matter, and its body.
@@ -308,7 +319,9 @@
 
     /// Decides which features are refused, from the ends that are old enough.
     pub fn decide(&mut self, now: Now) {
-        let several = |(_, ends): &(&FeatureId, &Vec<End>)| ends.len() >= MIN_INCIDENTS;
+        self.judge_requests(now);
+        let several =
+            |(f, ends): &(&FeatureId, &Vec<End>)| !is_request(**f) && ends.len() >= MIN_INCIDENTS;
         let suspects = self.suspects.iter().filter(several);
         let suspects: Vec<FeatureId> = suspects.map(|(f, _)| *f).collect();
         for feature in suspects {
@@ -511,17 +524,54 @@
         }
     }
 
-    /// Refuses a feature if enough ends speak against it, with all others that explain them as well.
-    fn judge(&mut self, now: Now, feature: FeatureId) {
+    /// Refuses each request, as a whole, that enough ends speak against. Of several with the same ends
+    /// any may be the cause, and no request is another one.
+    fn judge_requests(&mut self, now: Now) {
+        let requests = self.suspects.keys().copied().filter(|f| is_request(*f));
+        let requests: Vec<FeatureId> = requests.collect();
+        let counted = requests.into_iter().filter_map(|feature| {
+            let (ends, _) = self.counted_ends(now, feature, MIN_ENDS_OF_REQUEST)?;
+            Some((feature, ends))
+        });
+        let counted: Vec<(FeatureId, Vec<End>)> = counted.collect();
+        let causes: FeatureSet = counted.iter().map(|(feature, _)| *feature).collect();
+        for (feature, ends) in counted {
+            let set = FeatureSet::from([feature]);
+            if self.entries.contains_key(&set) {
+                continue;
+            }
+            for end in &ends {
+                self.explain(end, &causes);
+            }
+            let ended_at = ends.iter().map(|e| e.at).max().unwrap_or(now);
+            self.add(now, set, ended_at, now + QUARANTINE_TIME, false);
+        }
+    }
+
+    /// The settled ends that are enough to refuse a feature, and whether only those count whose
+    /// upstream had sent the head of an answer; `None` if they are not enough.
+    fn counted_ends(
+        &self,
+        now: Now,
+        feature: FeatureId,
+        min_ends: usize,
+    ) -> Option<(Vec<End>, bool)> {
         let known = self.suspects.get(&feature).into_iter().flatten();
         let settled = known.filter(|e| now >= e.at + SETTLE_TIME);
         let known: Vec<End> = settled.cloned().collect();
         let begun: Vec<End> = known.iter().filter(|e| e.has_head).cloned().collect();
         let needs_head = incidents(&begun) >= MIN_INCIDENTS;
-        let ends = match (needs_head, known.len() >= MIN_ENDS) {
-            (true, _) => begun,
-            (false, true) => known,
-            (false, false) => return,
+        match (needs_head, known.len() >= min_ends) {
+            (true, _) => Some((begun, true)),
+            (false, true) => Some((known, false)),
+            (false, false) => None,
+        }
+    }
+
+    /// Refuses a part if enough ends speak against it, with all others that explain them as well.
+    fn judge(&mut self, now: Now, feature: FeatureId) {
+        let Some((ends, needs_head)) = self.counted_ends(now, feature, MIN_ENDS) else {
+            return;
         };
         let explains = |known: &[End]| {
             let has = |end: &End| {
@@ -532,6 +582,10 @@
         };
         let equal = self.suspects.iter().filter(|(_, e)| explains(e));
         let set: FeatureSet = equal.map(|(f, _)| *f).collect();
+        // The same request each time: it will be judged as a whole.
+        if set.iter().any(|f| is_request(*f)) {
+            return;
+        }
         let ended_at = ends.iter().map(|e| e.at).max().unwrap_or(now);
         // A host that knows more ends than this one may have found a larger set to explain them.
         let is_covered = |(known, entry): (&FeatureSet, &Entry)| {
@@ -548,8 +602,10 @@
         self.add(now, set, ended_at, now + QUARANTINE_TIME, false);
     }
 
-    /// Records that an end counts for none but the features of a set.
+    /// Records that an end counts for none but the features of a set, and those that may be the cause
+    /// as well.
     fn explain(&mut self, end: &End, set: &FeatureSet) {
+        let set = self.with_equal_parts(set);
         self.explained.push((end.upstream.clone(), end.at));
         if self.explained.len() > MAX_EXPLAINED {
             self.explained.remove(0);
@@ -562,6 +618,24 @@
         });
     }
 
+    /// The features of a set, and the parts that have all ends of a request in it: a part that ends
+    /// upstreams may have come in one request only so far.
+    fn with_equal_parts(&self, set: &FeatureSet) -> FeatureSet {
+        let mut all = set.clone();
+        for request in set.iter().filter(|f| is_request(**f)) {
+            let Some(ends) = self.suspects.get(request) else {
+                continue;
+            };
+            let has_all = |known: &[End]| {
+                let has = |end: &End| known.iter().any(|e| e.is_same(&end.upstream, end.at));
+                ends.iter().all(has)
+            };
+            let parts = self.suspects.iter().filter(|(f, _)| !is_request(**f));
+            all.extend(parts.filter(|(_, e)| has_all(e)).map(|(f, _)| *f));
+        }
+        all
+    }
+
     /// The sets of which a request has all features.
     fn applying<'a>(&'a self, features: &'a [FeatureId]) -> impl Iterator<Item = &'a FeatureSet> {
         let applies = |set: &&FeatureSet| set.iter().all(|f| features.contains(f));
--- a/crates/core/src/gateway/tests/quarantine.rs
+++ b/crates/core/src/gateway/tests/quarantine.rs
@@ -402,6 +402,34 @@
     }
 }
 
+// Guards against a part that takes two more ends since the first request with it was repeated.
+#[test]
+fn a_part_is_refused_after_a_repeated_request_and_another_one() {
+    let (repeated, other) = (request_feature("drafts", 7), request_feature("drafts", 8));
+    let mut fleet = Fleet::new(2, 0.0, 1);
+    for (at, upstream) in [(0, "u-1"), (2_000, "u-2")] {
+        fleet.hosts[0].record_end(ms(at), ms(at), upstream, true, &[FATAL, repeated]);
+        fleet.deliver(ms(at));
+    }
+    fleet.round(ms(3_500));
+    // The ends are told once more, each feature by itself.
+    fleet.round(ms(4_000));
+    for host in &fleet.hosts {
+        assert!(is_refused(host, ms(4_000), &[FATAL, repeated]));
+        assert!(!is_refused(host, ms(4_000), &[FATAL, other]));
+    }
+    fleet.hosts[1].record_end(ms(6_000), ms(6_000), "u-3", true, &[FATAL, other]);
+    fleet.deliver(ms(6_000));
+    fleet.decide(ms(7_300));
+    for host in &fleet.hosts {
+        assert!(is_refused(
+            host,
+            ms(7_300),
+            &[FATAL, request_feature("drafts", 9)]
+        ));
+    }
+}
+
 /// A service whose upstreams end before they begin to answer a fatal request.
 struct PlainService {
     back_at: Vec<Now>,
--- a/crates/standins/src/users/replica.rs
+++ b/crates/standins/src/users/replica.rs
@@ -100,6 +100,8 @@
     marker: String,
     /// Time until the process has started again.
     down_time: Duration,
+    /// Whether the head of the answer is sent before the end.
+    sends_head: bool,
 }
 
 impl Fatal {
@@ -178,8 +180,20 @@
     /// Makes the process end when it has sent the head of its answer to a request with `marker` in its
     /// path or as a part of its prompt. It starts again after `down_time`, under the same id.
     pub fn end_at(&self, marker: &str, down_time: Duration) {
-        let marker = marker.to_owned();
-        lock(&self.state).fatal = Some(Fatal { marker, down_time });
+        self.set_fatal(marker, down_time, true);
+    }
+
+    /// The same without the head of an answer, as a service ends that answers in one piece.
+    pub fn end_before_head_at(&self, marker: &str, down_time: Duration) {
+        self.set_fatal(marker, down_time, false);
+    }
+
+    fn set_fatal(&self, marker: &str, down_time: Duration, sends_head: bool) {
+        lock(&self.state).fatal = Some(Fatal {
+            marker: marker.to_owned(),
+            down_time,
+            sends_head,
+        });
     }
 
     /// When the process ended, for each time that it did.
@@ -275,15 +289,17 @@
             continue;
         }
         let (index, reply, id) = record_arrival(&state, arrival.clone());
-        let is_fatal = {
+        let fatal = {
             let state = lock(&state);
-            let ran = state.arrivals[index].ran;
-            ran && state.fatal.as_ref().is_some_and(|f| f.is_in(&arrival))
+            let fatal = state.fatal.clone().filter(|f| f.is_in(&arrival));
+            fatal.filter(|_| state.arrivals[index].ran)
         };
-        if is_fatal {
-            let head = format!("X-Signature: digest.{id}\r\n");
-            // The process ends whether the head can be written or not.
-            let _ = write_head(&mut stream, &arrival, 200, &head, None).await;
+        if let Some(fatal) = fatal {
+            if fatal.sends_head {
+                let head = format!("X-Signature: digest.{id}\r\n");
+                // The process ends whether the head can be written or not.
+                let _ = write_head(&mut stream, &arrival, 200, &head, None).await;
+            }
             tokio::time::sleep(EVENT_INTERVAL).await;
             lock(&state).ends.push(Instant::now());
             process.ended.notify_one();
--- a/crates/standins/tests/gateway/crashes.rs
+++ b/crates/standins/tests/gateway/crashes.rs
@@ -153,6 +153,38 @@
     );
 }
 
+// Guards against a request that ends all replicas of a small plain service, and all of them once more when
+// they are back. Such a replica ends before the head of its answer.
+#[tokio::test]
+async fn a_request_that_ended_all_of_a_plain_service_does_not_end_it_again() {
+    const REPLICAS: usize = 3;
+    let cluster = Cluster::start(REPLICAS, 3).await;
+    for replica in &cluster.replicas {
+        replica.end_before_head_at("fatal", SETTLE_TIME + Duration::from_millis(500));
+    }
+    let traffic = Traffic {
+        cluster: &cluster,
+        gateways: cluster.gateways.iter().collect(),
+    };
+    let fatal = || {
+        let n = NEXT_REQUEST.fetch_add(1, Ordering::Relaxed);
+        request("GET", "/safe/fatal?x=1", &format!("r-{n}"))
+    };
+    while traffic.ends() < REPLICAS {
+        traffic.run(INTERVAL, fatal).await;
+    }
+    traffic.run(SETTLE_TIME, fatal).await;
+    let arrivals = traffic.fatal_arrivals("fatal");
+    traffic.run(Duration::from_secs(1), fatal).await;
+    let late = traffic.fatal_arrivals("fatal") - arrivals;
+    assert!(late <= MAX_LATE_ARRIVALS, "{late} arrivals");
+    let (sent, whole) = traffic.run(Duration::from_secs(1), fatal).await;
+    assert!(
+        whole * 10 >= sent * 9,
+        "{whole} of {sent} sound requests answered"
+    );
+}
+
 // Guards against a part that is forgotten when all hosts are started anew at once.
 #[tokio::test]
 async fn a_part_that_ends_replicas_is_refused_after_a_restart_of_all_hosts() {
