Log the limits of requests a second that upstreams name

Upstreams may name in their answers how many requests a second they take from all hosts together. Nothing read it, and nothing told that a limit was named, which one or when it ended. Each host now keeps what upstreams last said; event 5106 and a gauge tell it. An answer to a request that was sent before a limit was named does not end the limit, nor does a refusal that names none. No request is handled in another way yet.

--- a/crates/core/src/event/catalogue.rs
+++ b/crates/core/src/event/catalogue.rs
@@ -138,6 +138,7 @@
     UpstreamLapsed = 5103, "an upstream's entry disappeared during an outage of the store";
     UpstreamRelisted = 5104, "a lapsed entry came back";
     UpstreamGone = 5105, "an upstream's entry is gone";
+    UpstreamLimited = 5106, "an upstream named another limit of requests a second, or none any more";
     EntryUnreadable = 5106, "an entry of the registry names no upstream";
 
     ConfigApplied = 6001, "a configuration came into force";
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 pub mod silence;
 pub mod sources;
 mod state;
+pub mod upstream_limits;
 
 #[cfg(test)]
 mod tests;
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -15,6 +15,7 @@
 use super::retry_after;
 use super::routes::{Route, RouteTable, TableVersion};
 use super::silence::{Prospect, Signs, StreamAttempt};
+use super::upstream_limits::{Rate, UpstreamLimits};
 use crate::platform::Version;
 use crate::serving::subset::even_subset;
 use crate::types::{
@@ -221,6 +222,8 @@
     signs: Signs,
     /// Requests that are refused because upstreams end under them.
     pub quarantine: Quarantine,
+    /// Limits that upstreams have named.
+    pub limits: UpstreamLimits,
     /// Entry hosts that share the upstreams.
     fleet: BTreeSet<HostId>,
     /// Upstreams of each service that this host uses first, with the registry's revision for which
@@ -247,6 +250,7 @@
             health: UpstreamHealth::default(),
             signs: Signs::default(),
             quarantine: Quarantine::new(seed),
+            limits: UpstreamLimits::default(),
             fleet: BTreeSet::new(),
             subsets: BTreeMap::new(),
             idle_refusals: BTreeMap::new(),
@@ -505,6 +509,20 @@
         self.health.observe(now, upstream, outcome)
     }
 
+    /// Records the limit that the head of an answer names, or that it names none. Returns whether that
+    /// changes the limit of the upstream. A refusal of a request that was not run may leave it out.
+    pub fn record_limit(
+        &mut self,
+        now: Now,
+        upstream: &str,
+        sent_at: Now,
+        rate: Option<Rate>,
+        is_refusal: bool,
+    ) -> bool {
+        let says = rate.is_some() || !is_refusal;
+        says && self.limits.record_answer(now, upstream, sent_at, rate)
+    }
+
     /// Records that a part of an answer arrived from an upstream.
     pub fn record_sign(&mut self, now: Now, service: &str, upstream: &str) {
         self.signs.record(now, service, upstream);
@@ -586,6 +604,7 @@
         self.health.retain(|id| registry.get(id).is_some());
         self.loads.retain(|id| registry.get(id).is_some());
         self.signs.retain(|id| registry.get(id).is_some());
+        self.limits.retain(|id| registry.get(id).is_some());
         self.quarantine.expire(now);
         self.quarantine.decide(now);
         changes
--- a/crates/ctl/src/explain/mod.rs
+++ b/crates/ctl/src/explain/mod.rs
@@ -18,7 +18,7 @@
 const LOOKBACK_MS: u64 = 10_000;
 
 /// State changes of an upstream that other requests or the registry caused.
-const UPSTREAM_EVENTS: [EventKind; 8] = [
+const UPSTREAM_EVENTS: [EventKind; 9] = [
     EventKind::SuspectNoted,
     EventKind::UpstreamEjected,
     EventKind::UpstreamReturned,
@@ -27,6 +27,7 @@
     EventKind::UpstreamLapsed,
     EventKind::UpstreamRelisted,
     EventKind::UpstreamGone,
+    EventKind::UpstreamLimited,
 ];
 
 /// Name of the fact that identifies the upstream of an event.
--- a/crates/net/src/gateway/exchange.rs
+++ b/crates/net/src/gateway/exchange.rs
@@ -8,6 +8,7 @@
 use eelgrasshold_core::gateway::placing::Work;
 use eelgrasshold_core::gateway::quarantine::FeatureId;
 use eelgrasshold_core::gateway::registry::Upstream;
+use eelgrasshold_core::gateway::upstream_limits::valid_rate;
 use eelgrasshold_core::gateway::{Admitted, Next, Outcome, Reasons};
 use eelgrasshold_core::types::{Now, Refusal, RefusalKind, WorkClass};
 use eelgrasshold_platform::headers as names;
@@ -322,13 +323,15 @@
         match sent {
             Ok(Ok((parts, body, sender))) => {
                 in_flight.record_head();
-                SendResult::Answer(Box::new(Answer {
+                let answer = Answer {
                     address: upstream.address,
                     parts,
                     body,
                     sender,
                     in_flight,
-                }))
+                };
+                answer.record_limit();
+                SendResult::Answer(Box::new(answer))
             }
             Ok(Err(outcome)) => {
                 self.end(in_flight, outcome);
@@ -522,6 +525,37 @@
         headers.contains_key(names::DIGEST) && !headers.contains_key(header::CONTENT_ENCODING)
     }
 
+    /// Records the limit of requests a second that the upstream names, or that it names none.
+    fn record_limit(&self) {
+        let in_flight = &self.in_flight;
+        let (shared, upstream) = (&in_flight.shared, &in_flight.upstream.id);
+        let rate = match parsed::<f64>(&self.parts.headers, &names::UPSTREAM_LIMIT) {
+            Ok(rate) => rate.and_then(valid_rate),
+            Err(error) => {
+                log::debug!("upstream `{upstream}` names no limit that can be read: {error}");
+                return;
+            }
+        };
+        let rejection = self.rejection();
+        if rejection == Some(Outcome::Misdirected) {
+            return;
+        }
+        let now = shared.now();
+        let is_refusal = rejection.is_some();
+        let changed =
+            shared
+                .core()
+                .record_limit(now, upstream, in_flight.sent_at, rate, is_refusal);
+        if changed {
+            let text = rate.map_or_else(|| "none".to_owned(), |r| format!("{r:.2}"));
+            let event = Event::new(EventKind::UpstreamLimited, "")
+                .about_request(in_flight.request.as_str())
+                .with("upstream", upstream.as_str())
+                .with("limit", text);
+            shared.timeline.record(event);
+        }
+    }
+
     /// The outcome if the upstream refused the request without running it.
     pub(super) fn rejection(&self) -> Option<Outcome> {
         if self.parts.status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/net/src/gateway/host.rs
+++ b/crates/net/src/gateway/host.rs
@@ -290,6 +290,11 @@
         "Features of requests that are refused since upstreams ended under them",
         gauge(|s| s.core().quarantine.len() as u64),
     );
+    metrics.register_gauge(
+        "eelgrasshold_limited_upstreams",
+        "Upstreams that name a limit of requests a second",
+        gauge(|s| s.core().limits.len() as u64),
+    );
     metrics.register_gauge(
         "eelgrasshold_resident_bytes",
         "Resident memory of the process",
