Add failing tests: replicas get more requests than they said they take

Replicas of a plain service name limits at 2 to 4 gateways that get 12 requests a second each: some of the replicas or all, at hosts that are killed and come, with limits that change and end.

--- a/crates/standins/src/users/replica.rs
+++ b/crates/standins/src/users/replica.rs
@@ -33,6 +33,8 @@
     pub ran: bool,
     /// Whether the connection closed before the answer was complete.
     pub abandoned: bool,
+    /// When it arrived.
+    pub at: Option<Instant>,
 }
 
 impl Arrival {
@@ -89,6 +91,8 @@
     arrivals: Vec<Arrival>,
     rank: Option<(usize, Arc<RankGroup>)>,
     fatal: Option<Fatal>,
+    /// Requests a second that answers name as the limit.
+    limit: Option<f64>,
     /// When the process ended, for each time that it did.
     ends: Vec<Instant>,
 }
@@ -150,6 +154,7 @@
             arrivals: Vec::new(),
             rank: None,
             fatal: None,
+            limit: None,
             ends: Vec::new(),
         }));
         let task = tokio::spawn(run(listener, address, Arc::clone(&state)));
@@ -196,6 +201,11 @@
         });
     }
 
+    /// Sets the limit of requests a second that all further answers name.
+    pub fn set_limit(&self, limit: Option<f64>) {
+        lock(&self.state).limit = limit;
+    }
+
     /// When the process ended, for each time that it did.
     #[must_use]
     pub fn ends(&self) -> Vec<Instant> {
@@ -289,14 +299,16 @@
             continue;
         }
         let (index, reply, id) = record_arrival(&state, arrival.clone());
+        let limit = lock(&state).limit;
         let fatal = {
             let state = lock(&state);
             let fatal = state.fatal.clone().filter(|f| f.is_in(&arrival));
             fatal.filter(|_| state.arrivals[index].ran)
         };
+        let from = Answerer { id, limit };
         if let Some(fatal) = fatal {
             if fatal.sends_head {
-                let head = format!("X-Signature: digest.{id}\r\n");
+                let head = from.headers("digest");
                 // The process ends whether the head can be written or not.
                 let _ = write_head(&mut stream, &arrival, 200, &head, None).await;
             }
@@ -305,7 +317,7 @@
             process.ended.notify_one();
             return;
         }
-        let answered = answer(&mut stream, &arrival, reply, &id).await;
+        let answered = answer(&mut stream, &arrival, reply, &from).await;
         match answered {
             Ok(true) => {}
             Ok(false) => return,
@@ -331,6 +343,7 @@
         state.replies.pop_front().unwrap_or(Reply::Normal)
     };
     arrival.ran = !matches!(reply, Reply::NotRun { .. } | Reply::NotRunAfter { .. });
+    arrival.at = Some(Instant::now());
     state.arrivals.push(arrival);
     (state.arrivals.len() - 1, reply, state.id.clone())
 }
@@ -377,27 +390,44 @@
     Some((arrival, head_end + length))
 }
 
+/// What a replica says of itself in answers.
+struct Answerer {
+    id: String,
+    /// Requests a second that it takes.
+    limit: Option<f64>,
+}
+
+impl Answerer {
+    /// Headers of an answer that was run, with a digest of the given kind.
+    fn headers(&self, digest: &str) -> String {
+        let limit = self.limit.map(|l| format!("Server-Limit: {l}\r\n"));
+        let limit = limit.unwrap_or_default();
+        format!("X-Signature: {digest}.{}\r\n{limit}", self.id)
+    }
+}
+
 /// Writes a reply; returns whether the connection can be used for further requests.
 async fn answer(
     stream: &mut TcpStream,
     arrival: &Arrival,
     reply: Reply,
-    id: &str,
+    from: &Answerer,
 ) -> io::Result<bool> {
+    let id = &from.id;
     match reply {
-        Reply::Normal => write_normal(stream, arrival, id, Ending::Whole, EVENT_INTERVAL).await?,
+        Reply::Normal => write_normal(stream, arrival, from, Ending::Whole, EVENT_INTERVAL).await?,
         Reply::CutAfter(events) => {
             let ending = Ending::CutAfter(events);
-            write_normal(stream, arrival, id, ending, EVENT_INTERVAL).await?;
+            write_normal(stream, arrival, from, ending, EVENT_INTERVAL).await?;
             return Ok(false);
         }
         Reply::HangAfter(events) => {
             let ending = Ending::SilentAfter(events);
-            write_normal(stream, arrival, id, ending, EVENT_INTERVAL).await?;
+            write_normal(stream, arrival, from, ending, EVENT_INTERVAL).await?;
             return read_to_end(stream).await;
         }
         Reply::Paced(interval) => {
-            write_normal(stream, arrival, id, Ending::Whole, interval).await?;
+            write_normal(stream, arrival, from, Ending::Whole, interval).await?;
         }
         Reply::NotRunAfter { delay, at } => {
             tokio::time::sleep(delay).await;
@@ -405,7 +435,7 @@
             write_head(stream, arrival, 503, &head, Some(0)).await?;
         }
         Reply::NormalThen(bytes) => {
-            write_normal(stream, arrival, id, Ending::Whole, EVENT_INTERVAL).await?;
+            write_normal(stream, arrival, from, Ending::Whole, EVENT_INTERVAL).await?;
             stream.write_all(&bytes).await?;
         }
         Reply::NotRun { status, at } => {
@@ -416,7 +446,7 @@
             write_head(stream, arrival, status, &head, Some(0)).await?;
         }
         Reply::Failure(status) => {
-            let head = format!("X-Signature: failure.{id}\r\n");
+            let head = from.headers("failure");
             write_head(stream, arrival, status, &head, Some(0)).await?;
         }
         Reply::Bytes(bytes) => stream.write_all(&bytes).await?,
@@ -424,7 +454,7 @@
         Reply::Hang => return read_to_end(stream).await,
         Reply::Delayed(time) => {
             tokio::time::sleep(time).await;
-            write_normal(stream, arrival, id, Ending::Whole, EVENT_INTERVAL).await?;
+            write_normal(stream, arrival, from, Ending::Whole, EVENT_INTERVAL).await?;
         }
     }
     Ok(true)
@@ -480,11 +510,11 @@
 async fn write_normal(
     stream: &mut TcpStream,
     arrival: &Arrival,
-    id: &str,
+    from: &Answerer,
     ending: Ending,
     interval: Duration,
 ) -> io::Result<()> {
-    let digest = format!("X-Signature: digest.{id}\r\n");
+    let digest = from.headers("digest");
     if !arrival.path.starts_with("/stream/") {
         let body = format!("{} {}", arrival.method, arrival.path);
         write_head(stream, arrival, 200, &digest, Some(body.len())).await?;
--- a/crates/standins/tests/gateway/main.rs
+++ b/crates/standins/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod endless;
 mod hosts;
+mod limits;
 mod ranks;
 mod stalls;
 mod store;
