Keep the limits of requests a second that upstreams name, all hosts together

Cause: nothing read the header, and a host by itself could not keep it: the limit is for all hosts together, and a share of two requests a second is less than one request.

Change: one host per upstream, by rendezvous hashing, counts the sends of all hosts in a token bucket; the others ask it before each send to an upstream with a limit. A denial says when the next request may be sent, until then other upstreams take what comes, and what none can take is refused at once, not run, with a Retry-After. Silent accountants are replaced, hosts that hear only some of the others use their part.

Before: the four tests of gateways fail (44 to 99 requests in 4 s where 17 are allowed).

--- a/crates/core/src/gateway/peers.rs
+++ b/crates/core/src/gateway/peers.rs
@@ -271,6 +271,19 @@
         1 + self.others.len()
     }
 
+    /// Number of hosts that are unresponsive and did not say that they leave: they may still be serving.
+    #[must_use]
+    pub fn absent(&self) -> usize {
+        let absent = |p: &&Peer| p.unresponsive && p.record.state != PeerState::Leaving;
+        self.others.values().filter(absent).count()
+    }
+
+    /// Address for datagrams to another host, if it is known.
+    #[must_use]
+    pub fn address_of(&self, host: &str) -> Option<SocketAddr> {
+        self.others.get(&key_of(host)).map(|p| p.record.peers)
+    }
+
     /// Runs a gossip round: returns the datagrams to send with their addresses, and the hosts that
     /// became unresponsive.
     pub fn round(
--- a/crates/core/src/gateway/retry_after.rs
+++ b/crates/core/src/gateway/retry_after.rs
@@ -1,9 +1,10 @@
 //! Retry-After of requests that were refused without being run.
 //!
-//! There are two cases. Full upstreams have capacity again as soon as a few requests end. A group
+//! There are three cases. Full upstreams have capacity again as soon as a few requests end. A group
 //! with a crashed rank serves nothing until the rank is back and the group has formed again, which
-//! takes seconds; a caller that retries sooner is refused again and has used up its attempts. In
-//! both cases the delays are randomized, so that callers who were refused together do not return
+//! takes seconds; a caller that retries sooner is refused again and has used up its attempts. Upstreams that
+//! have reached the limits of requests a second that they name take the next request at a known time,
+//! but other callers wait for it too. In all cases the delays are randomized, so that callers who were refused together do not return
 //! together.
 
 use std::time::Duration;
@@ -28,6 +29,8 @@
     Full,
     /// No upstream is available, or the group waits for one of its ranks.
     Stalled,
+    /// All upstreams have reached the limits that they name, for this time or longer.
+    Limited(Duration),
 }
 
 /// Delay after which a caller should retry; `left` is the time until its deadline.
@@ -36,6 +39,10 @@
     let (shortest, longest) = match cause {
         Cause::Full => FULL_DELAY_S,
         Cause::Stalled => STALLED_DELAY_S,
+        Cause::Limited(wait) => {
+            let wait = wait.as_secs_f64();
+            (wait + FULL_DELAY_S.0, 2.0 * wait + FULL_DELAY_S.1)
+        }
     };
     let limit = left.as_secs_f64() * MAX_SHARE_OF_TIME_LEFT;
     let longest = longest.min(limit);
--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -15,7 +15,7 @@
 use super::retry_after;
 use super::routes::{Route, RouteTable, TableVersion};
 use super::silence::{Prospect, Signs, StreamAttempt};
-use super::upstream_limits::{Rate, UpstreamLimits};
+use super::upstream_limits::{Decider, Permit, Rate, UpstreamLimits};
 use crate::platform::Version;
 use crate::serving::subset::even_subset;
 use crate::types::{
@@ -102,6 +102,10 @@
     pub stalled: bool,
     /// How the last attempt ended.
     pub last_outcome: Option<Outcome>,
+    /// Upstream with a limit that it may be sent to.
+    permit: Option<UpstreamId>,
+    /// Whether the budget of repeated sends was charged for the next send.
+    is_charged: bool,
 }
 
 /// Next step of a request.
@@ -109,6 +113,9 @@
 pub enum Next {
     /// Send it to this upstream.
     Send(Upstream, Reasons),
+    /// Ask this host whether it may be sent to this upstream, which names a limit, and pass the answer
+    /// to [`Gateway::permit_answered`].
+    Ask(UpstreamId, HostId),
     /// Answer with this refusal.
     Refuse(Refusal),
 }
@@ -120,6 +127,8 @@
     pub usable: usize,
     /// Of these, skipped because the request was sent to them before.
     pub tried: usize,
+    /// Of these, skipped because they have reached the limits that they name.
+    pub limited: usize,
     /// Of these, avoided because they are ejected or another upstream has their address.
     pub avoided: usize,
     /// This host's requests in flight at the chosen upstream.
@@ -242,6 +251,7 @@
         let restarted = (!settings.first_start).then_some(now);
         Self {
             budget: RetryBudget::new(settings.retry_bound, restarted),
+            limits: UpstreamLimits::new(settings.host.clone(), seed),
             settings,
             table: None,
             table_since: now,
@@ -250,7 +260,6 @@
             health: UpstreamHealth::default(),
             signs: Signs::default(),
             quarantine: Quarantine::new(seed),
-            limits: UpstreamLimits::default(),
             fleet: BTreeSet::new(),
             subsets: BTreeMap::new(),
             idle_refusals: BTreeMap::new(),
@@ -362,6 +371,8 @@
             failed_connections: 0,
             stalled: false,
             last_outcome: None,
+            permit: None,
+            is_charged: false,
         })
     }
 
@@ -397,14 +408,28 @@
             let detail = "the upstreams that were tried did not serve the request";
             return self.refuse(now, request, RefusalKind::Overloaded, detail);
         }
-        let Some((chosen, reasons)) = self.choose(now, request) else {
-            let detail = format!("no upstream of `{}` takes requests now", request.service);
-            return self.refuse(now, request, RefusalKind::NoUpstream, &detail);
+        let (chosen, reasons) = loop {
+            let Some((chosen, reasons)) = self.choose(now, request) else {
+                return self.refuse_unplaced(now, request);
+            };
+            if repeated && !request.is_charged && !self.budget.try_take(now, &request.service) {
+                let detail = "the budget of repeated sends is spent";
+                return self.refuse(now, request, RefusalKind::Overloaded, detail);
+            }
+            request.is_charged = repeated;
+            if request.permit.take().is_some_and(|id| id == chosen.id) {
+                break (chosen, reasons);
+            }
+            match self.limits.decider(now, &chosen.id) {
+                Decider::Nobody => break (chosen, reasons),
+                Decider::Host(accountant) => return Next::Ask(chosen.id, accountant),
+                Decider::Local => match self.limits.decide(now, &chosen.id) {
+                    Permit::Granted => break (chosen, reasons),
+                    Permit::Denied { wait } => self.limits.record_denial(now, &chosen.id, wait),
+                },
+            }
         };
-        if repeated && !self.budget.try_take(now, &request.service) {
-            let detail = "the budget of repeated sends is spent";
-            return self.refuse(now, request, RefusalKind::Overloaded, detail);
-        }
+        request.is_charged = false;
         request.tried.insert(chosen.id.clone());
         let is_idle = self.loads.requests(&chosen.id) == 0;
         self.signs
@@ -413,11 +438,50 @@
         Next::Send(chosen, reasons)
     }
 
+    /// Records whether a request may be sent to an upstream, as the accountant of its limit says; `None`
+    /// if that host did not answer.
+    pub fn permit_answered(
+        &mut self,
+        now: Now,
+        request: &mut Admitted,
+        upstream: &str,
+        accountant: &HostId,
+        permit: Option<Permit>,
+    ) {
+        if permit == Some(Permit::Granted) {
+            request.permit = Some(upstream.to_owned());
+        }
+        self.limits.record_permit(now, upstream, accountant, permit);
+    }
+
+    /// Refuses a request that no upstream takes now, with the time until one does if all that could have
+    /// reached their limits.
+    fn refuse_unplaced(&mut self, now: Now, request: &Admitted) -> Next {
+        let untried = self.registry.usable(&request.service);
+        let untried = untried.filter(|u| !request.tried.contains(&u.id));
+        let waits = untried.filter_map(|u| self.limits.exhausted_for(now, &u.id));
+        let Some(wait) = waits.min() else {
+            let detail = format!("no upstream of `{}` takes requests now", request.service);
+            return self.refuse(now, request, RefusalKind::NoUpstream, &detail);
+        };
+        let detail = "all upstreams that could take the request have reached their limits";
+        if request.may_have_run {
+            return Next::Refuse(Refusal::unknown(RefusalKind::UpstreamFailed, detail));
+        }
+        let left = request.deadline.saturating_sub(now);
+        let delay = retry_after::delay(&mut self.rng, retry_after::Cause::Limited(wait), left);
+        let refusal = Refusal::not_run(RefusalKind::Overloaded, detail);
+        Next::Refuse(refusal.with_retry_after(delay))
+    }
+
     fn choose(&mut self, now: Now, request: &Admitted) -> Option<(Upstream, Reasons)> {
         self.update_subset(&request.service);
         let usable: Vec<&Upstream> = self.registry.usable(&request.service).collect();
         let untried = usable.iter().filter(|u| !request.tried.contains(&u.id));
-        let candidates: Vec<&Upstream> = untried.copied().collect();
+        let untried: Vec<&Upstream> = untried.copied().collect();
+        let limits = &self.limits;
+        let within_limits = |u: &&&Upstream| limits.exhausted_for(now, &u.id).is_none();
+        let candidates: Vec<&Upstream> = untried.iter().filter(within_limits).copied().collect();
         let local_data_centre = &self.settings.data_centre;
         let (loads, health, registry) = (&self.loads, &self.health, &self.registry);
         let (avoided, preferred): (Vec<&Upstream>, Vec<&Upstream>) = candidates
@@ -435,10 +499,15 @@
             (_, false) => &preferred,
             _ => &avoided,
         };
-        let chosen = placing::choose(&mut self.rng, now, local_data_centre, from, loads, health)?;
+        let permitted = |u: &&&Upstream| request.permit.as_ref() == Some(&u.id);
+        let chosen = match candidates.iter().find(permitted) {
+            Some(permitted) => permitted,
+            None => placing::choose(&mut self.rng, now, local_data_centre, from, loads, health)?,
+        };
         let reasons = Reasons {
             usable: usable.len(),
-            tried: usable.len() - candidates.len(),
+            tried: usable.len() - untried.len(),
+            limited: untried.len() - candidates.len(),
             avoided: avoided.len(),
             in_flight: loads.requests(&chosen.id),
             registry: self.registry.revision(),
@@ -604,7 +673,7 @@
         self.health.retain(|id| registry.get(id).is_some());
         self.loads.retain(|id| registry.get(id).is_some());
         self.signs.retain(|id| registry.get(id).is_some());
-        self.limits.retain(|id| registry.get(id).is_some());
+        self.limits.expire(now, |id| registry.get(id).is_some());
         self.quarantine.expire(now);
         self.quarantine.decide(now);
         changes
--- a/crates/core/src/gateway/tests/forming.rs
+++ b/crates/core/src/gateway/tests/forming.rs
@@ -123,6 +123,7 @@
         let mut request = gateway.admit(now, head()).unwrap();
         loop {
             match gateway.next(now, &mut request) {
+                Next::Ask(upstream, _) => panic!("{upstream} names no limit"),
                 Next::Send(upstream, _) if now < FORMS_AT => {
                     stats.sends_while_forming += 1;
                     request.record_outcome(&upstream.id, Outcome::Full);
@@ -172,6 +173,7 @@
                 gateway.attempt_ended(now, &upstream.id, request.work, Outcome::Full);
             }
             Next::Refuse(refusal) => return refusal.retry_after.unwrap(),
+            Next::Ask(upstream, _) => panic!("{upstream} names no limit"),
         }
     }
 }
--- a/crates/core/src/gateway/tests/mod.rs
+++ b/crates/core/src/gateway/tests/mod.rs
@@ -11,6 +11,7 @@
 mod requests;
 mod silence;
 mod sources;
+mod upstream_limits;
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/core/src/gateway/tests/requests.rs
+++ b/crates/core/src/gateway/tests/requests.rs
@@ -91,6 +91,7 @@
     match gateway.next(now, request) {
         Next::Send(upstream, _) => upstream.id,
         Next::Refuse(refusal) => panic!("{refusal:?}"),
+        Next::Ask(upstream, _) => panic!("{upstream} names no limit"),
     }
 }
 
@@ -98,6 +99,7 @@
     match gateway.next(now, request) {
         Next::Refuse(refusal) => refusal,
         Next::Send(upstream, _) => panic!("sent to {}", upstream.id),
+        Next::Ask(upstream, _) => panic!("{upstream} names no limit"),
     }
 }
 
@@ -189,6 +191,7 @@
                 );
             }
             Next::Refuse(refusal) => break refusal,
+            Next::Ask(upstream, _) => panic!("{upstream} names no limit"),
         }
     };
     assert_eq!((tries, refusal.run), (4, Run::NotRun));
--- a/crates/net/src/gateway/exchange.rs
+++ b/crates/net/src/gateway/exchange.rs
@@ -7,10 +7,10 @@
 use eelgrasshold_core::event::{Event, EventKind};
 use eelgrasshold_core::gateway::placing::Work;
 use eelgrasshold_core::gateway::quarantine::FeatureId;
-use eelgrasshold_core::gateway::registry::Upstream;
+use eelgrasshold_core::gateway::registry::{Upstream, UpstreamId};
 use eelgrasshold_core::gateway::upstream_limits::valid_rate;
 use eelgrasshold_core::gateway::{Admitted, Next, Outcome, Reasons};
-use eelgrasshold_core::types::{Now, Refusal, RefusalKind, WorkClass};
+use eelgrasshold_core::types::{HostId, Now, Refusal, RefusalKind, WorkClass};
 use eelgrasshold_platform::headers as names;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use http::{request, response};
@@ -21,9 +21,9 @@
 use super::ends::Ended;
 use super::intake::refuse;
 use super::pool::{Sender, idle_limit};
-use super::quarantine;
 use super::relay::Relay;
 use super::shared::{OpenRequest, Shared};
+use super::{permits, quarantine};
 use crate::http::{Body, full};
 use crate::wire::headers::{parsed, remove_hop_by_hop, text, value};
 
@@ -304,11 +304,14 @@
     /// Sends the request to the next upstream. `resume_after` is the id of the last event that
     /// the caller received from an interrupted stream.
     pub(super) async fn send(&mut self, resume_after: Option<u64>) -> SendResult {
-        let now = self.shared.now();
-        let next = self.shared.core().next(now, &mut self.admitted);
-        let (upstream, reasons) = match next {
-            Next::Send(upstream, reasons) => (upstream, reasons),
-            Next::Refuse(refusal) => return SendResult::Refused(refusal),
+        let (now, upstream, reasons) = loop {
+            let now = self.shared.now();
+            let next = self.shared.core().next(now, &mut self.admitted);
+            match next {
+                Next::Send(upstream, reasons) => break (now, upstream, reasons),
+                Next::Ask(upstream, accountant) => self.ask(&upstream, &accountant).await,
+                Next::Refuse(refusal) => return SendResult::Refused(refusal),
+            }
         };
         self.record_dispatch(&upstream, reasons, resume_after);
         let mut in_flight = InFlight::start(self, &upstream, now);
@@ -344,6 +347,21 @@
         }
     }
 
+    /// Asks the accountant of an upstream that names a limit whether the request may be sent there.
+    async fn ask(&mut self, upstream: &UpstreamId, accountant: &HostId) {
+        let permit = permits::ask(&self.shared, upstream, accountant).await;
+        if permit.is_none() {
+            let event = Event::new(EventKind::LinkFailed, "no answer about a limit")
+                .about_request(self.admitted.id.as_str())
+                .with("peer", accountant.as_str())
+                .with("upstream", upstream.as_str());
+            self.shared.timeline.record(event);
+        }
+        let now = self.shared.now();
+        let core = &mut self.shared.core();
+        core.permit_answered(now, &mut self.admitted, upstream, accountant, permit);
+    }
+
     fn record_dispatch(&self, upstream: &Upstream, reasons: Reasons, resume_after: Option<u64>) {
         let kind = match resume_after {
             Some(_) => EventKind::StreamResumed,
@@ -360,6 +378,7 @@
             .with("usable", reasons.usable)
             .with("tried_before", reasons.tried)
             .with("left_out", reasons.avoided)
+            .with("limited", reasons.limited)
             .with("own_in_flight", reasons.in_flight)
             .with("registry", reasons.registry)
             .with("registry_age_ms", reasons.registry_age)
@@ -553,6 +572,7 @@
                 .with("upstream", upstream.as_str())
                 .with("limit", text);
             shared.timeline.record(event);
+            permits::tell(shared, upstream);
         }
     }
 
--- a/crates/net/src/gateway/gossip.rs
+++ b/crates/net/src/gateway/gossip.rs
@@ -1,5 +1,6 @@
 //! Gossip between entry hosts, over UDP.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -9,11 +10,12 @@
 use eelgrasshold_core::gateway::peers::{
     Gossip, PeerChange, PeerState, ROUND_INTERVAL, StoreVersions,
 };
+use eelgrasshold_core::types::HostId;
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
 
 use super::shared::Shared;
-use super::{pulls, quarantine};
+use super::{permits, pulls, quarantine};
 
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
@@ -22,7 +24,7 @@
 const REPORT_FANOUT: usize = 3;
 
 /// Runs gossip rounds, announces state changes and replies to other hosts; never returns.
-pub(super) async fn run(shared: Arc<Shared>, socket: UdpSocket) {
+pub(super) async fn run(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut rounds = tokio::time::interval(ROUND_INTERVAL);
     rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
@@ -59,14 +61,19 @@
     let mut peers = shared.peers();
     let (sends, changes) = peers.round(shared.now(), store_versions);
     let hosts = peers.count();
-    let live = peers.live_hosts().iter().map(|p| p.host.clone()).collect();
+    let live: BTreeSet<HostId> = peers.live_hosts().iter().map(|p| p.host.clone()).collect();
+    let absent = peers.absent();
     let pull = peers.pull(shared.now(), known);
     drop(peers);
     if let Some(pull) = pull {
         shared.copies.mark_behind();
         tokio::spawn(pulls::pull(Arc::clone(shared), pull));
     }
-    shared.core().set_hosts(hosts, live);
+    {
+        let mut core = shared.core();
+        core.limits.set_hosts(&live, absent);
+        core.set_hosts(hosts, live);
+    }
     record_changes(shared, changes);
     for (to, gossip) in sends {
         send(socket, to, &gossip);
@@ -92,6 +99,13 @@
         quarantine::receive(shared, socket, reports, from);
         return;
     }
+    if let Some(message) = permits::decode(bytes) {
+        match message {
+            Ok(message) => permits::receive(shared, message, from),
+            Err(error) => log::debug!("can't decode a message about limits from {from}: {error}"),
+        }
+        return;
+    }
     let gossip: Gossip = match format().deserialize(bytes) {
         Ok(gossip) => gossip,
         Err(error) => {
@@ -107,6 +121,7 @@
     if changes.iter().any(is_new) {
         let reports = shared.core().quarantine.reports(shared.now(), true);
         quarantine::send(socket, &[gossip.from.peers], &reports);
+        permits::tell_new_host(shared, gossip.from.peers);
     }
     record_changes(shared, changes);
     if let Some((to, gossip)) = reply {
--- a/crates/net/src/gateway/host.rs
+++ b/crates/net/src/gateway/host.rs
@@ -28,6 +28,7 @@
 use super::buffer::AnswerBuffers;
 use super::copies::Copies;
 use super::metrics::{GatewayMetrics, open_descriptors, resident_bytes};
+use super::permits::Permits;
 use super::pool::Pool;
 use super::shared::Shared;
 use super::{GatewayOptions, callers, directory, follow, gossip, pulls, quarantine};
@@ -78,7 +79,9 @@
         options.peers = peers.local_addr().unwrap_or(options.peers);
         let metrics = Metrics::new()?;
         let clock = Clock::start();
-        let shared = Arc::new(shared(options, clock, &metrics));
+        let peers = Arc::new(peers);
+        let permits = Permits::new(Arc::clone(&peers));
+        let shared = Arc::new(shared(options, clock, &metrics, permits));
         register_gauges(&metrics, &shared);
         let closing = CancellationToken::new();
         let mut tasks = vec![
@@ -214,7 +217,7 @@
     }
 }
 
-fn shared(options: GatewayOptions, clock: Clock, metrics: &Metrics) -> Shared {
+fn shared(options: GatewayOptions, clock: Clock, metrics: &Metrics, permits: Permits) -> Shared {
     let settings = GatewaySettings {
         host: options.host.clone(),
         data_centre: options.data_centre.clone(),
@@ -239,6 +242,7 @@
         pool: Pool::default(),
         platform: platform_client(&options.platform, clock, options.seed),
         copies: Copies::default(),
+        permits,
         answer_buffers: AnswerBuffers::default(),
         connections: TaskTracker::new(),
         end_checks: TaskTracker::new(),
--- a/crates/net/src/gateway/mod.rs
+++ b/crates/net/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod intake;
 mod metrics;
 mod options;
+mod permits;
 mod pool;
 mod pulls;
 mod quarantine;
--- a/crates/net/src/gateway/shared.rs
+++ b/crates/net/src/gateway/shared.rs
@@ -21,6 +21,7 @@
 use super::buffer::AnswerBuffers;
 use super::copies::Copies;
 use super::metrics::GatewayMetrics;
+use super::permits::Permits;
 use super::pool::{Pool, Sender};
 use crate::platform::Platform;
 use crate::runtime::{Clock, Timeline};
@@ -37,6 +38,7 @@
     pub(super) pool: Pool,
     pub(super) platform: Platform,
     pub(super) copies: Copies,
+    pub(super) permits: Permits,
     pub(super) answer_buffers: AnswerBuffers,
     /// Connections of callers.
     pub(super) connections: TaskTracker,
--- a/crates/standins/tests/gateway/limits.rs
+++ b/crates/standins/tests/gateway/limits.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use eelgrasshold_net::gateway::GatewayHost;
 use eelgrasshold_standins::users::Replica;
 use futures::future::join_all;
 use tokio::task::JoinHandle;
@@ -55,7 +56,7 @@
 
 fn addresses(cluster: &Cluster) -> Vec<SocketAddr> {
     let gateways = cluster.gateways.iter();
-    gateways.map(|g| g.callers_address()).collect()
+    gateways.map(GatewayHost::callers_address).collect()
 }
 
 fn arrivals_since(replica: &Replica, since: Instant) -> Vec<Instant> {
