Receive reports with extreme times from other hosts

One malformed or forged datagram with a time near the largest that can be told ended the task which exchanges reports and gossip: adding to it overflowed, and a panic in that task leaves a host that hears no other one. Reported by operators of similar systems as a kind of fault; found here by looking for it.

Times are bounded where they are received. Before, reports_with_extreme_times_are_received fails; the test with 4,000 malformed datagrams to a gateway passes now and was not run on the code before.

--- a/crates/core/src/gateway/peers.rs
+++ b/crates/core/src/gateway/peers.rs
@@ -561,7 +561,7 @@
     ) {
         if record.host == self.local.host {
             if record.incarnation > self.local.incarnation {
-                self.local.incarnation = record.incarnation + 1;
+                self.local.incarnation = record.incarnation.saturating_add(1);
             }
             return;
         }
--- a/crates/core/src/gateway/quarantine/mod.rs
+++ b/crates/core/src/gateway/quarantine/mod.rs
@@ -307,7 +307,8 @@
                     left,
                     is_saved,
                 } => {
-                    let (at, until) = (now.saturating_sub(ended), now + left);
+                    let until = now + left.min(QUARANTINE_TIME);
+                    let at = now.saturating_sub(ended);
                     let known: Vec<FeatureId> = features.iter().copied().collect();
                     replies.extend(self.sound_report(now, at, &known));
                     self.add(now, features, at, until, is_saved);
--- a/crates/core/src/gateway/quarantine/report.rs
+++ b/crates/core/src/gateway/quarantine/report.rs
@@ -47,9 +47,9 @@
     #[must_use]
     pub fn aged(mut self, by: Duration) -> Self {
         match &mut self {
-            Self::End { age, .. } | Self::Sound { age, .. } => *age += by,
+            Self::End { age, .. } | Self::Sound { age, .. } => *age = age.saturating_add(by),
             Self::Refused { ended, left, .. } => {
-                *ended += by;
+                *ended = ended.saturating_add(by);
                 *left = left.saturating_sub(by);
             }
         }
--- a/crates/core/src/gateway/tests/quarantine.rs
+++ b/crates/core/src/gateway/tests/quarantine.rs
@@ -430,6 +430,43 @@
     }
 }
 
+// Guards against one malformed report that takes down the task which exchanges them.
+#[test]
+fn reports_with_extreme_times_are_received() {
+    let features = vec![FATAL, FIRST];
+    for time in [Duration::ZERO, Duration::from_hours(9), Duration::MAX] {
+        let mut quarantine = Quarantine::new(1);
+        quarantine.record_end(ms(500), ms(500), "u-1", true, &features);
+        quarantine.receive(
+            ms(1_000),
+            vec![
+                Report::End {
+                    upstream: "u-2".to_owned(),
+                    age: time,
+                    has_head: true,
+                    features: features.clone(),
+                },
+                Report::Sound {
+                    features: features.clone(),
+                    age: time,
+                },
+                Report::Refused {
+                    features: FeatureSet::from([OTHER]),
+                    ended: time,
+                    left: time,
+                    is_saved: false,
+                },
+            ],
+        );
+        for now in [ms(1_000), ms(1_300), ms(5_000)] {
+            quarantine.expire(now);
+            quarantine.decide(now);
+            quarantine.take_news(now);
+            drop(quarantine.reports(now, true));
+        }
+    }
+}
+
 /// A service whose upstreams end before they begin to answer a fatal request.
 struct PlainService {
     back_at: Vec<Now>,
--- a/crates/standins/tests/gateway/hosts.rs
+++ b/crates/standins/tests/gateway/hosts.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
+use tokio::net::{TcpStream, UdpSocket};
 
 use super::cluster::{Cluster, read_answer, request, send};
 
@@ -74,6 +76,45 @@
     assert_eq!(closed.unwrap().status, 0);
 }
 
+// Guards against one malformed datagram that ends the task which talks to other hosts.
+#[tokio::test]
+async fn hosts_that_get_malformed_datagrams_go_on_hearing_each_other() {
+    let cluster = Cluster::start(2, 2).await;
+    let target = cluster.gateways[0].peers_address();
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let mut rng = SmallRng::seed_from_u64(1);
+    for n in 0..4_000_usize {
+        let mut bytes = vec![0; rng.random_range(0..200)];
+        rng.fill(bytes.as_mut_slice());
+        // Kinds of datagrams between hosts, then the variant and large numbers.
+        let mark = [0xff, 0xfe, 6][n % 3];
+        let variant = rng.random_range(0..4);
+        let large = [253, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff];
+        let start: Vec<u8> = match n % 4 {
+            0 => vec![mark],
+            1 => vec![mark, 1, variant],
+            2 => [&[mark, 1, variant, 1, 7], &large[..]].concat(),
+            _ => [&[mark, variant, 0], &large[..], &large[..]].concat(),
+        };
+        socket
+            .send_to(&[start, bytes].concat(), target)
+            .await
+            .unwrap();
+        if n % 100 == 0 {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+    // Longer than a host is believed that is not heard.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    for gateway in 0..2 {
+        assert_eq!(cluster.resolved_addresses(gateway).await.len(), 2);
+        let answer = cluster
+            .call_at(gateway, "GET", "/safe/x", &format!("r-{gateway}"))
+            .await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+}
+
 /// Requests on kept and on new connections until the host no longer accepts any. Returns the number
 /// of whole answers, and of requests that were read or accepted and got none.
 async fn press(address: std::net::SocketAddr, worker: usize, reuse: bool) -> (usize, usize) {
