Use a permit although another request was denied one meanwhile

Of two requests that wait for the accountant of the same upstream, the denial of one marked the upstream as exhausted, and the permit of the other was lost: that request was refused, and a part of the limit stayed unused.

a_permit_is_used_although_another_request_was_denied fails before and passes now. Two more tests of a gateway's decisions with limits go in with it; they passed before.

--- a/crates/core/src/gateway/state.rs
+++ b/crates/core/src/gateway/state.rs
@@ -480,7 +480,9 @@
         let untried = usable.iter().filter(|u| !request.tried.contains(&u.id));
         let untried: Vec<&Upstream> = untried.copied().collect();
         let limits = &self.limits;
-        let within_limits = |u: &&&Upstream| limits.exhausted_for(now, &u.id).is_none();
+        let has_permit = |u: &Upstream| request.permit.as_ref() == Some(&u.id);
+        let within_limits =
+            |u: &&&Upstream| has_permit(u) || limits.exhausted_for(now, &u.id).is_none();
         let candidates: Vec<&Upstream> = untried.iter().filter(within_limits).copied().collect();
         let local_data_centre = &self.settings.data_centre;
         let (loads, health, registry) = (&self.loads, &self.health, &self.registry);
@@ -499,8 +501,7 @@
             (_, false) => &preferred,
             _ => &avoided,
         };
-        let permitted = |u: &&&Upstream| request.permit.as_ref() == Some(&u.id);
-        let chosen = match candidates.iter().find(permitted) {
+        let chosen = match candidates.iter().find(|u| has_permit(u)) {
             Some(permitted) => permitted,
             None => placing::choose(&mut self.rng, now, local_data_centre, from, loads, health)?,
         };
--- a/crates/core/src/gateway/tests/requests.rs
+++ b/crates/core/src/gateway/tests/requests.rs
@@ -1,11 +1,13 @@
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::{ms, upstream};
 use crate::gateway::budget::RetryBound;
 use crate::gateway::routes::{CallerTeam, Route, RouteKind, RouteTable};
+use crate::gateway::upstream_limits::Permit;
 use crate::gateway::{Admitted, Gateway, GatewaySettings, Next, Outcome, RequestHead};
-use crate::types::{Now, Refusal, RefusalKind, Run};
+use crate::types::{HostId, Now, Refusal, RefusalKind, Run};
 
 const STREAM: RouteKind = RouteKind::Stream { resumable: true };
 
@@ -259,3 +261,58 @@
     let sent_to_failing = sent.iter().filter(|s| *s == "u-3").count();
     assert!(sent_to_failing <= 4, "{sent_to_failing} of 40");
 }
+
+// Guards against requests that are refused although an upstream without a limit can take them.
+#[test]
+fn an_upstream_at_its_limit_leaves_requests_to_others() {
+    let mut gateway = gateway(2);
+    gateway.record_limit(ms(0), "u-1", ms(0), Some(1.0), false);
+    let mut sent = [0, 0];
+    for n in 0..20 {
+        let mut request = gateway.admit(ms(n * 50), head("/safe/x")).unwrap();
+        match send(&mut gateway, ms(n * 50), &mut request).as_str() {
+            "u-1" => sent[0] += 1,
+            _ => sent[1] += 1,
+        }
+    }
+    assert!(sent[0] <= 2 && sent[1] >= 18, "{sent:?}");
+}
+
+// Guards against requests that wait, or that are told that they may have run, when all upstreams have
+// reached their limits.
+#[test]
+fn what_no_upstream_can_take_is_refused_until_one_can() {
+    let mut gateway = gateway(1);
+    gateway.record_limit(ms(0), "u-1", ms(0), Some(0.5), false);
+    let mut request = gateway.admit(ms(1_000), head("/unsafe/x")).unwrap();
+    let refusal = refused(&mut gateway, ms(1_000), &mut request);
+    assert_eq!(refusal.run, Run::NotRun);
+    assert_eq!(refusal.kind, RefusalKind::Overloaded);
+    let after = refusal.retry_after.unwrap();
+    assert!(after > ms(0) && after <= ms(1_000), "{after:?}");
+    let mut later = gateway.admit(ms(6_000), head("/unsafe/x")).unwrap();
+    assert_eq!(send(&mut gateway, ms(6_000), &mut later), "u-1");
+}
+
+// Guards against a permit that is lost since another request was denied one meanwhile.
+#[test]
+fn a_permit_is_used_although_another_request_was_denied() {
+    let mut gateway = gateway(1);
+    let hosts: BTreeSet<HostId> = (1..=9).map(|n| format!("edge-{n}")).collect();
+    gateway.limits.set_hosts(&hosts, 0);
+    gateway.record_limit(ms(0), "u-1", ms(0), Some(1.0), false);
+    let mut requests = [(); 2].map(|()| gateway.admit(ms(0), head("/safe/x")).unwrap());
+    let wait = Duration::from_secs(1);
+    for (request, permit) in requests
+        .iter_mut()
+        .zip([Permit::Granted, Permit::Denied { wait }])
+    {
+        let Next::Ask(upstream, accountant) = gateway.next(ms(1), request) else {
+            panic!("no question");
+        };
+        gateway.permit_answered(ms(2), request, &upstream, &accountant, Some(permit));
+    }
+    assert_eq!(send(&mut gateway, ms(3), &mut requests[0]), "u-1");
+    let refusal = refused(&mut gateway, ms(3), &mut requests[1]);
+    assert_eq!(refusal.kind, RefusalKind::Overloaded);
+}
