--- a/crates/core/src/gateway/tests/upstream_limits.rs
+++ b/crates/core/src/gateway/tests/upstream_limits.rs
@@ -6,7 +6,9 @@
 use rand::{Rng, SeedableRng};
 
 use super::ms;
-use crate::gateway::upstream_limits::{Decider, Permit, Rate, Said, UpstreamLimits, valid_rate};
+use crate::gateway::upstream_limits::{
+    Decider, Observation, Permit, Rate, UpstreamLimits, valid_rate,
+};
 use crate::types::{HostId, Now};
 
 /// Length of the window in which the requests to an upstream are counted.
@@ -24,9 +26,9 @@
     UpstreamLimits::new(host.to_owned(), 1)
 }
 
-fn said(rate: Option<Rate>, age_ms: u64) -> Said {
+fn observed(rate: Option<Rate>, age_ms: u64) -> Observation {
     let age = Duration::from_millis(age_ms);
-    Said { rate, age }
+    Observation { rate, age }
 }
 
 // Guards against an answer that was on its way when a limit was named, and that seems to end it.
@@ -47,10 +49,10 @@
 fn the_latest_word_of_an_upstream_counts() {
     let mut limits = limits_of("a");
     limits.record_answer(ms(5_000), "u", ms(4_900), Some(2.0));
-    assert!(!limits.receive(ms(6_000), "u", said(Some(9.0), 1_500)));
-    assert!(limits.receive(ms(6_000), "u", said(Some(3.0), 200)));
-    assert!(limits.receive(ms(7_000), "u", said(None, 100)));
-    assert!(!limits.receive(ms(7_000), "v", said(None, 100)));
+    assert!(!limits.receive(ms(6_000), "u", observed(Some(9.0), 1_500)));
+    assert!(limits.receive(ms(6_000), "u", observed(Some(3.0), 200)));
+    assert!(limits.receive(ms(7_000), "u", observed(None, 100)));
+    assert!(!limits.receive(ms(7_000), "v", observed(None, 100)));
     assert!(limits.is_empty());
 }
 
@@ -60,7 +62,7 @@
     for rate in [f64::NAN, f64::INFINITY, -1.0] {
         assert_eq!(valid_rate(rate), None);
         let mut limits = limits_of("a");
-        limits.receive(ms(1_000), "u", said(Some(rate), 0));
+        limits.receive(ms(1_000), "u", observed(Some(rate), 0));
         assert_eq!(limits.decide(ms(1_000), "u"), Permit::Granted);
     }
 }
@@ -82,7 +84,7 @@
     /// Whether a host runs.
     up: Vec<bool>,
     /// When a host first passed on an answer with a limit.
-    told_at: Vec<Option<Now>>,
+    named_at: Vec<Option<Now>>,
     loss: f64,
     rng: SmallRng,
 }
@@ -93,7 +95,7 @@
         let mut fleet = Self {
             hosts: names.iter().map(|n| limits_of(n)).collect(),
             up: vec![true; hosts],
-            told_at: vec![None; hosts],
+            named_at: vec![None; hosts],
             names,
             loss,
             rng: SmallRng::seed_from_u64(seed),
@@ -115,14 +117,14 @@
     fn restart(&mut self, now: Now, count: usize) {
         for n in 0..count {
             self.up[n] = true;
-            self.told_at[n] = None;
+            self.named_at[n] = None;
             self.hosts[n] = limits_of(&self.names[n]);
         }
         for from in count..self.hosts.len() {
-            for (upstream, said) in self.hosts[from].accounted(now) {
+            for (upstream, observed) in self.hosts[from].accounted(now) {
                 for to in 0..count {
                     if !self.is_lost() {
-                        self.hosts[to].receive(now, &upstream, said);
+                        self.hosts[to].receive(now, &upstream, observed);
                     }
                 }
             }
@@ -135,22 +137,22 @@
     }
 
     /// Tells of a limit that is new to a host, as its accountant or to it.
-    fn tell(&mut self, now: Now, from: usize, upstream: &str) {
-        let Some(said) = self.hosts[from].said(now, upstream) else {
+    fn publish(&mut self, now: Now, from: usize, upstream: &str) {
+        let Some(observed) = self.hosts[from].observation(now, upstream) else {
             return;
         };
         if self.hosts[from].is_accountant(upstream) {
             for to in 0..self.hosts.len() {
                 if to != from && self.up[to] && !self.is_lost() {
-                    self.hosts[to].receive(now, upstream, said);
+                    self.hosts[to].receive(now, upstream, observed);
                 }
             }
             return;
         }
         let accountant = self.hosts[from].accountant(upstream).cloned().unwrap();
         let to = self.names.iter().position(|n| *n == accountant).unwrap();
-        if self.up[to] && !self.is_lost() && self.hosts[to].receive(now, upstream, said) {
-            self.tell(now, to, upstream);
+        if self.up[to] && !self.is_lost() && self.hosts[to].receive(now, upstream, observed) {
+            self.publish(now, to, upstream);
         }
     }
 
@@ -176,8 +178,8 @@
             let mut permit = None;
             for _ in 0..2 {
                 if permit.is_none() && self.up[to] && !self.is_lost() {
-                    let said = self.hosts[from].said(now, upstream).unwrap();
-                    self.hosts[to].receive(now, upstream, said);
+                    let observed = self.hosts[from].observation(now, upstream).unwrap();
+                    self.hosts[to].receive(now, upstream, observed);
                     let answer = self.hosts[to].decide(now, upstream);
                     if !self.is_lost() {
                         permit = Some(answer);
@@ -224,10 +226,10 @@
         }
         let host = rng.random_range(0..hosts);
         if fleet.up[host] && fleet.may_send(now, host, "u") {
-            let told_at = *fleet.told_at[host].get_or_insert(now);
-            arrivals.push((now, now >= told_at + REACTION_TIME));
+            let named_at = *fleet.named_at[host].get_or_insert(now);
+            arrivals.push((now, now >= named_at + REACTION_TIME));
             if fleet.hosts[host].record_answer(now, "u", now, Some(rate)) {
-                fleet.tell(now, host, "u");
+                fleet.publish(now, host, "u");
             }
         }
     }
--- a/crates/core/src/gateway/upstream_limits/message.rs
+++ b/crates/core/src/gateway/upstream_limits/message.rs
@@ -1,4 +1,4 @@
-//! What hosts tell each other about limits of upstreams.
+//! Messages between hosts about limits of upstreams.
 
 use std::time::Duration;
 
@@ -10,12 +10,12 @@
 /// Number that the asking host gives to a question.
 pub type QuestionId = u64;
 
-/// What an upstream said last, as far as a host knows.
+/// Limit that an upstream named last, as far as a host knows.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Said {
+pub struct Observation {
     /// Requests a second of all hosts together; `None` if it names no limit any more.
     pub rate: Option<Rate>,
-    /// Time since it said so.
+    /// Time since the answer that named it.
     pub age: Duration,
 }
 
@@ -41,7 +41,7 @@
         /// The upstream.
         upstream: UpstreamId,
         /// What the asking host knows of its limit.
-        said: Said,
+        observed: Observation,
     },
     /// Answer to a question.
     Answer {
@@ -52,8 +52,8 @@
         /// The upstream.
         upstream: UpstreamId,
         /// What the accountant knows of its limit.
-        said: Said,
+        observed: Observation,
     },
     /// Limits that are news to the receiver.
-    Said(Vec<(UpstreamId, Said)>),
+    Limits(Vec<(UpstreamId, Observation)>),
 }
--- a/crates/core/src/gateway/upstream_limits/mod.rs
+++ b/crates/core/src/gateway/upstream_limits/mod.rs
@@ -22,7 +22,7 @@
 use crate::rendezvous;
 use crate::types::{HostId, Now};
 
-pub use message::{Message, Permit, QuestionId, Said};
+pub use message::{Message, Observation, Permit, QuestionId};
 
 /// Requests a second.
 pub type Rate = f64;
@@ -48,12 +48,12 @@
 /// Longest time for which an upstream counts as exhausted after a denial.
 const MAX_EXHAUSTED_TIME: Duration = Duration::from_secs(4);
 
-/// What an upstream last said.
+/// Limit that an upstream named last.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Limit {
     /// `None` if it no longer names a limit.
     rate: Option<Rate>,
-    said_at: Now,
+    observed_at: Now,
 }
 
 /// Requests that may still be sent to an upstream.
@@ -178,22 +178,30 @@
         match (self.limits.get(upstream), rate) {
             (None, None) => return false,
             // The answer may have been on its way when the limit was named.
-            (Some(known), None) if known.said_at > sent_at => return false,
+            (Some(known), None) if known.observed_at > sent_at => return false,
             _ => {}
         }
-        self.set(upstream, Limit { rate, said_at: now })
+        self.set(
+            upstream,
+            Limit {
+                rate,
+                observed_at: now,
+            },
+        )
     }
 
     /// Records what another host knows of an upstream's limit. Returns whether the limit is another one
     /// now.
-    pub fn receive(&mut self, now: Now, upstream: &str, said: Said) -> bool {
-        let said_at = now.saturating_sub(said.age);
+    pub fn receive(&mut self, now: Now, upstream: &str, observed: Observation) -> bool {
+        let observed_at = now.saturating_sub(observed.age);
         let known = self.limits.get(upstream);
-        if known.is_some_and(|k| k.said_at >= said_at) || (known.is_none() && said.rate.is_none()) {
+        if known.is_some_and(|k| k.observed_at >= observed_at)
+            || (known.is_none() && observed.rate.is_none())
+        {
             return false;
         }
-        let rate = said.rate.and_then(valid_rate);
-        self.set(upstream, Limit { rate, said_at })
+        let rate = observed.rate.and_then(valid_rate);
+        self.set(upstream, Limit { rate, observed_at })
     }
 
     fn set(&mut self, upstream: &str, limit: Limit) -> bool {
@@ -207,20 +215,20 @@
 
     /// What is known of an upstream's limit, for other hosts.
     #[must_use]
-    pub fn said(&self, now: Now, upstream: &str) -> Option<Said> {
+    pub fn observation(&self, now: Now, upstream: &str) -> Option<Observation> {
         let limit = self.limits.get(upstream)?;
-        Some(Said {
+        Some(Observation {
             rate: limit.rate,
-            age: now.saturating_sub(limit.said_at),
+            age: now.saturating_sub(limit.observed_at),
         })
     }
 
     /// The limits that the local host is the accountant of, for a host that has just started.
     #[must_use]
-    pub fn accounted(&self, now: Now) -> Vec<(UpstreamId, Said)> {
+    pub fn accounted(&self, now: Now) -> Vec<(UpstreamId, Observation)> {
         let own = self.limits.keys().filter(|u| self.is_accountant(u));
-        let said = own.filter_map(|u| Some((u.clone(), self.said(now, u)?)));
-        said.filter(|(_, s)| s.rate.is_some()).collect()
+        let observed = own.filter_map(|u| Some((u.clone(), self.observation(now, u)?)));
+        observed.filter(|(_, s)| s.rate.is_some()).collect()
     }
 
     /// The accountant of an upstream, whether it answers or not.
--- a/crates/net/src/gateway/exchange.rs
+++ b/crates/net/src/gateway/exchange.rs
@@ -572,7 +572,7 @@
                 .with("upstream", upstream.as_str())
                 .with("limit", text);
             shared.timeline.record(event);
-            permits::tell(shared, upstream);
+            permits::publish(shared, upstream);
         }
     }
 
--- a/crates/net/src/gateway/gossip.rs
+++ b/crates/net/src/gateway/gossip.rs
@@ -121,7 +121,7 @@
     if changes.iter().any(is_new) {
         let reports = shared.core().quarantine.reports(shared.now(), true);
         quarantine::send(socket, &[gossip.from.peers], &reports);
-        permits::tell_new_host(shared, gossip.from.peers);
+        permits::send_accounted(shared, gossip.from.peers);
     }
     record_changes(shared, changes);
     if let Some((to, gossip)) = reply {
--- a/crates/net/src/gateway/permits.rs
+++ b/crates/net/src/gateway/permits.rs
@@ -1,4 +1,4 @@
-//! Asks other hosts for permits to send to upstreams that name limits, and tells them of limits.
+//! Asks other hosts for permits to send to upstreams that name limits, and publishes limits.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bincode::Options;
-use eelgrasshold_core::gateway::upstream_limits::{Message, Permit, QuestionId, Said};
+use eelgrasshold_core::gateway::upstream_limits::{Message, Observation, Permit, QuestionId};
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 
@@ -108,12 +108,12 @@
 /// answer.
 pub(super) async fn ask(shared: &Shared, upstream: &str, accountant: &str) -> Option<Permit> {
     let address = shared.peers().address_of(accountant)?;
-    let said = shared.core().limits.said(shared.now(), upstream)?;
+    let observed = shared.core().limits.observation(shared.now(), upstream)?;
     let mut question = shared.permits.question();
     let message = Message::Ask {
         question: question.id,
         upstream: upstream.to_owned(),
-        said,
+        observed,
     };
     for time in ANSWER_TIMES {
         shared.permits.send(address, &message);
@@ -124,20 +124,20 @@
     None
 }
 
-/// Tells of a limit that is new: the accountant of the upstream tells all hosts, another one tells the
+/// Publishes a limit that is new: the accountant of the upstream to all hosts, another host to the
 /// accountant.
-pub(super) fn tell(shared: &Shared, upstream: &str) {
+pub(super) fn publish(shared: &Shared, upstream: &str) {
     let now = shared.now();
-    let (said, accountant, is_own) = {
+    let (observed, accountant, is_own) = {
         let limits = &shared.core().limits;
         let accountant = limits.accountant(upstream).cloned();
         let is_own = limits.is_accountant(upstream);
-        (limits.said(now, upstream), accountant, is_own)
+        (limits.observation(now, upstream), accountant, is_own)
     };
-    let Some(said) = said else {
+    let Some(observed) = observed else {
         return;
     };
-    let message = Message::Said(vec![(upstream.to_owned(), said)]);
+    let message = Message::Limits(vec![(upstream.to_owned(), observed)]);
     let to: Vec<SocketAddr> = {
         let peers = shared.peers();
         let own = peers.local_record().peers;
@@ -154,11 +154,11 @@
     }
 }
 
-/// Tells a host that has just started of the limits that this host is the accountant of.
-pub(super) fn tell_new_host(shared: &Shared, to: SocketAddr) {
-    let said = shared.core().limits.accounted(shared.now());
-    for chunk in said.chunks(MAX_LIMITS) {
-        shared.permits.send(to, &Message::Said(chunk.to_vec()));
+/// Sends the limits that this host is the accountant of to a host that has just started.
+pub(super) fn send_accounted(shared: &Shared, to: SocketAddr) {
+    let observed = shared.core().limits.accounted(shared.now());
+    for chunk in observed.chunks(MAX_LIMITS) {
+        shared.permits.send(to, &Message::Limits(chunk.to_vec()));
     }
 }
 
@@ -168,19 +168,22 @@
         Message::Ask {
             question,
             upstream,
-            said,
+            observed,
         } => {
-            learn(shared, &upstream, said);
+            apply(shared, &upstream, observed);
             let now = shared.now();
             let (permit, known) = {
                 let limits = &mut shared.core().limits;
-                (limits.decide(now, &upstream), limits.said(now, &upstream))
+                (
+                    limits.decide(now, &upstream),
+                    limits.observation(now, &upstream),
+                )
             };
             let answer = Message::Answer {
                 question,
                 permit,
                 upstream,
-                said: known.unwrap_or(said),
+                observed: known.unwrap_or(observed),
             };
             shared.permits.send(from, &answer);
         }
@@ -188,26 +191,30 @@
             question,
             permit,
             upstream,
-            said,
+            observed,
         } => {
-            shared.core().limits.receive(shared.now(), &upstream, said);
+            shared
+                .core()
+                .limits
+                .receive(shared.now(), &upstream, observed);
             shared.permits.answered(question, permit);
         }
-        Message::Said(limits) => {
-            for (upstream, said) in limits {
-                learn(shared, &upstream, said);
+        Message::Limits(limits) => {
+            for (upstream, observed) in limits {
+                apply(shared, &upstream, observed);
             }
         }
     }
 }
 
-fn learn(shared: &Shared, upstream: &str, said: Said) {
+/// Records a limit that another host knows, and publishes it if it is new to this accountant.
+fn apply(shared: &Shared, upstream: &str, observed: Observation) {
     let (changed, is_own) = {
         let limits = &mut shared.core().limits;
-        let changed = limits.receive(shared.now(), upstream, said);
+        let changed = limits.receive(shared.now(), upstream, observed);
         (changed, changed && limits.is_accountant(upstream))
     };
     if changed && is_own {
-        tell(shared, upstream);
+        publish(shared, upstream);
     }
 }
