--- a/crates/standins/tests/gateway/crashes.rs
+++ b/crates/standins/tests/gateway/crashes.rs
@@ -95,6 +95,12 @@
     stream_request(&[FIRST_PARTS[n % FIRST_PARTS.len()], FATAL_PART, "c1"])
 }
 
+/// The same plain request each time, but for its id.
+fn fatal_plain() -> String {
+    let n = NEXT_REQUEST.fetch_add(1, Ordering::Relaxed);
+    request("GET", "/safe/fatal?x=1", &format!("r-{n}"))
+}
+
 async fn cluster(gateways: usize, marker: &str) -> Cluster {
     let cluster = Cluster::start(4, gateways).await;
     for replica in &cluster.replicas {
@@ -138,13 +144,9 @@
         cluster: &cluster,
         gateways: cluster.gateways.iter().collect(),
     };
-    let fatal = || {
-        let n = NEXT_REQUEST.fetch_add(1, Ordering::Relaxed);
-        request("GET", "/safe/fatal?x=1", &format!("r-{n}"))
-    };
-    traffic.run(SETTLE_TIME, fatal).await;
+    traffic.run(SETTLE_TIME, fatal_plain).await;
     let arrivals = traffic.fatal_arrivals("fatal");
-    let (sent, whole) = traffic.run(Duration::from_secs(1), fatal).await;
+    let (sent, whole) = traffic.run(Duration::from_secs(1), fatal_plain).await;
     let late = traffic.fatal_arrivals("fatal") - arrivals;
     assert!(late <= MAX_LATE_ARRIVALS, "{late} arrivals");
     assert!(
@@ -166,19 +168,15 @@
         cluster: &cluster,
         gateways: cluster.gateways.iter().collect(),
     };
-    let fatal = || {
-        let n = NEXT_REQUEST.fetch_add(1, Ordering::Relaxed);
-        request("GET", "/safe/fatal?x=1", &format!("r-{n}"))
-    };
     while traffic.ends() < REPLICAS {
-        traffic.run(INTERVAL, fatal).await;
+        traffic.run(INTERVAL, fatal_plain).await;
     }
-    traffic.run(SETTLE_TIME, fatal).await;
+    traffic.run(SETTLE_TIME, fatal_plain).await;
     let arrivals = traffic.fatal_arrivals("fatal");
-    traffic.run(Duration::from_secs(1), fatal).await;
+    traffic.run(Duration::from_secs(1), fatal_plain).await;
     let late = traffic.fatal_arrivals("fatal") - arrivals;
     assert!(late <= MAX_LATE_ARRIVALS, "{late} arrivals");
-    let (sent, whole) = traffic.run(Duration::from_secs(1), fatal).await;
+    let (sent, whole) = traffic.run(Duration::from_secs(1), fatal_plain).await;
     assert!(
         whole * 10 >= sent * 9,
         "{whole} of {sent} sound requests answered"
