--- a/crates/standins/tests/gateway/crashes.rs
+++ b/crates/standins/tests/gateway/crashes.rs
@@ -247,3 +247,68 @@
     let late = second.fatal_arrivals(FATAL_PART) - arrivals;
     assert!(late <= MAX_LATE_ARRIVALS, "{late} arrivals");
 }
+
+/// Three replicas of a plain service, which end before the head of an answer.
+async fn plain_cluster(gateways: usize) -> Cluster {
+    let cluster = Cluster::start(3, gateways).await;
+    for replica in &cluster.replicas {
+        replica.end_before_head_at("fatal", DOWN_TIME);
+    }
+    cluster
+}
+
+// Guards against a repeated request that is forgotten when all hosts are started anew at once.
+#[tokio::test]
+async fn a_repeated_request_is_refused_after_a_restart_of_all_hosts() {
+    let mut cluster = plain_cluster(2).await;
+    let traffic = Traffic {
+        cluster: &cluster,
+        gateways: cluster.gateways.iter().collect(),
+    };
+    traffic.run(SETTLE_TIME, fatal_plain).await;
+    for gateway in std::mem::take(&mut cluster.gateways) {
+        gateway.abort();
+    }
+    for n in 0..2 {
+        let restarted = cluster.restart_gateway(&format!("edge-{n}")).await;
+        cluster.gateways.push(restarted);
+    }
+    for n in 0..2 {
+        cluster
+            .wait_until(|| async { !cluster.resolved_addresses(n).await.is_empty() })
+            .await;
+    }
+    let traffic = Traffic {
+        cluster: &cluster,
+        gateways: cluster.gateways.iter().collect(),
+    };
+    let arrivals = traffic.fatal_arrivals("fatal");
+    traffic.run(Duration::from_secs(2), fatal_plain).await;
+    let late = traffic.fatal_arrivals("fatal") - arrivals;
+    assert!(late <= MAX_LATE_ARRIVALS, "{late} arrivals");
+}
+
+// Guards against a repeated request that ends replicas again through a host that does not hear the others.
+#[tokio::test]
+async fn a_repeated_request_is_refused_by_hosts_that_do_not_hear_each_other() {
+    let mut cluster = plain_cluster(1).await;
+    // Without seeds, the other host knows the store and the replicas only.
+    let separate = cluster.restart_gateway("edge-cut").await;
+    cluster.gateways.push(separate);
+    cluster
+        .wait_until(|| async { !cluster.resolved_addresses(1).await.is_empty() })
+        .await;
+    let first = Traffic {
+        cluster: &cluster,
+        gateways: vec![&cluster.gateways[0]],
+    };
+    first.run(SETTLE_TIME, fatal_plain).await;
+    let second = Traffic {
+        cluster: &cluster,
+        gateways: vec![&cluster.gateways[1]],
+    };
+    let arrivals = second.fatal_arrivals("fatal");
+    second.run(Duration::from_secs(2), fatal_plain).await;
+    let late = second.fatal_arrivals("fatal") - arrivals;
+    assert!(late <= MAX_LATE_ARRIVALS, "{late} arrivals");
+}
