Hold a pass only after all ranks have reported in one round of reads

Callers of all ranks of a group got no event for up to 6 s and left: a pass was held, and ranks that had frozen meanwhile did not arm. Cause: a rollout took the last accepted order as a sign of life. Between that order and the hold lie the loading of the experts, 0.1 to 0.9 s; only while orders got lost did it read the ranks again, and then counted what each had reported at any time before. The class of fault is waiting for a counterpart without a sign of life.

After the loading, the leader now reads all ranks in one round of 250 ms and holds a pass only when all of them have reported the version as loaded within it. A frozen rank delays the rollout, not the group. What remains are the milliseconds between the last report and the last arm.

--- a/crates/core/src/ranks/rollout.rs
+++ b/crates/core/src/ranks/rollout.rs
@@ -16,9 +16,9 @@
 //! - A late `Go` releases only its own pass. It is sent only after all ranks are known to be armed,
 //!   or known to be unable to arm that version again.
 //!
-//! A pass is held only after all ranks have accepted the version, so the wait is bounded by the
-//! loading time. From then on the rollout continues until all ranks are armed, whichever sidecar
-//! drives it. It is abandoned only on evidence that cannot change: a rank that has taken a higher
+//! A pass is held only after all ranks, in one round of reads, have reported the version as loaded.
+//! A rank that stopped answering meanwhile thus delays the rollout and not the group. From then on
+//! the rollout continues until all ranks are armed, whichever sidecar drives it. It is abandoned only on evidence that cannot change: a rank that has taken a higher
 //! version can never arm this one. Such a rank was never armed before, because an armed rank takes
 //! no other version, so no sidecar can have found all ranks armed. The version is then invalidated
 //! on every rank by preparing a higher one before the pass is released.
@@ -39,10 +39,12 @@
 const RESEND_DELAY: Duration = Duration::from_millis(20);
 /// Delay before a refused order is sent again: the rank may be about to finish loading.
 const REFUSED_RETRY_DELAY: Duration = Duration::from_millis(15);
-/// Time between two checks whether ranks have loaded: a fraction of a pass, as each check costs a
-/// call to every rank.
+/// Time between two reads of a rank that still loads: a fraction of a pass.
 const LOADED_POLL_INTERVAL: Duration = Duration::from_millis(30);
-/// Time for loading after which a rollout is abandoned.
+/// Time for a round of reads in which all ranks report that they have loaded. What a rank reported
+/// longer ago does not show that it still answers.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time after which a rollout that holds no pass yet is abandoned.
 const PREPARE_TIMEOUT: Duration = Duration::from_secs(12);
 /// Passes for which a hold may be attempted before a rollout is abandoned.
 const MAX_HOLD_ATTEMPTS: u32 = 4;
@@ -150,6 +152,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
     Prepare,
+    Confirm,
     Hold,
     Arm,
     Invalidate,
@@ -201,10 +204,8 @@
     prepared: Vec<Option<Now>>,
     /// Some rank can never arm the version.
     unarmable: bool,
-    /// Orders were lost lately: loading is verified and a pass further ahead is held.
+    /// Orders were lost lately: a pass further ahead is held.
     lossy: bool,
-    /// When to check next whether the ranks have loaded.
-    next_loaded_poll: Now,
     /// Value of `lead_passes` while orders get lost.
     lossy_lead_passes: Pass,
 }
@@ -259,7 +260,6 @@
             prepared: vec![None; params.size],
             unarmable: false,
             lossy: params.lossy,
-            next_loaded_poll: now + loading,
             lossy_lead_passes: params.lossy_lead_passes,
         }
     }
@@ -344,7 +344,8 @@
         let waits = |p: &&Progress| !p.done && p.sent.is_none();
         let due = self.ranks.iter().filter(waits).map(|p| p.not_before).min();
         match self.phase {
-            Phase::Prepare => Some(due.unwrap_or(self.next_loaded_poll)),
+            Phase::Prepare => Some(due.unwrap_or(self.loaded_at)),
+            Phase::Confirm => Some(self.next_confirmation()),
             _ => due,
         }
     }
@@ -353,15 +354,14 @@
     pub fn orders(&mut self, now: Now, pass: Pass) -> Vec<RankOrder> {
         self.advance(now);
         match self.phase {
-            Phase::Prepare if now.saturating_sub(self.started) > PREPARE_TIMEOUT => {
+            Phase::Prepare | Phase::Confirm
+                if now.saturating_sub(self.started) > PREPARE_TIMEOUT =>
+            {
                 self.phase = Phase::Ended(RolloutOutcome::Abandoned);
                 Vec::new()
             }
-            Phase::Prepare if now >= self.next_loaded_poll && self.ranks.iter().all(|p| p.done) => {
-                self.next_loaded_poll = now + LOADED_POLL_INTERVAL;
-                for (progress, prepared) in self.ranks.iter_mut().zip(&self.prepared) {
-                    progress.needs_view = prepared.is_none();
-                }
+            Phase::Confirm => {
+                self.request_confirmations(now);
                 Vec::new()
             }
             // A pass that has begun can no longer be held.
@@ -405,7 +405,24 @@
             }),
             Phase::Invalidate => self.invalidate_order(rank),
             Phase::Release => (rank == self.holder).then_some(Order::Go { pass: self.pass }),
-            Phase::Ended(_) => None,
+            Phase::Confirm | Phase::Ended(_) => None,
+        }
+    }
+
+    /// Time of the next read that confirms the loading of a rank, or of the next round of reads.
+    fn next_confirmation(&self) -> Now {
+        let waits = |p: &&Progress| !p.done && !p.needs_view;
+        let reads = self.ranks.iter().filter(waits).map(|p| p.not_before);
+        reads.fold(self.phase_started + CONFIRM_TIMEOUT, Now::min)
+    }
+
+    /// Has all ranks read, or those that still load, if the present round has not ended.
+    fn request_confirmations(&mut self, now: Now) {
+        if now.saturating_sub(self.phase_started) >= CONFIRM_TIMEOUT {
+            self.enter(now, Phase::Confirm);
+        }
+        for progress in &mut self.ranks {
+            progress.needs_view |= !progress.done && now >= progress.not_before;
         }
     }
 
@@ -461,7 +478,6 @@
                 progress.done = true;
                 // A delayed order starts loading only when it is accepted.
                 self.loaded_at = self.loaded_at.max(now + self.loading);
-                self.next_loaded_poll = self.next_loaded_poll.max(self.loaded_at);
             }
             (Order::Prepare { .. }, Phase::Invalidate) => {
                 progress.done = true;
@@ -507,7 +523,7 @@
             return;
         }
         match self.phase {
-            Phase::Prepare => self.observe_prepare(now, rank, view),
+            Phase::Prepare | Phase::Confirm => self.observe_prepare(now, rank, view),
             Phase::Hold => self.observe_hold(now, rank, view),
             Phase::Arm => self.observe_arm(now, requested_at, rank, view),
             Phase::Invalidate => self.observe_invalidate(now, requested_at, rank, view),
@@ -536,6 +552,8 @@
             .max(view.armed.map(|a| a.0));
         if newest > Some(self.version) || view.armed.is_some() {
             self.phase = Phase::Ended(RolloutOutcome::Abandoned);
+        } else if self.phase == Phase::Confirm {
+            progress.not_before = now + LOADED_POLL_INTERVAL;
         } else if was_refused {
             // The rank accepted the version earlier, without an answer, and still loads it.
             progress.done = true;
@@ -625,9 +643,10 @@
     fn advance(&mut self, now: Now) {
         let all = |ranks: &[Progress]| ranks.iter().all(|p| p.done);
         match self.phase {
-            Phase::Prepare if all(&self.ranks) && now >= self.loaded_at && self.all_loaded() => {
-                self.enter(now, Phase::Hold);
+            Phase::Prepare if all(&self.ranks) && now >= self.loaded_at => {
+                self.enter(now, Phase::Confirm);
             }
+            Phase::Confirm if all(&self.ranks) => self.enter(now, Phase::Hold),
             Phase::Hold if self.ranks[self.holder].done => self.enter(now, Phase::Arm),
             Phase::Arm | Phase::Invalidate if all(&self.ranks) => self.enter(now, Phase::Release),
             // A rank that seemed to lack the version has prepared it.
@@ -646,19 +665,12 @@
         }
     }
 
-    /// Whether all ranks have loaded. A lost order is repeated, and its rank begins to load later
-    /// than planned. While orders get lost, only the ranks' reported state counts: a rank that
-    /// still loads cannot be armed, and the group would wait for it.
-    fn all_loaded(&self) -> bool {
-        !self.lossy || self.prepared.iter().all(Option::is_some)
-    }
-
     fn enter(&mut self, now: Now, phase: Phase) {
         self.phase = phase;
         self.phase_started = now;
         self.ranks.fill(Progress {
             not_before: now,
-            needs_view: phase == Phase::Invalidate,
+            needs_view: matches!(phase, Phase::Confirm | Phase::Invalidate),
             ..Progress::default()
         });
     }
--- a/crates/core/src/ranks/tests/rollout.rs
+++ b/crates/core/src/ranks/tests/rollout.rs
@@ -64,6 +64,16 @@
     orders
 }
 
+/// Answers the reads of ranks that are due, with the version prepared, and then each due order.
+fn answer_reads_and_orders(rollout: &mut Rollout, now: Now) -> Vec<RankOrder> {
+    let mut orders = answer_orders(rollout, now, accept);
+    for rank in rollout.ranks_to_read() {
+        rollout.observe(now, now, rank, &view(rank, Some(VERSION)));
+    }
+    orders.extend(answer_orders(rollout, now, accept));
+    orders
+}
+
 fn accept(_: &RankOrder) -> OrderResult {
     OrderResult::Accepted
 }
@@ -82,7 +92,7 @@
     let prepared = answer_orders(&mut rollout, ms(0), accept);
     assert_eq!(prepared.len(), RANKS);
     assert!(answer_orders(&mut rollout, ms(100), accept).is_empty());
-    let held = answer_orders(&mut rollout, LOADING, accept);
+    let held = answer_reads_and_orders(&mut rollout, LOADING);
     assert_eq!(held_pass(&held), Some(1 + LEAD_PASSES + 1));
     let lost = |o: &RankOrder| match o.rank {
         2 => OrderResult::Unknown,
@@ -142,6 +152,42 @@
     );
 }
 
+/// Guards against a group that waits at a held pass for a rank that froze while it loaded: callers
+/// of all ranks gave up, and their requests stayed at the frozen one.
+#[test]
+fn a_pass_is_not_held_while_a_rank_that_accepted_the_version_is_frozen() {
+    let mut rollout = rollout();
+    assert_eq!(answer_orders(&mut rollout, ms(0), accept).len(), RANKS);
+    let frozen = 2;
+    for at in (50..6_000).step_by(10).map(ms) {
+        let orders = answer_orders(&mut rollout, at, accept);
+        assert!(orders.is_empty(), "{at:?}: {orders:?}");
+        for rank in rollout.ranks_to_read().into_iter().filter(|r| *r != frozen) {
+            rollout.observe(at, at, rank, &view(rank, Some(VERSION)));
+        }
+    }
+    let thawed = answer_reads_and_orders(&mut rollout, ms(6_000));
+    assert!(held_pass(&thawed).is_some(), "{thawed:?}");
+}
+
+/// Guards against a held pass on the word of ranks that reported before another one froze.
+#[test]
+fn reports_of_ranks_that_loaded_expire_while_another_rank_is_awaited() {
+    let mut rollout = rollout();
+    answer_orders(&mut rollout, ms(0), accept);
+    answer_orders(&mut rollout, LOADING, accept);
+    assert_eq!(rollout.ranks_to_read(), [0, 1, 2, 3]);
+    for rank in 0..3 {
+        rollout.observe(LOADING, LOADING, rank, &view(rank, Some(VERSION)));
+    }
+    let late = LOADING + ms(300);
+    answer_orders(&mut rollout, late, accept);
+    rollout.observe(late, late, 3, &view(3, Some(VERSION)));
+    let orders = answer_orders(&mut rollout, late, accept);
+    assert!(orders.is_empty(), "{orders:?}");
+    assert_eq!(rollout.ranks_to_read(), [0, 1, 2]);
+}
+
 /// Guards against arming ranks that still load because their prepare order was slow to arrive:
 /// behind a slow link, 24 orders take up to 0.1 s. They refuse, and the group waits.
 #[test]
@@ -151,8 +197,8 @@
     for (n, order) in orders.iter().enumerate() {
         rollout.result(ms(25 * n as u64), order, OrderResult::Accepted);
     }
-    assert!(answer_orders(&mut rollout, LOADING + ms(70), accept).is_empty());
-    let held = answer_orders(&mut rollout, LOADING + ms(75), accept);
+    assert!(answer_reads_and_orders(&mut rollout, LOADING + ms(70)).is_empty());
+    let held = answer_reads_and_orders(&mut rollout, LOADING + ms(75));
     assert!(held_pass(&held).is_some());
 }
 
@@ -162,7 +208,7 @@
 fn a_version_that_a_rank_replaced_is_invalidated_before_the_release() {
     let mut rollout = rollout();
     answer_orders(&mut rollout, ms(0), accept);
-    answer_orders(&mut rollout, LOADING, accept);
+    answer_reads_and_orders(&mut rollout, LOADING);
     let refuse = |o: &RankOrder| match o.rank {
         3 => OrderResult::Refused,
         _ => OrderResult::Accepted,
