Send new requests to no upstream that is silent while others go on

Callers that had left were worked for at frozen ranks (GONE): of the requests that gateways ended there, many had been sent after the freeze, for 1 to 1.5 s until the first stream was given up, as second attempts of what had been given up at another frozen rank, and in twos and threes whenever an ejection ended. Cause: the choice of an upstream knew outcomes only, and the silence that decides on streams not at all.

A silent upstream is now suspect after 0.3 s if others sent something in three tenths of a second since, and gets no new requests; suspects that are the majority are no evidence. One that stood still is tried by one request at a time, which some other upstream may still run, and which is given up after a quarter of its caller's patience.

--- a/crates/core/src/gateway/silence.rs
+++ b/crates/core/src/gateway/silence.rs
@@ -8,6 +8,9 @@
 //! may have been paused. A stream is lost if nothing at all has come from its upstream for most of
 //! the time that a caller waits, and meanwhile either other upstreams of the service went on, or one
 //! of them reported that its group waits for a rank.
+//!
+//! New requests avoid an upstream sooner, since that costs nothing: as soon as it is silent while
+//! others go on. One that stood still gets a single request at a time until it is heard of again.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -21,6 +24,10 @@
 /// The same for a stream without an event at an upstream that sends no other; the first event may
 /// take longer.
 const NEW_SHARE_OF_PATIENCE: f64 = 0.75;
+/// The same at an upstream that has not been heard of since it stood still.
+const TRIAL_SHARE_OF_PATIENCE: f64 = 0.25;
+/// Time without a sign after which an upstream gets no new requests.
+const SUSPECT_TIME: Duration = Duration::from_millis(300);
 /// Signs of other upstreams count once in this time, so that bytes which waited for this host while
 /// it was paused are no evidence of an upstream's silence.
 const BEAT: Duration = Duration::from_millis(100);
@@ -71,6 +78,19 @@
     beats: u64,
     /// A stream was lost since.
     stands_still: bool,
+    /// It stood still, and nothing has arrived from it since.
+    is_doubtful: bool,
+}
+
+/// What new requests may expect of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Liveness {
+    /// Nothing speaks against it.
+    Likely,
+    /// It is silent while others go on, or stands still.
+    Suspect,
+    /// It stood still, and no request of this host waits there: one may find out whether it does.
+    Unknown,
 }
 
 /// Signs of life of the upstreams that this host has sent requests to.
@@ -89,6 +109,7 @@
             at: now,
             beats,
             stands_still: false,
+            is_doubtful: self.last.get(upstream).is_some_and(|s| s.is_doubtful),
         };
         if is_idle || !self.last.contains_key(upstream) {
             self.last.insert(upstream.to_owned(), sign);
@@ -113,8 +134,32 @@
                 at: now,
                 beats,
                 stands_still: false,
+                is_doubtful: false,
+            };
+        }
+    }
+
+    /// What a new request may expect of an upstream. `is_idle` tells that this host has no request
+    /// there.
+    #[must_use]
+    pub fn liveness(&self, now: Now, service: &str, upstream: &str, is_idle: bool) -> Liveness {
+        let Some(sign) = self.last.get(upstream) else {
+            return Liveness::Likely;
+        };
+        if is_idle {
+            return if sign.is_doubtful {
+                Liveness::Unknown
+            } else {
+                Liveness::Likely
             };
         }
+        let beats = self.services.get(service).map_or(0, |s| s.beats);
+        let is_silent = now >= sign.at + SUSPECT_TIME && beats - sign.beats >= MIN_BEATS;
+        if is_silent || sign.stands_still || sign.is_doubtful {
+            Liveness::Suspect
+        } else {
+            Liveness::Likely
+        }
     }
 
     /// Records that an upstream of a service waits for another one of its group.
@@ -134,6 +179,8 @@
         let after = |since: Now, share| since + attempt.patience.mul_f64(share);
         let decided_at = if attempt.has_begun {
             after(heard_at.max(attempt.sent_at), BEGUN_SHARE_OF_PATIENCE)
+        } else if sign.is_some_and(|s| s.is_doubtful) {
+            after(attempt.sent_at, TRIAL_SHARE_OF_PATIENCE)
         } else {
             after(heard_at.max(attempt.sent_at), NEW_SHARE_OF_PATIENCE)
         };
@@ -152,6 +199,7 @@
         if beats_since >= MIN_BEATS || self.stall_reported(now, attempt.service) {
             if let Some(sign) = self.last.get_mut(attempt.upstream) {
                 sign.stands_still = true;
+                sign.is_doubtful = true;
             }
             Prospect::Lost
         } else {
--- a/crates/core/src/gateway/state/choosing.rs
+++ b/crates/core/src/gateway/state/choosing.rs
@@ -10,6 +10,7 @@
 use crate::gateway::placing;
 use crate::gateway::registry::{Upstream, UpstreamId};
 use crate::gateway::retry_after;
+use crate::gateway::silence::Liveness;
 use crate::gateway::upstream_limits::{Decider, Permit};
 use crate::serving::subset::even_subset;
 use crate::types::{HostId, Now, Refusal, RefusalKind};
@@ -168,9 +169,11 @@
         let candidates: Vec<&Upstream> = candidates.copied().collect();
         let local_data_centre = &self.settings.data_centre;
         let (loads, health, registry) = (&self.loads, &self.health, &self.registry);
-        let (avoided, preferred): (Vec<&Upstream>, Vec<&Upstream>) = candidates
-            .iter()
-            .partition(|u| health.is_ejected(now, &u.id) || registry.is_replaced(u));
+        let suspects: BTreeSet<&UpstreamId> = self.suspects(now, request, &candidates);
+        let (avoided, preferred): (Vec<&Upstream>, Vec<&Upstream>) =
+            candidates.iter().partition(|u| {
+                health.is_ejected(now, &u.id) || registry.is_replaced(u) || suspects.contains(&u.id)
+            });
         let subset = self.subsets.get(&request.service).map(|s| &s.1);
         let own: Vec<&Upstream> = preferred
             .iter()
@@ -200,6 +203,30 @@
         Some((chosen.clone(), reasons))
     }
 
+    /// Candidates that a request had better not be sent to, as they may stand still. None, if that
+    /// is most of them: the others could not do their work.
+    fn suspects<'a>(
+        &self,
+        now: Now,
+        request: &Admitted,
+        candidates: &[&'a Upstream],
+    ) -> BTreeSet<&'a UpstreamId> {
+        let is_suspect = |u: &&&Upstream| {
+            let is_idle = self.loads.requests(&u.id) == 0;
+            match self.signs.liveness(now, &request.service, &u.id, is_idle) {
+                Liveness::Likely => false,
+                Liveness::Suspect => true,
+                Liveness::Unknown => !request.may_be_sent_twice(),
+            }
+        };
+        let suspects = candidates.iter().filter(is_suspect).map(|u| &u.id);
+        let suspects: BTreeSet<&UpstreamId> = suspects.collect();
+        if suspects.len() * 2 > candidates.len() {
+            return BTreeSet::new();
+        }
+        suspects
+    }
+
     /// Chooses the upstreams of a service that this host uses first, after a change of the registry
     /// or of the fleet.
     fn update_subset(&mut self, service: &str) {
--- a/crates/core/src/gateway/state/request.rs
+++ b/crates/core/src/gateway/state/request.rs
@@ -96,7 +96,7 @@
     pub limited: usize,
     /// Of these, left out because they leave, or want no requests from this host for now.
     pub unwilling: usize,
-    /// Of these, avoided because they are ejected or another upstream has their address.
+    /// Of these, avoided because they are ejected, silent, or another upstream has their address.
     pub avoided: usize,
     /// This host's requests in flight at the chosen upstream.
     pub in_flight: u32,
@@ -153,6 +153,12 @@
         may_run_again && attempts_left
     }
 
+    /// Whether the request may be sent to two more upstreams although both may run it.
+    pub(super) fn may_be_sent_twice(&self) -> bool {
+        let attempts_left = self.route.attempts.saturating_sub(self.tried.len() as u32);
+        attempts_left >= 2 && self.route.kind.class() == WorkClass::Idempotent
+    }
+
     /// Records what the outcome of an attempt means for the request.
     pub fn record_outcome(&mut self, upstream: &str, outcome: Outcome) {
         self.last_outcome = Some(outcome);
--- a/crates/core/src/gateway/tests/mod.rs
+++ b/crates/core/src/gateway/tests/mod.rs
@@ -14,6 +14,7 @@
 mod requests;
 mod silence;
 mod sources;
+mod standstill;
 mod upstream_limits;
 
 use std::net::SocketAddr;
--- a/crates/core/src/gateway/tests/requests.rs
+++ b/crates/core/src/gateway/tests/requests.rs
@@ -67,7 +67,7 @@
     gateway.admit(now, head(path)).unwrap()
 }
 
-fn gateway(upstreams: u8) -> Gateway {
+pub(super) fn gateway(upstreams: u8) -> Gateway {
     let mut gateway = Gateway::new(ms(0), settings(), 7);
     gateway.set_table(ms(0), table(2));
     gateway
@@ -89,7 +89,7 @@
     }
 }
 
-fn send(gateway: &mut Gateway, now: Now, request: &mut Admitted) -> String {
+pub(super) fn send(gateway: &mut Gateway, now: Now, request: &mut Admitted) -> String {
     match gateway.next(now, request) {
         Next::Send(upstream, _) => upstream.id,
         Next::Refuse(refusal) => panic!("{refusal:?}"),
@@ -98,7 +98,7 @@
     }
 }
 
-fn refused(gateway: &mut Gateway, now: Now, request: &mut Admitted) -> Refusal {
+pub(super) fn refused(gateway: &mut Gateway, now: Now, request: &mut Admitted) -> Refusal {
     match gateway.next(now, request) {
         Next::Refuse(refusal) => refusal,
         Next::Send(upstream, _) => panic!("sent to {}", upstream.id),
@@ -107,7 +107,13 @@
     }
 }
 
-fn end(gateway: &mut Gateway, now: Now, request: &mut Admitted, id: &str, outcome: Outcome) {
+pub(super) fn end(
+    gateway: &mut Gateway,
+    now: Now,
+    request: &mut Admitted,
+    id: &str,
+    outcome: Outcome,
+) {
     request.record_outcome(id, outcome);
     gateway.attempt_ended(now, id, request.work, outcome);
 }
--- a/crates/core/src/gateway/tests/silence.rs
+++ b/crates/core/src/gateway/tests/silence.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use super::ms;
-use crate::gateway::silence::{Prospect, Signs, StreamAttempt};
+use crate::gateway::silence::{Liveness, Prospect, Signs, StreamAttempt};
 use crate::types::Now;
 
 const PATIENCE: Duration = Duration::from_secs(2);
@@ -113,3 +113,41 @@
     let new = attempt(ms(8_000), false);
     assert_ne!(signs.prospect(ms(9_400), new), Prospect::Lost);
 }
+
+// Guards against requests that are sent to an upstream which is silent while others go on: their
+// callers left before the silence was long enough to give up the attempt.
+#[test]
+fn a_silent_upstream_is_suspect_before_its_streams_are_lost() {
+    let known = signs(5_000);
+    let liveness = |now| known.liveness(ms(now), "drafts", "u-1", false);
+    assert_eq!(liveness(1_200), Liveness::Likely);
+    assert_eq!(liveness(1_400), Liveness::Suspect);
+    let group_waits = signs(1_000);
+    let liveness = group_waits.liveness(ms(60_000), "drafts", "u-1", false);
+    assert_eq!(liveness, Liveness::Likely);
+    let idle = known.liveness(ms(1_400), "drafts", "u-1", true);
+    assert_eq!(idle, Liveness::Likely);
+}
+
+// Guards against an upstream that stands still and gets several requests each time it is tried again.
+#[test]
+fn an_upstream_that_stood_still_gets_one_request_at_a_time_until_it_is_heard_of() {
+    let mut known = signs(2_500);
+    let lost_at = lost_at(&mut known, attempt(ms(0), true));
+    let later = lost_at + ms(2_000);
+    let idle = known.liveness(later, "drafts", "u-1", true);
+    assert_eq!(idle, Liveness::Unknown);
+    known.record_send(later, "drafts", "u-1", true);
+    let tried = known.liveness(later, "drafts", "u-1", false);
+    assert_eq!(tried, Liveness::Suspect);
+    for n in 0..10 {
+        known.record(later + ms(50 * n), "drafts", "u-2");
+    }
+    let trial = attempt(later, false);
+    assert_ne!(known.prospect(later + ms(400), trial), Prospect::Lost);
+    assert_eq!(known.prospect(later + ms(500), trial), Prospect::Lost);
+    known.record_send(later + ms(900), "drafts", "u-1", true);
+    known.record(later + ms(1_000), "drafts", "u-1");
+    let heard = known.liveness(later + ms(1_000), "drafts", "u-1", false);
+    assert_eq!(heard, Liveness::Likely);
+}
--- /dev/null
+++ b/crates/core/src/gateway/tests/standstill.rs
@@ -0,0 +1,79 @@
+//! Requests of a gateway some of whose upstreams stand still.
+
+use super::ms;
+use super::requests::{admit, end, gateway, send};
+use crate::gateway::silence::Prospect;
+use crate::gateway::{Gateway, Outcome};
+use crate::types::Now;
+
+const SERVICE: &str = "drafts";
+
+/// Has all upstreams but the first one send something, every 50 ms.
+fn others_go_on(gateway: &mut Gateway, from: u64, until: u64) {
+    for now in (from..until).step_by(50) {
+        for other in ["u-2", "u-3", "u-4"] {
+            gateway.record_sign(ms(now), SERVICE, other);
+        }
+    }
+}
+
+/// Sends a request to each of four upstreams, of which the first one stands still from then on.
+fn gateway_with_a_silent_upstream() -> Gateway {
+    let mut gateway = gateway(4);
+    for _ in 0..4 {
+        let mut request = admit(&mut gateway, ms(0), "/s/x");
+        send(&mut gateway, ms(0), &mut request);
+    }
+    for upstream in ["u-1", "u-2", "u-3", "u-4"] {
+        gateway.record_sign(ms(0), SERVICE, upstream);
+    }
+    gateway
+}
+
+// Guards against requests that are sent to a frozen upstream until the first of them is given up there:
+// their callers left, and they went on when it did.
+#[test]
+fn a_silent_upstream_gets_no_further_requests_while_others_go_on() {
+    let mut gateway = gateway_with_a_silent_upstream();
+    others_go_on(&mut gateway, 50, 500);
+    for _ in 0..12 {
+        let mut request = admit(&mut gateway, ms(500), "/s/x");
+        assert_ne!(send(&mut gateway, ms(500), &mut request), "u-1");
+    }
+}
+
+/// When an attempt at the first upstream, sent at `sent_at`, is lost.
+fn lost_at(gateway: &mut Gateway, sent_at: Now) -> Option<Now> {
+    let request = admit(gateway, sent_at, "/s/x");
+    let times = (0..30).map(|n| sent_at + ms(100 * n));
+    let lost =
+        |now: &Now| gateway.prospect(*now, &request, "u-1", sent_at, false) == Prospect::Lost;
+    times.into_iter().find(lost)
+}
+
+// Guards against a frozen upstream that is tried again with requests that no other one may run then.
+#[test]
+fn an_upstream_that_stood_still_is_tried_with_a_request_that_can_be_sent_again() {
+    let mut gateway = gateway_with_a_silent_upstream();
+    others_go_on(&mut gateway, 50, 2_000);
+    assert!(lost_at(&mut gateway, ms(0)).is_some());
+    let mut request = admit(&mut gateway, ms(0), "/s/x");
+    request.tried.insert("u-1".into());
+    end(
+        &mut gateway,
+        ms(2_000),
+        &mut request,
+        "u-1",
+        Outcome::Silent,
+    );
+    for n in 0..3 {
+        let mut second = admit(&mut gateway, ms(2_300), "/s/x");
+        second.tried.insert(format!("u-{}", n + 2));
+        assert_ne!(send(&mut gateway, ms(2_300), &mut second), "u-1");
+    }
+    let trials = (0..12).map(|_| {
+        let mut request = admit(&mut gateway, ms(2_300), "/s/x");
+        send(&mut gateway, ms(2_300), &mut request)
+    });
+    assert_eq!(trials.filter(|u| u == "u-1").count(), 1);
+}
