Keep the signs of life of an unlisted upstream while requests wait there

Cause: the entry of a frozen upstream expires in the store after three heartbeats, the host then dropped what it knew of the upstream's silence, and a stream whose upstream has no record is never lost. The record now stays until the last request there has ended. The new test fails without the change, for which the record is gone at the first look.

--- a/crates/core/src/gateway/state/mod.rs
+++ b/crates/core/src/gateway/state/mod.rs
@@ -210,7 +210,9 @@
         let registry = &self.registry;
         self.health.retain(|id| registry.get(id).is_some());
         self.loads.retain(|id| registry.get(id).is_some());
-        self.signs.retain(|id| registry.get(id).is_some());
+        let loads = &self.loads;
+        self.signs
+            .retain(|id| registry.get(id).is_some() || loads.requests(id) > 0);
         self.limits.expire(now, |id| registry.get(id).is_some());
         self.notices.expire(now, registry);
         self.quarantine.expire(now);
--- a/crates/core/src/gateway/tests/standstill.rs
+++ b/crates/core/src/gateway/tests/standstill.rs
@@ -77,3 +77,15 @@
     });
     assert_eq!(trials.filter(|u| u == "u-1").count(), 1);
 }
+
+// Guards against callers that wait at a frozen upstream until they leave, since its entry expired and
+// with it what was known of its silence.
+#[test]
+fn streams_at_an_upstream_that_is_no_longer_listed_are_lost_as_well() {
+    let mut gateway = gateway_with_a_silent_upstream();
+    others_go_on(&mut gateway, 50, 600);
+    gateway.registry.remove(ms(600), "u-1", 9);
+    gateway.expire(ms(600));
+    others_go_on(&mut gateway, 600, 2_000);
+    assert!(lost_at(&mut gateway, ms(0)).is_some());
+}
