Give up a stream without an event after half of its caller's patience

The share is now a half, as for streams that have begun. The new test fails with three quarters (lost at 2.5 s, not 2.0 s).

--- a/crates/core/src/gateway/silence.rs
+++ b/crates/core/src/gateway/silence.rs
@@ -21,9 +21,8 @@
 /// Share of a caller's patience after which a stream that has begun is lost, and with it all others at
 /// its upstream. Another upstream needs the rest to send its next event.
 const BEGUN_SHARE_OF_PATIENCE: f64 = 0.5;
-/// The same for a stream without an event at an upstream that sends no other; the first event may
-/// take longer.
-const NEW_SHARE_OF_PATIENCE: f64 = 0.75;
+/// The same for a stream without an event, from the time at which it was sent.
+const NEW_SHARE_OF_PATIENCE: f64 = 0.5;
 /// The same at an upstream that has not been heard of since it stood still.
 const TRIAL_SHARE_OF_PATIENCE: f64 = 0.25;
 /// Time without a sign after which an upstream gets no new requests.
--- a/crates/core/src/gateway/tests/silence.rs
+++ b/crates/core/src/gateway/tests/silence.rs
@@ -151,3 +151,11 @@
     let heard = known.liveness(later + ms(1_000), "drafts", "u-1", false);
     assert_eq!(heard, Liveness::Likely);
 }
+
+// Guards against callers that left at the second upstream: it had a quarter of their patience left.
+#[test]
+fn a_stream_without_an_event_is_lost_with_half_of_its_callers_patience_left() {
+    let sent_at = ms(1_000);
+    let lost_at = lost_at(&mut signs(5_000), attempt(sent_at, false));
+    assert!(lost_at <= sent_at + PATIENCE / 2, "{lost_at:?}");
+}
