Refuse streams that could not begin in time

Cause: a host sent whatever came, however long the same host's earlier requests had been waiting.

By Little's law a request waits as long as those before it take at the present rate, that of first events. A new stream is refused with Retry-After if that is more than 0.4 of its caller's patience and some request has waited for a quarter of it. Only requests that are as urgent count. See Little, A Proof for the Queuing Formula L = lambda W, Operations Research 9 (1961), 383-387.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 //! request: [`Gateway::admit`], then [`Gateway::next`] for each send, and
 //! [`Gateway::attempt_ended`] when an attempt has ended.
 
+pub mod admission;
 pub mod budget;
 pub mod follow;
 pub mod health;
--- a/crates/core/src/gateway/state/choosing.rs
+++ b/crates/core/src/gateway/state/choosing.rs
@@ -70,6 +70,16 @@
             let detail = "the upstreams that were tried did not serve the request";
             return self.refuse(now, request, RefusalKind::Overloaded, detail);
         }
+        if !repeated && request.route.kind.is_stream() {
+            let (service, patience) = (&request.service, request.route.patience());
+            let admits = self
+                .admission
+                .admits(now, service, request.priority, patience);
+            if !admits {
+                let detail = "the stream could not begin in time";
+                return self.refuse(now, request, RefusalKind::Overloaded, detail);
+            }
+        }
         let (chosen, reasons) = loop {
             let Some((chosen, reasons)) = self.choose(now, request) else {
                 return self.wait_or_refuse(now, request);
@@ -96,6 +106,11 @@
         let is_idle = self.loads.requests(&chosen.id) == 0;
         self.signs
             .record_send(now, &request.service, &chosen.id, is_idle);
+        if request.route.kind.is_stream() {
+            let (service, id) = (&request.service, &request.id);
+            self.admission
+                .record_send(now, service, id, request.priority);
+        }
         self.loads.add(now, &chosen.id, request.work);
         self.notices.record_send(now, &chosen.id);
         Next::Send(chosen, reasons)
--- a/crates/core/src/gateway/state/mod.rs
+++ b/crates/core/src/gateway/state/mod.rs
@@ -11,6 +11,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use super::admission::Admission;
 use super::budget::{RetryBound, RetryBudget};
 use super::health::UpstreamHealth;
 use super::notices::Notices;
@@ -54,6 +55,8 @@
     loads: Loads,
     health: UpstreamHealth,
     signs: Signs,
+    /// Streams that wait for their first events.
+    pub admission: Admission,
     /// Requests that are refused because upstreams end under them.
     pub quarantine: Quarantine,
     /// Limits that upstreams have named.
@@ -87,6 +90,7 @@
             loads: Loads::default(),
             health: UpstreamHealth::default(),
             signs: Signs::default(),
+            admission: Admission::default(),
             quarantine: Quarantine::new(seed),
             fleet: BTreeSet::new(),
             subsets: BTreeMap::new(),
--- a/crates/core/src/gateway/tests/mod.rs
+++ b/crates/core/src/gateway/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway's decisions, in virtual time.
 
+mod admission;
 mod budget;
 mod follow;
 mod forming;
--- a/crates/net/src/gateway/in_flight.rs
+++ b/crates/net/src/gateway/in_flight.rs
@@ -73,6 +73,11 @@
     /// Records that a whole event of the answer arrived.
     pub(super) fn record_event(&mut self) {
         self.events += 1;
+        if self.events == 1 {
+            let (now, service) = (self.shared.now(), &self.upstream.service);
+            let admission = &mut self.shared.core().admission;
+            admission.record_begin(now, service, &self.request);
+        }
         if self.events == MIN_EVENTS_OF_SOUND_REQUEST {
             self.record_sound();
         }
@@ -99,9 +104,12 @@
         self.ended = true;
         let shared = &self.shared;
         let now = shared.now();
-        let ejected = shared
-            .core()
-            .attempt_ended(now, &self.upstream.id, self.work, outcome);
+        let ejected = {
+            let core = &mut shared.core();
+            core.admission
+                .record_end(&self.upstream.service, &self.request);
+            core.attempt_ended(now, &self.upstream.id, self.work, outcome)
+        };
         shared.metrics.attempt_ended(outcome);
         let event = Event::new(EventKind::AttemptEnded, "")
             .about_request(self.request.as_str())
