--- a/crates/core/src/gateway/state/choosing.rs
+++ b/crates/core/src/gateway/state/choosing.rs
@@ -109,7 +109,7 @@
         if request.route.kind.is_stream() {
             let (service, id) = (&request.service, &request.id);
             self.admission
-                .record_send(now, service, id, request.priority);
+                .record_send(now, service, id, request.send_priority());
         }
         self.loads.add(now, &chosen.id, request.work);
         self.notices.record_send(now, &chosen.id);
--- a/crates/core/src/gateway/state/request.rs
+++ b/crates/core/src/gateway/state/request.rs
@@ -153,6 +153,12 @@
         may_run_again && attempts_left
     }
 
+    /// Priority of the present send. A request that has waited in vain has little of its time left.
+    #[must_use]
+    pub fn send_priority(&self) -> u8 {
+        if self.may_have_run { 0 } else { self.priority }
+    }
+
     /// Whether the request may be sent to two more upstreams although both may run it.
     pub(super) fn may_be_sent_twice(&self) -> bool {
         let attempts_left = self.route.attempts.saturating_sub(self.tried.len() as u32);
--- a/crates/core/src/gateway/tests/standstill.rs
+++ b/crates/core/src/gateway/tests/standstill.rs
@@ -89,3 +89,27 @@
     others_go_on(&mut gateway, 600, 2_000);
     assert!(lost_at(&mut gateway, ms(0)).is_some());
 }
+
+// Guards against callers that left at a second upstream, where their requests waited behind newer ones
+// after they had been given up at a frozen one.
+#[test]
+fn a_request_that_was_given_up_is_most_urgent_when_it_is_sent_again() {
+    let mut gateway = gateway(4);
+    let mut request = admit(&mut gateway, ms(0), "/s/x");
+    let first = send(&mut gateway, ms(0), &mut request);
+    assert_eq!(request.send_priority(), 1);
+    end(
+        &mut gateway,
+        ms(1_000),
+        &mut request,
+        &first,
+        Outcome::Silent,
+    );
+    send(&mut gateway, ms(1_000), &mut request);
+    assert_eq!(request.send_priority(), 0);
+    let mut refused = admit(&mut gateway, ms(0), "/s/x");
+    let first = send(&mut gateway, ms(0), &mut refused);
+    end(&mut gateway, ms(100), &mut refused, &first, Outcome::Full);
+    send(&mut gateway, ms(100), &mut refused);
+    assert_eq!(refused.send_priority(), 1);
+}
--- a/crates/net/src/gateway/exchange.rs
+++ b/crates/net/src/gateway/exchange.rs
@@ -334,7 +334,7 @@
         let left = self.deadline.saturating_duration_since(Instant::now());
         headers.insert(names::DEADLINE_MS, left.as_millis().to_string().try_into()?);
         headers.insert(names::EXPECT_UPSTREAM, upstream.id.as_str().try_into()?);
-        let priority = self.admitted.priority.min(names::LOWEST_PRIORITY);
+        let priority = self.admitted.send_priority().min(names::LOWEST_PRIORITY);
         headers.insert(names::PRIORITY, HeaderValue::from(u16::from(priority)));
         if let Some(team) = &self.admitted.team {
             headers.insert(names::TEAM, team.as_str().try_into()?);
