Use no upstream again that left before the store was restored

A restored store lists upstreams again that had left, until their entries expire there once more, and misses others until they have written theirs again. Hosts used the former and dropped the latter at once. The registry now keeps the ids and starts of those that left; for ten seconds after a restore it takes them for leaving unless they write again, and lets missing ones lapse as after an outage. The tests of the registry that begin with a restore show it; none of this existed before.

--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -10,6 +10,10 @@
 //! may be far behind. Each registry therefore has the revision up to which it holds all changes, see
 //! [`Registry::as_of`].
 //!
+//! A store that is restored from a copy lists some upstreams again that have left, and misses others
+//! until they have registered again. The former are taken for leaving for [`PRESUMED_TIME`], and the
+//! latter lapse as in an outage.
+//!
 //! A crashed upstream stays listed for some seconds. If another one uses its address meanwhile, the
 //! newer entry reveals the crash, see [`Registry::is_replaced`].
 
@@ -19,7 +23,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::platform::Version;
+use crate::platform::{Version, era};
 use crate::types::{DataCentreId, Now, ServiceId};
 
 /// Id of one incarnation of an upstream.
@@ -33,6 +37,13 @@
 /// knows.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(1_800);
 
+/// Time after a restore of the store in which entries of upstreams that had left before are written
+/// again, or expire.
+pub const PRESUMED_TIME: Duration = Duration::from_secs(10);
+
+/// Upstreams that have left whose ids are kept; those of the oldest entries are dropped.
+const MAX_DEPARTED: usize = 4_096;
+
 /// Registry entry of an upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -91,6 +102,8 @@
 struct Entry {
     upstream: Upstream,
     lapsed: bool,
+    /// It is taken for leaving, though its entry does not say so.
+    presumed: bool,
 }
 
 /// Known upstreams by id, with the state of the registry's store.
@@ -109,6 +122,10 @@
     as_of: Version,
     /// When the store last answered.
     last_answer_at: Now,
+    /// Upstreams that leave or have left, with their starts and the versions of their last entries.
+    departed: BTreeMap<UpstreamId, (Option<Born>, Version)>,
+    /// Until when an entry may be one of an upstream that left before the store was restored.
+    presumed_until: Now,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -164,9 +181,16 @@
         self.as_of
     }
 
-    /// Records that all changes up to a revision are included.
-    pub fn set_as_of(&mut self, revision: Version) {
+    /// Records that all changes up to a revision are included. Returns whether it is the first one
+    /// since the store was restored from a copy.
+    pub fn set_as_of(&mut self, now: Now, revision: Version) -> bool {
+        let is_restored = self.complete && era(revision) > era(self.as_of);
+        if is_restored {
+            self.presumed_until = now + PRESUMED_TIME;
+            self.outage = Outage::Recovering(now + LAPSE_GRACE);
+        }
         self.as_of = self.as_of.max(revision);
+        is_restored
     }
 
     /// A copy for another host; `None` before the first list.
@@ -186,13 +210,13 @@
         if copy.as_of <= self.as_of {
             return Vec::new();
         }
+        let is_restored = self.set_as_of(now, copy.as_of);
         let own_outage = self.outage;
-        if copy.is_certain {
+        if copy.is_certain && !is_restored {
             self.outage = Outage::None;
         }
         let changes = self.replace(now, copy.upstreams, copy.revision);
         self.outage = own_outage;
-        self.set_as_of(copy.as_of);
         changes
     }
 
@@ -214,13 +238,42 @@
             changes.extend(self.remove(now, &id, revision));
         }
         for upstream in new.into_values() {
-            changes.extend(self.set(upstream));
+            let presumed = now < self.presumed_until && self.had_departed(&upstream);
+            changes.extend(self.insert(upstream, presumed));
         }
         changes
     }
 
+    /// Whether the store lists an upstream that had left before the store was restored.
+    fn had_departed(&self, upstream: &Upstream) -> bool {
+        let departed = self.departed.get(&upstream.id);
+        let is_older = |(born, version): &(Option<Born>, Version)| {
+            *born == upstream.born && era(*version) < era(upstream.version)
+        };
+        !upstream.leaving && departed.is_some_and(is_older)
+    }
+
+    fn record_departure(&mut self, upstream: &Upstream) {
+        let departure = (upstream.born, upstream.version);
+        self.departed.insert(upstream.id.clone(), departure);
+        if self.departed.len() > MAX_DEPARTED {
+            let oldest = self
+                .departed
+                .iter()
+                .min_by_key(|(_, (_, version))| *version);
+            if let Some(id) = oldest.map(|(id, _)| id.clone()) {
+                self.departed.remove(&id);
+            }
+        }
+    }
+
     /// Adds or updates an entry. An entry older than the known one is ignored.
     pub fn set(&mut self, upstream: Upstream) -> Option<Change> {
+        self.insert(upstream, false)
+    }
+
+    /// Adds or updates an entry; `presumed` takes its upstream for leaving.
+    fn insert(&mut self, mut upstream: Upstream, presumed: bool) -> Option<Change> {
         let id = upstream.id.clone();
         self.revision = self.revision.max(upstream.version);
         if self
@@ -230,10 +283,20 @@
         {
             return None;
         }
+        if upstream.leaving {
+            self.record_departure(&upstream);
+        } else if !presumed {
+            self.departed.remove(&id);
+        }
+        upstream.leaving |= presumed;
         let leaving = upstream.leaving;
         let address = upstream.address;
-        let lapsed = false;
-        let before = self.entries.insert(id.clone(), Entry { upstream, lapsed });
+        let entry = Entry {
+            upstream,
+            lapsed: false,
+            presumed,
+        };
+        let before = self.entries.insert(id.clone(), entry);
         self.update_newest(address);
         if let Some(before) = before.as_ref().filter(|b| b.upstream.address != address) {
             self.update_newest(before.upstream.address);
@@ -263,9 +326,10 @@
             entry.lapsed = true;
             return Some(Change::Lapsed(id.to_owned()));
         }
-        let address = entry.upstream.address;
+        let upstream = entry.upstream.clone();
         self.entries.remove(id);
-        self.update_newest(address);
+        self.record_departure(&upstream);
+        self.update_newest(upstream.address);
         Some(Change::Gone(id.to_owned()))
     }
 
@@ -288,8 +352,34 @@
         newest.is_some_and(|(version, id)| *version > upstream.version && *id != upstream.id)
     }
 
-    /// Removes lapsed entries that did not reappear within the grace period.
+    /// Removes lapsed entries that did not reappear within the grace period, and takes no upstream for
+    /// leaving any more that is still listed.
     pub fn expire(&mut self, now: Now) -> Vec<Change> {
+        let mut changes = Vec::new();
+        if now >= self.presumed_until {
+            changes.extend(self.end_presumption());
+        }
+        changes.extend(self.expire_lapsed(now));
+        changes
+    }
+
+    fn end_presumption(&mut self) -> Vec<Change> {
+        let presumed = self.entries.values_mut().filter(|e| e.presumed);
+        let mut upstreams = Vec::new();
+        for entry in presumed {
+            entry.presumed = false;
+            entry.upstream.leaving = false;
+            upstreams.push(entry.upstream.clone());
+        }
+        for upstream in &upstreams {
+            self.departed.remove(&upstream.id);
+            self.update_newest(upstream.address);
+        }
+        let ids = upstreams.into_iter().map(|u| u.id);
+        ids.map(Change::Returned).collect()
+    }
+
+    fn expire_lapsed(&mut self, now: Now) -> Vec<Change> {
         let Outage::Recovering(at) = self.outage else {
             return Vec::new();
         };
@@ -301,6 +391,7 @@
         let gone: Vec<Upstream> = lapsed.map(|l| l.upstream.clone()).collect();
         self.entries.retain(|_, l| !l.lapsed);
         for upstream in &gone {
+            self.record_departure(upstream);
             self.update_newest(upstream.address);
         }
         gone.into_iter().map(|u| Change::Gone(u.id)).collect()
--- a/crates/core/src/gateway/tests/registry.rs
+++ b/crates/core/src/gateway/tests/registry.rs
@@ -1,5 +1,9 @@
 use super::{ms, upstream};
-use crate::gateway::registry::{Change, LAPSE_GRACE, Registry, RegistryCopy, Upstream};
+use crate::gateway::registry::{
+    Change, LAPSE_GRACE, PRESUMED_TIME, Registry, RegistryCopy, Upstream,
+};
+use crate::platform::version;
+use crate::types::Now;
 
 fn usable(registry: &Registry) -> usize {
     registry.usable("drafts").count()
@@ -106,7 +110,7 @@
 fn an_older_copy_with_a_later_change_does_not_bring_an_upstream_back() {
     let mut restarted = Registry::default();
     restarted.replace(ms(0), vec![upstream(1)], 2);
-    restarted.set_as_of(20);
+    restarted.set_as_of(ms(0), 20);
     assert!(
         restarted
             .apply_copy(ms(1), copy(&[1, 2], 15, 18, true))
@@ -143,3 +147,99 @@
         assert!(!cut.store_answers());
     }
 }
+
+/// An upstream whose entry has a revision of an era.
+fn of_era(n: u8, era: u64, revision: u64) -> Upstream {
+    Upstream {
+        version: version(era, revision),
+        ..upstream(n)
+    }
+}
+
+/// A registry of upstreams 1 and 2 as of revision 40 of the first era.
+fn before_restore() -> Registry {
+    let mut registry = Registry::default();
+    registry.set_as_of(ms(0), version(1, 40));
+    let listed = vec![of_era(1, 1, 30), of_era(2, 1, 31)];
+    registry.replace(ms(0), listed, version(1, 31));
+    registry
+}
+
+fn restore(registry: &mut Registry, now: Now, era: u64, listed: Vec<Upstream>) -> Vec<Change> {
+    assert!(registry.set_as_of(now, version(era, 20)));
+    registry.replace(now, listed, version(era, 19))
+}
+
+// Guards against an upstream that leaves after a restore of the store and gets requests on: its entry
+// has a lower revision than the one from before.
+#[test]
+fn entries_of_a_restored_store_count_although_their_revisions_are_lower() {
+    let mut registry = before_restore();
+    for era in [2, 3] {
+        let listed = vec![of_era(1, era, 10), of_era(2, era, 11)];
+        restore(&mut registry, ms(1_000 * era), era, listed);
+        assert_eq!(usable(&registry), 2);
+        let mut leaving = of_era(1, era, 22);
+        leaving.leaving = true;
+        assert_eq!(registry.set(leaving), Some(Change::Leaving("u-1".into())));
+        // An answer from before the restore arrives late.
+        assert_eq!(registry.set(of_era(1, era - 1, 90)), None);
+        assert_eq!(usable(&registry), 1);
+        registry.set(of_era(1, era, 23));
+    }
+}
+
+// Guards against upstreams that are given up since a restored store does not list them yet.
+#[test]
+fn upstreams_that_a_restored_store_misses_lapse_as_in_an_outage() {
+    let mut registry = before_restore();
+    let changes = restore(&mut registry, ms(1_000), 2, vec![of_era(1, 2, 10)]);
+    assert_eq!(changes, [Change::Lapsed("u-2".into())]);
+    assert_eq!(usable(&registry), 2);
+    assert_eq!(
+        registry.expire(ms(1_000) + LAPSE_GRACE),
+        [Change::Gone("u-2".into())]
+    );
+}
+
+// Guards against requests to an upstream that had left and that a restored store lists again.
+#[test]
+fn an_upstream_that_left_before_a_restore_is_not_used_again() {
+    for is_listed in [true, false] {
+        let mut registry = before_restore();
+        if is_listed {
+            let mut leaving = of_era(2, 1, 41);
+            leaving.leaving = true;
+            registry.set(leaving);
+        } else {
+            registry.remove(ms(10), "u-2", version(1, 41));
+        }
+        let listed = vec![of_era(1, 2, 10), of_era(2, 2, 11)];
+        restore(&mut registry, ms(1_000), 2, listed.clone());
+        assert_eq!(usable(&registry), 1);
+        registry.replace(ms(2_000), listed.clone(), version(2, 19));
+        assert_eq!(usable(&registry), 1, "listed once more");
+        // It may be alive after all.
+        let mut written = registry.clone();
+        written.set(of_era(2, 2, 25));
+        assert_eq!(usable(&written), 2);
+        registry.expire(ms(1_000) + PRESUMED_TIME);
+        assert_eq!(usable(&registry), 2);
+    }
+}
+
+// Guards against a host that can't reach the restored store and goes on with what was before, and
+// against one that the copy of such a host leads back.
+#[test]
+fn a_copy_from_after_a_restore_replaces_one_from_before() {
+    let mut cut = before_restore();
+    cut.store_failed();
+    let mut after = before_restore();
+    restore(&mut after, ms(1_000), 2, vec![of_era(1, 2, 10)]);
+    let changes = cut.apply_copy(ms(1_500), after.copy().unwrap());
+    assert_eq!(changes, [Change::Lapsed("u-2".into())]);
+    assert_eq!(cut.as_of(), version(2, 20));
+    let before = before_restore().copy().unwrap();
+    assert!(after.apply_copy(ms(1_500), before).is_empty());
+    assert_eq!(after.as_of(), version(2, 20));
+}
--- a/crates/net/src/gateway/follow.rs
+++ b/crates/net/src/gateway/follow.rs
@@ -88,7 +88,7 @@
             }
             FollowUpdate::All(objects, as_of) => {
                 core.registry.store_answered(now);
-                core.registry.set_as_of(as_of);
+                core.registry.set_as_of(now, as_of);
                 let list: Vec<Upstream> = objects
                     .iter()
                     .filter_map(|o| read_upstream(&shared, o))
@@ -98,7 +98,7 @@
             }
             FollowUpdate::Changes(changes, revision) => {
                 core.registry.store_answered(now);
-                core.registry.set_as_of(revision);
+                core.registry.set_as_of(now, revision);
                 let registry = &mut core.registry;
                 let apply = |change| match change {
                     Change::Set(object) => match read_upstream(&shared, &object) {
