Save refused requests again after a restore of the store

Which requests are refused, since upstreams end under them, is saved in the store for hosts that restart together. A restored store may have lost it, and no host wrote it again: each took it for saved. Hosts now know in which era the store had a decision, tell it to each other, and save it again in a later one; what another host says of an earlier era counts no more. The first answer of a new era is recorded as the event StoreRestored. decisions_are_saved_again_after_a_restore_of_the_store plays two restores; the state that it checks did not exist before.

--- a/crates/core/src/gateway/quarantine/mod.rs
+++ b/crates/core/src/gateway/quarantine/mod.rs
@@ -27,6 +27,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::registry::UpstreamId;
+use crate::platform::Era;
 use crate::rendezvous;
 use crate::types::Now;
 
@@ -135,7 +136,8 @@
     /// Last end that the features explain.
     ended_at: Now,
     until: Now,
-    is_saved: bool,
+    /// Era in which the store had the entry; `None` if it may never have had it.
+    saved_in: Option<Era>,
     /// When this host saves the entry, unless another one has.
     save_at: Now,
 }
@@ -182,6 +184,8 @@
     /// Reports that all other hosts have to get.
     news: Vec<News>,
     changes: Vec<Change>,
+    /// Latest known era of the store.
+    era: Era,
     rng: SmallRng,
 }
 
@@ -197,6 +201,7 @@
             explained: Vec::new(),
             news: Vec::new(),
             changes: Vec::new(),
+            era: 0,
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -305,13 +310,13 @@
                     features,
                     ended,
                     left,
-                    is_saved,
+                    saved_in,
                 } => {
                     let until = now + left.min(QUARANTINE_TIME);
                     let at = now.saturating_sub(ended);
                     let known: Vec<FeatureId> = features.iter().copied().collect();
                     replies.extend(self.sound_report(now, at, &known));
-                    self.add(now, features, at, until, is_saved);
+                    self.add(now, features, at, until, saved_in);
                 }
             }
         }
@@ -332,12 +337,14 @@
 
     /// Adds features that the store says are refused until the given time, since upstreams ended until
     /// `ended_at`.
-    pub fn restore(&mut self, now: Now, features: FeatureSet, ended_at: Now, until: Now) {
+    ///
+    /// The store said so in the given era.
+    pub fn restore(&mut self, now: Now, features: FeatureSet, ended_at: Now, until: Now, era: Era) {
         let known: Vec<FeatureId> = features.iter().copied().collect();
         if let Some(report) = self.sound_report(now, ended_at, &known) {
             self.announce(now, report);
         }
-        self.add(now, features, ended_at, until, true);
+        self.add(now, features, ended_at, until, Some(era));
     }
 
     /// Whether there are reports that all other hosts have to get now.
@@ -383,7 +390,7 @@
             features: set.clone(),
             ended: now.saturating_sub(e.ended_at),
             left: e.until.saturating_sub(now),
-            is_saved: e.is_saved,
+            saved_in: e.saved_in,
         });
         ends.chain(entries).collect()
     }
@@ -391,7 +398,7 @@
     /// The next set that this host has to save.
     #[must_use]
     pub fn unsaved(&self, now: Now) -> Option<Unsaved> {
-        let due = |e: &Entry| !e.is_saved && now >= e.save_at && now < e.until;
+        let due = |e: &Entry| !e.is_saved(self.era) && now >= e.save_at && now < e.until;
         let (set, entry) = self.entries.iter().find(|(_, e)| due(e))?;
         Some(Unsaved {
             features: set.clone(),
@@ -400,19 +407,38 @@
         })
     }
 
-    /// Records whether a set was saved.
-    pub fn save_ended(&mut self, now: Now, set: &FeatureSet, is_saved: bool) {
+    /// Records that the store is in an era. One that was restored from a copy may lack what was saved
+    /// there before.
+    pub fn observe_era(&mut self, now: Now, era: Era) {
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        for (set, entry) in &mut self.entries {
+            let is_own = set.iter().any(|f| self.own_suspects.contains(f));
+            entry.save_at = now + save_delay(&mut self.rng, is_own);
+        }
+    }
+
+    /// Latest known era of the store.
+    #[must_use]
+    pub fn era(&self) -> Era {
+        self.era
+    }
+
+    /// Records whether a set was saved, in the era that the store was in when the save began.
+    pub fn save_ended(&mut self, now: Now, set: &FeatureSet, saved_in: Option<Era>) {
         let Some(entry) = self.entries.get_mut(set) else {
             return;
         };
-        entry.is_saved |= is_saved;
+        entry.saved_in = entry.saved_in.max(saved_in);
         entry.save_at = now + SAVE_RETRY_DELAY;
-        if is_saved {
+        if saved_in.is_some() {
             let report = Report::Refused {
                 features: set.clone(),
                 ended: now.saturating_sub(entry.ended_at),
                 left: entry.until.saturating_sub(now),
-                is_saved,
+                saved_in,
             };
             self.announce(now, report);
         }
@@ -545,7 +571,7 @@
                 self.explain(end, &causes);
             }
             let ended_at = ends.iter().map(|e| e.at).max().unwrap_or(now);
-            self.add(now, set, ended_at, now + QUARANTINE_TIME, false);
+            self.add(now, set, ended_at, now + QUARANTINE_TIME, None);
         }
     }
 
@@ -600,7 +626,7 @@
         for end in &ends {
             self.explain(end, &set);
         }
-        self.add(now, set, ended_at, now + QUARANTINE_TIME, false);
+        self.add(now, set, ended_at, now + QUARANTINE_TIME, None);
     }
 
     /// Records that an end counts for none but the features of a set, and those that may be the cause
@@ -643,33 +669,45 @@
         self.entries.keys().filter(applies)
     }
 
-    fn add(&mut self, now: Now, set: FeatureSet, ended_at: Now, until: Now, is_saved: bool) {
+    fn add(&mut self, now: Now, set: FeatureSet, ended_at: Now, until: Now, saved_in: Option<Era>) {
         let until = until.min(now + QUARANTINE_TIME);
         let is_sound = set.iter().any(|f| self.is_sound(*f, ended_at));
         if set.is_empty() || is_sound || now >= until {
             return;
         }
         if let Some(entry) = self.entries.get_mut(&set) {
-            entry.is_saved |= is_saved;
+            entry.saved_in = entry.saved_in.max(saved_in);
             return;
         }
-        let save_delay = if set.iter().any(|f| self.own_suspects.contains(f)) {
-            self.rng.random_range(Duration::ZERO..=OWN_SAVE_DELAY)
-        } else {
-            self.rng.random_range(MIN_SAVE_DELAY..=MAX_SAVE_DELAY)
-        };
+        let is_own = set.iter().any(|f| self.own_suspects.contains(f));
         let entry = Entry {
             since: now,
             ended_at,
             until,
-            is_saved,
-            save_at: now + save_delay,
+            saved_in,
+            save_at: now + save_delay(&mut self.rng, is_own),
         };
         self.changes.push(Change::Added(set.clone()));
         self.entries.insert(set, entry);
     }
 }
 
+impl Entry {
+    /// Whether the store has the entry, if it is in the given era.
+    fn is_saved(&self, era: Era) -> bool {
+        self.saved_in.is_some_and(|saved_in| saved_in >= era)
+    }
+}
+
+/// Delay after which a host saves an entry, sooner if it has seen some of the ends itself.
+fn save_delay(rng: &mut SmallRng, is_own: bool) -> Duration {
+    if is_own {
+        rng.random_range(Duration::ZERO..=OWN_SAVE_DELAY)
+    } else {
+        rng.random_range(MIN_SAVE_DELAY..=MAX_SAVE_DELAY)
+    }
+}
+
 /// Number of incidents among ends.
 fn incidents(ends: &[End]) -> usize {
     let mut times: Vec<Now> = ends.iter().map(|e| e.at).collect();
--- a/crates/core/src/gateway/quarantine/report.rs
+++ b/crates/core/src/gateway/quarantine/report.rs
@@ -6,6 +6,7 @@
 
 use super::{FeatureId, FeatureSet};
 use crate::gateway::registry::UpstreamId;
+use crate::platform::Era;
 
 /// Report of a host to others.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -37,8 +38,8 @@
         ended: Duration,
         /// Time for which they are still refused.
         left: Duration,
-        /// Whether the store has them.
-        is_saved: bool,
+        /// Era in which the store had them; `None` if it may never have had them.
+        saved_in: Option<Era>,
     },
 }
 
--- a/crates/core/src/gateway/tests/quarantine.rs
+++ b/crates/core/src/gateway/tests/quarantine.rs
@@ -243,9 +243,9 @@
     assert_eq!(due(&fleet, ms(6_000)), [false, true, false]);
     assert_eq!(due(&fleet, ms(9_500)), [true, true, true]);
     let set: FeatureSet = [FATAL].into();
-    fleet.hosts[1].save_ended(ms(6_000), &set, false);
+    fleet.hosts[1].save_ended(ms(6_000), &set, None);
     assert_eq!(due(&fleet, ms(6_100)), [false, false, false]);
-    fleet.hosts[1].save_ended(ms(7_100), &set, true);
+    fleet.hosts[1].save_ended(ms(7_100), &set, Some(0));
     fleet.deliver(ms(7_110));
     assert_eq!(due(&fleet, ms(60_000)), [false, false, false]);
 }
@@ -279,7 +279,7 @@
 fn a_quarantine_ends() {
     let mut quarantine = Quarantine::new(1);
     let set: FeatureSet = [FATAL].into();
-    quarantine.restore(ms(0), set.clone(), ms(0), Duration::from_hours(9));
+    quarantine.restore(ms(0), set.clone(), ms(0), Duration::from_hours(9), 0);
     let left = quarantine.refused_for(ms(0), &[FATAL, 91]).unwrap();
     assert_eq!(left, Duration::from_mins(10));
     quarantine.expire(left);
@@ -454,7 +454,7 @@
                     features: FeatureSet::from([OTHER]),
                     ended: time,
                     left: time,
-                    is_saved: false,
+                    saved_in: None,
                 },
             ],
         );
@@ -568,3 +568,29 @@
         );
     }
 }
+
+// Guards against decisions that a restored store has lost, and with them the hosts that restart then.
+#[test]
+fn decisions_are_saved_again_after_a_restore_of_the_store() {
+    let mut quarantine = Quarantine::new(1);
+    let set: FeatureSet = [FATAL].into();
+    quarantine.observe_era(ms(0), 1);
+    quarantine.restore(ms(0), set.clone(), ms(0), Duration::from_mins(9), 1);
+    assert_eq!(quarantine.unsaved(ms(9_000)), None);
+    for era in [2, 3] {
+        let now = ms(10_000 * era);
+        quarantine.observe_era(now, era);
+        assert!(quarantine.unsaved(now + ms(4_000)).is_some());
+        // Another host tells that it had saved the decision, before the restore.
+        let saved_before = Report::Refused {
+            features: set.clone(),
+            ended: ms(0),
+            left: Duration::from_mins(9),
+            saved_in: Some(era - 1),
+        };
+        quarantine.receive(now, vec![saved_before]);
+        assert!(quarantine.unsaved(now + ms(4_000)).is_some());
+        quarantine.save_ended(now + ms(4_000), &set, Some(era));
+        assert_eq!(quarantine.unsaved(now + ms(9_000)), None);
+    }
+}
--- a/crates/net/src/gateway/follow.rs
+++ b/crates/net/src/gateway/follow.rs
@@ -9,7 +9,7 @@
 use eelgrasshold_core::gateway::follow::{FollowUpdate, Follower, watch_wait};
 use eelgrasshold_core::gateway::registry::Upstream;
 use eelgrasshold_core::gateway::sources::{Source, Sources};
-use eelgrasshold_core::platform::{Change, KindCall, KindReply, StoredObject};
+use eelgrasshold_core::platform::{Change, KindCall, KindReply, StoredObject, Version, era};
 use eelgrasshold_platform::store::{CONFIG_KIND, CONFIG_NAME, SERVERS_KIND};
 use eelgrasshold_platform::{route_table, servers};
 
@@ -25,8 +25,12 @@
 /// Watches the configuration and applies new versions; never returns.
 pub(super) async fn configuration(shared: Arc<Shared>) {
     follow(&shared, CONFIG_KIND, |update| match update {
-        FollowUpdate::All(objects, _) => objects.iter().for_each(|o| apply_object(&shared, o)),
-        FollowUpdate::Changes(changes, _) => {
+        FollowUpdate::All(objects, as_of) => {
+            observe_era(&shared, as_of);
+            objects.iter().for_each(|o| apply_object(&shared, o));
+        }
+        FollowUpdate::Changes(changes, as_of) => {
+            observe_era(&shared, as_of);
             for change in &changes {
                 if let Change::Set(object) = change {
                     apply_object(&shared, object);
@@ -38,6 +42,22 @@
     .await;
 }
 
+/// Records the era that the store is in.
+fn observe_era(shared: &Shared, as_of: Version) {
+    let (now, era) = (shared.now(), era(as_of));
+    let before = {
+        let quarantine = &mut shared.core().quarantine;
+        let before = quarantine.era();
+        quarantine.observe_era(now, era);
+        before
+    };
+    if era > before && before > 0 {
+        let event = Event::new(EventKind::StoreRestored, "");
+        let event = event.with("era", era).with("before", before);
+        shared.timeline.record(event);
+    }
+}
+
 fn apply_object(shared: &Shared, object: &StoredObject) {
     if object.name == CONFIG_NAME {
         apply_table(shared, &object.value, "the store");
--- a/crates/net/src/gateway/quarantine.rs
+++ b/crates/net/src/gateway/quarantine.rs
@@ -8,7 +8,7 @@
 use eelgrasshold_core::event::{Event, EventKind};
 use eelgrasshold_core::gateway::quarantine::{Change, FeatureId, Report, Unsaved};
 use eelgrasshold_core::gateway::sources;
-use eelgrasshold_core::platform::{Call, Condition, KindCall, KindReply, Reply, StoredObject};
+use eelgrasshold_core::platform::{Call, Condition, KindCall, KindReply, Reply, StoredObject, era};
 use eelgrasshold_platform::quarantine::{self as format, Refused};
 use tokio::net::UdpSocket;
 
@@ -139,10 +139,12 @@
         tokio::time::sleep(SAVE_INTERVAL).await;
         let unsaved = shared.core().quarantine.unsaved(shared.now());
         if let Some(unsaved) = unsaved {
+            // If the store is restored meanwhile, it may lack what it has just acknowledged.
+            let era = shared.core().quarantine.era();
             let is_saved = save(&shared, &unsaved).await;
             let now = shared.now();
             let quarantine = &mut shared.core().quarantine;
-            quarantine.save_ended(now, &unsaved.features, is_saved);
+            quarantine.save_ended(now, &unsaved.features, is_saved.then_some(era));
         }
         if shared.now() >= next_read {
             next_read = shared.now() + READ_INTERVAL;
@@ -182,7 +184,7 @@
             let ended = wall_clock.duration_since(refused.ended).unwrap_or_default();
             let (ended_at, until) = (now.saturating_sub(ended), now + left);
             let quarantine = &mut shared.core().quarantine;
-            quarantine.restore(now, refused.features, ended_at, until);
+            quarantine.restore(now, refused.features, ended_at, until, era(object.version));
         } else {
             let key = format::key(&refused.features);
             let version = object.version;
