--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -24,6 +24,8 @@
     Reload,
     Publish,
     Store(AccessMode),
+    /// The store goes back to a copy of some time ago, and what was lost is written again.
+    StoreRestored,
     ReplicaLeaves,
     ReplicaPauses,
     /// Its next requests run, but have no answer or a failure.
@@ -32,7 +34,7 @@
     ReplicaStalls,
 }
 
-const FAULTS: [Fault; 15] = [
+const FAULTS: [Fault; 16] = [
     Fault::Terminate,
     Fault::Terminate,
     Fault::Terminate,
@@ -44,6 +46,7 @@
     Fault::Store(AccessMode::Busy),
     Fault::Store(AccessMode::Reset),
     Fault::Store(AccessMode::Unresponsive),
+    Fault::StoreRestored,
     Fault::ReplicaLeaves,
     Fault::ReplicaPauses,
     Fault::ReplicaFails,
@@ -89,6 +92,15 @@
             tokio::time::sleep(time).await;
             fleet.store.set_access(AccessMode::Open);
         }
+        Fault::StoreRestored => {
+            let copy = fleet.store.copy();
+            tokio::time::sleep(time).await;
+            fleet.store.set_access(AccessMode::Reset);
+            let lost = fleet.store.restore(copy);
+            fleet.store.set_access(AccessMode::Open);
+            tokio::time::sleep(time / 8).await;
+            lost.write_again(&fleet.store);
+        }
         Fault::ReplicaLeaves => {
             let (replica, id) = (&fleet.replicas[replica], format!("i-{replica}"));
             replica.set_leaving(true);
