--- a/crates/net/src/gateway/follow.rs
+++ b/crates/net/src/gateway/follow.rs
@@ -27,7 +27,9 @@
     follow(&shared, CONFIG_KIND, |update| match update {
         FollowUpdate::All(objects, as_of) => {
             observe_era(&shared, as_of);
-            objects.iter().for_each(|o| apply_object(&shared, o));
+            for object in &objects {
+                apply_object(&shared, object);
+            }
         }
         FollowUpdate::Changes(changes, as_of) => {
             observe_era(&shared, as_of);
