Answer what a stopping host takes before it ends

Reported by other operators: requests that came late in a planned stop were taken and cut at the end of the grace, among them some that may not be repeated. It can happen here: a host takes requests for 3.5 s of its drain limit, with any time limit that their routes allow, and ends with them open. Such requests now have to be answered 0.5 s before the limit; those that may not run twice are refused as not run unless their whole time fits, and another host takes them at once.

request_that_comes_late_in_a_planned_stop_is_answered sends a stream and an unsafe request 3.2 s after the stop began, with 8 s each, to a replica that does not answer. Without the change their answers come after the process is gone.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 pub mod silence;
 pub mod sources;
 mod state;
+pub mod stopping;
 pub mod upstream_limits;
 
 #[cfg(test)]
--- a/crates/core/src/gateway/tests/mod.rs
+++ b/crates/core/src/gateway/tests/mod.rs
@@ -16,6 +16,7 @@
 mod silence;
 mod sources;
 mod standstill;
+mod stopping;
 mod upstream_limits;
 
 use std::net::SocketAddr;
--- a/crates/net/src/gateway/host.rs
+++ b/crates/net/src/gateway/host.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -162,6 +162,8 @@
     /// `force`, whichever comes first, ends the wait.
     pub async fn close(self, force: impl Future<Output = ()>) -> Drained {
         let limit = self.shared.options.drain_limit;
+        let ends_at = self.shared.now() + limit;
+        self.shared.ends_at.get_or_init(|| ends_at);
         tokio::select! {
             _ = tokio::time::timeout(limit, self.drain()) => {}
             () = force => {}
@@ -262,6 +264,7 @@
         quarantine_changed: Notify::new(),
         document: Mutex::new(Bytes::new()),
         draining: AtomicBool::new(false),
+        ends_at: OnceLock::new(),
         open_requests: AtomicUsize::new(0),
         requests_ended: Notify::new(),
         state_changed: Notify::new(),
--- a/crates/net/src/gateway/intake.rs
+++ b/crates/net/src/gateway/intake.rs
@@ -5,7 +5,7 @@
 
 use eelgrasshold_core::event::{Event, EventKind};
 use eelgrasshold_core::gateway::quarantine::content_hash;
-use eelgrasshold_core::gateway::{Admitted, RequestHead};
+use eelgrasshold_core::gateway::{Admitted, RequestHead, stopping};
 use eelgrasshold_core::types::{Refusal, RefusalKind};
 use eelgrasshold_platform::headers as names;
 use http::{HeaderMap, Request, Response, Uri, header, request};
@@ -58,7 +58,10 @@
     let now = shared.now();
     let parts = shared_parts_of(headers);
     let head = head_of(uri, headers, id, &parts);
-    let admitted = shared.core().admit(now, head)?;
+    let mut admitted = shared.core().admit(now, head)?;
+    if let Some(ends_at) = shared.ends_at.get() {
+        stopping::take(now, *ends_at, &mut admitted)?;
+    }
     let event = Event::new(EventKind::RequestAdmitted, "")
         .about_request(id)
         .with("route", admitted.route.name.as_str())
--- a/crates/net/src/gateway/shared.rs
+++ b/crates/net/src/gateway/shared.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -52,6 +52,8 @@
     pub(super) document: Mutex<Bytes>,
     /// A graceful shutdown has begun; the host is no longer ready for new callers.
     pub(super) draining: AtomicBool,
+    /// When the host ends at the latest, once a graceful shutdown has begun.
+    pub(super) ends_at: OnceLock<Now>,
     /// Number of requests that are being served.
     pub(super) open_requests: AtomicUsize,
     /// Notified when the number of open requests drops to 0.
--- a/crates/standins/tests/gateway/hosts.rs
+++ b/crates/standins/tests/gateway/hosts.rs
@@ -1,13 +1,15 @@
 //! Shutdown, crash and idle connections of gateway hosts.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpStream, UdpSocket};
 
-use super::cluster::{Cluster, read_answer, request, send};
+use eelgrasshold_standins::users::Reply;
+
+use super::cluster::{Cluster, config, read_answer, request, send};
 
 /// Time for a connection; the system repeats a packet that was dropped only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
@@ -192,3 +194,34 @@
         eelgrasshold_net::host::Drained::Whole
     );
 }
+
+/// Time after which a gateway of the cluster ends, with or without open requests.
+const DRAIN_LIMIT: Duration = Duration::from_secs(6);
+
+// Guards against requests that a stopping host takes late in the time that it has, and whose callers get
+// no answer when it ends.
+#[tokio::test]
+async fn request_that_comes_late_in_a_planned_stop_is_answered() {
+    for path in ["/stream/x", "/unsafe/x"] {
+        let mut cluster = Cluster::start(1, 2).await;
+        let mut cfg = config(2);
+        for route in cfg["routes"].as_array_mut().unwrap() {
+            route["timeout_ms"] = 8_000.into();
+        }
+        cluster.store.put("config", "main", cfg);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        cluster.replicas[0].queue_replies(vec![Reply::Hang; 4]);
+        let leaving = cluster.gateways.remove(0);
+        let address = leaving.callers_address();
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let asked = Instant::now();
+        let closing = tokio::spawn(leaving.close(std::future::pending()));
+        tokio::time::sleep(Duration::from_millis(3_200)).await;
+        let text = request("POST", path, "r-1").replace("2500", "8000");
+        stream.write_all(text.as_bytes()).await.unwrap();
+        let answer = read_answer(&mut stream).await;
+        assert!(answer.status >= 500, "{path}: {answer:?}");
+        assert!(asked.elapsed() < DRAIN_LIMIT, "{path}: the process is gone");
+        closing.await.unwrap();
+    }
+}
