Test entries that are nested deeply or hold numbers out of range

Reported by other operators: one such entry among those of the replicas ended the machines that read the list, or kept them from following it. Not so here: entries are scanned without recursion and decoded one by one, and an unreadable one names no upstream. The test of unreadable objects has them now (2,000 levels, in a known and in an unknown field; numbers and a port out of range), and passed at once.

--- a/crates/standins/tests/gateway/store.rs
+++ b/crates/standins/tests/gateway/store.rs
@@ -157,6 +157,18 @@
     cluster
         .store
         .put("servers", "x-2", serde_json::json!("text"));
+    let odd = |field: &str, value: serde_json::Value| {
+        let mut entry = cluster.replicas[0].registry_entry("drafts", false);
+        entry[field] = value;
+        cluster.store.put("servers", &format!("x-{field}"), entry);
+    };
+    let nested = (0..2_000).fold(serde_json::json!(1), |inner, _| serde_json::json!([inner]));
+    odd("zone", nested.clone());
+    odd("labels", nested);
+    odd("slots", serde_json::json!(u64::MAX));
+    odd("cold_left_ms", serde_json::json!(1e300));
+    odd("born", serde_json::json!(-1.5e308));
+    odd("addr", "127.0.0.1:70000".into());
     cluster
         .store
         .put("config", "main", serde_json::json!({ "version": "nine" }));
