--- a/crates/net/src/gateway/quarantine.rs
+++ b/crates/net/src/gateway/quarantine.rs
@@ -21,7 +21,7 @@
 /// Interval of looks at what has to be saved.
 const SAVE_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval of reads of the store by a host that misses some other hosts.
-const READ_INTERVAL: Duration = Duration::from_secs(2);
+const READ_INTERVAL: Duration = Duration::from_secs(1);
 /// Delay after a failed read.
 const READ_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Pages of a list that are read.
