--- a/crates/daemon/tests/soak/faults.rs
+++ b/crates/daemon/tests/soak/faults.rs
@@ -96,7 +96,8 @@
             let copy = fleet.store.copy();
             tokio::time::sleep(time).await;
             fleet.store.set_access(AccessMode::Reset);
-            let lost = fleet.store.restore(copy);
+            let lost = fleet.store.copy();
+            fleet.store.restore(copy);
             fleet.store.set_access(AccessMode::Open);
             tokio::time::sleep(time / 8).await;
             lost.write_again(&fleet.store);
--- a/crates/standins/src/users/store.rs
+++ b/crates/standins/src/users/store.rs
@@ -170,10 +170,7 @@
 
     /// Goes back to a copy: later changes are lost, their revisions are given out again, and a new era
     /// begins.
-    ///
-    /// Returns the objects as they were.
-    pub fn restore(&self, copy: StoreCopy) -> StoreCopy {
-        let lost = self.copy();
+    pub fn restore(&self, copy: StoreCopy) {
         {
             let mut state = self.shared.lock();
             state.era += 1;
@@ -182,7 +179,6 @@
             state.history.retain(|entry| entry.rev <= copy.rev);
         }
         self.shared.changed.send_modify(|_| {});
-        lost
     }
 
     /// Discards the history of changes. The next watch from an older revision gets status 410.
