--- a/crates/core/src/ranks/rollout.rs
+++ b/crates/core/src/ranks/rollout.rs
@@ -18,9 +18,10 @@
 //!
 //! A pass is held only after all ranks, in one round of reads, have reported the version as loaded.
 //! A rank that stopped answering meanwhile thus delays the rollout and not the group. From then on
-//! the rollout continues until all ranks are armed, whichever sidecar drives it. It is abandoned only on evidence that cannot change: a rank that has taken a higher
-//! version can never arm this one. Such a rank was never armed before, because an armed rank takes
-//! no other version, so no sidecar can have found all ranks armed. The version is then invalidated
+//! the rollout continues until all ranks are armed, whichever sidecar drives it. It is abandoned
+//! only on evidence that cannot change: a rank that has taken a higher version can never arm this
+//! one. Such a rank was never armed before, because an armed rank takes no other version, so no
+//! sidecar can have found all ranks armed. The version is then invalidated
 //! on every rank by preparing a higher one before the pass is released.
 //!
 //! A sidecar that crashes or is paused during a rollout leaves a held pass behind. Another sidecar
