Show a stream that is decided after its caller has left

The test fails on: an upstream that is silent from 1.0 s on, with a request sent at 0 s and another upstream that goes on, is given up at 2.0 s, which is when the caller leaves. The wait of `Signs::prospect` begins anew with each sign of life; it doesn't know when the caller leaves.

--- a/crates/core/src/gateway/tests/silence.rs
+++ b/crates/core/src/gateway/tests/silence.rs
@@ -159,3 +159,22 @@
     let lost_at = lost_at(&mut signs(5_000), attempt(sent_at, false));
     assert!(lost_at <= sent_at + PATIENCE / 2, "{lost_at:?}");
 }
+
+// Guards against callers that leave a rank which fell silent when less than half of their patience was left.
+#[test]
+fn a_stream_at_an_upstream_that_falls_silent_late_is_decided_before_its_caller_leaves() {
+    for silent_from in [1_000, 1_200, 1_500] {
+        let mut signs = Signs::default();
+        for upstream in ["u-1", "u-2"] {
+            signs.record_send(ms(0), "drafts", upstream, true);
+        }
+        for now in (50..=5_000).step_by(50) {
+            signs.record(ms(now), "drafts", "u-2");
+            if now <= silent_from {
+                signs.record(ms(now), "drafts", "u-1");
+            }
+        }
+        let lost_at = lost_at(&mut signs, attempt(ms(0), false));
+        assert!(lost_at < PATIENCE, "{silent_from}: {lost_at:?}");
+    }
+}
