Show a last attempt that is not watched until its caller leaves

The test fails on: with two attempts of two used, `Gateway::prospect` has the second go on until the deadline, so that it is never given up (`None` within 2.4 s of arrival; the caller leaves after 2.0 s).

--- a/crates/core/src/gateway/tests/standstill.rs
+++ b/crates/core/src/gateway/tests/standstill.rs
@@ -113,3 +113,32 @@
     send(&mut gateway, ms(100), &mut refused);
     assert_eq!(refused.send_priority(), 1);
 }
+
+// Guards against callers that leave a second upstream at which their requests wait unwatched, since no third
+// one may run them.
+#[test]
+fn the_last_attempt_of_a_stream_is_decided_before_its_caller_leaves() {
+    let mut gateway = gateway_with_a_silent_upstream();
+    others_go_on(&mut gateway, 50, 1_100);
+    let mut request = admit(&mut gateway, ms(0), "/s/x");
+    request.tried.insert("u-1".into());
+    request.record_outcome("u-1", Outcome::Silent);
+    let second = send(&mut gateway, ms(1_100), &mut request);
+    let patience = request.route.patience();
+    let decided = |gateway: &mut Gateway, now| {
+        gateway.prospect(ms(now), &request, &second, ms(1_100), false) == Prospect::Lost
+    };
+    let mut decided_at = None;
+    for now in (1_100..2_400).step_by(50) {
+        for other in ["u-2", "u-3", "u-4"].into_iter().filter(|o| *o != second) {
+            gateway.record_sign(ms(now), SERVICE, other);
+        }
+        if decided_at.is_none() && decided(&mut gateway, now) {
+            decided_at = Some(ms(now));
+        }
+    }
+    assert!(
+        decided_at.is_some_and(|at| at < request.arrived + patience),
+        "{decided_at:?}"
+    );
+}
