--- a/crates/standins/src/users/replica.rs
+++ b/crates/standins/src/users/replica.rs
@@ -60,6 +60,13 @@
     HangAfter(u64),
     /// An event stream with this time between two events.
     Paced(Duration),
+    /// The same, silent after this many events; the connection stays open.
+    PacedHangAfter {
+        /// Time between two events.
+        interval: Duration,
+        /// Events before the silence.
+        events: u64,
+    },
     /// After a delay, a refusal of a request that was not executed.
     NotRunAfter {
         /// Time until the refusal.
@@ -386,7 +393,10 @@
         Reply::NotRun { .. } | Reply::NotRunAfter { .. } | Reply::Paused(_)
     );
     arrival.ran = !refused;
-    arrival.is_endless = matches!(reply, Reply::Hang | Reply::HangAfter(_));
+    arrival.is_endless = matches!(
+        reply,
+        Reply::Hang | Reply::HangAfter(_) | Reply::PacedHangAfter { .. }
+    );
     arrival.at = Some(Instant::now());
     state.arrivals.push(arrival);
     (state.arrivals.len() - 1, reply, state.id.clone())
@@ -484,6 +494,11 @@
         Reply::Paced(interval) => {
             write_normal(stream, arrival, from, Ending::Whole, interval).await?;
         }
+        Reply::PacedHangAfter { interval, events } => {
+            let ending = Ending::SilentAfter(events);
+            write_normal(stream, arrival, from, ending, interval).await?;
+            return read_to_end(stream).await;
+        }
         Reply::NotRunAfter { delay, at } => {
             tokio::time::sleep(delay).await;
             let head = format!("X-Not-Executed: 1\r\nX-Instance: {id}\r\nAt-Server: {at}\r\n");
