Answer the callers of streams before they leave

Cause: a caller waits until one moment, its patience after its request or its last event. That moment was kept nowhere. `Signs::prospect` counted half of the patience from the send or the last sign of the upstream, whichever was later, so the wait began anew with each sign and each attempt: silence from 1.0 s on was decided at 2.0 s, when the caller leaves. A last attempt was not looked at before the deadline of 8 s. Nothing can be cancelled at an upstream that stands still, so only an answer to the caller helps.

Change: a request keeps its `Departure`. Admission, waits for pauses, first and later attempts, silence and resumed streams take their time from what is left. An upstream at which streams of this host run is given up for one request as soon as it is silent while others go on, if waiting longer would leave another one too little time; all its streams are given up after half of the patience, as before. What can't begin elsewhere in the time that is left is answered at once, and what has no event is answered or cut 60 ms before its caller leaves, also where nobody goes on and where the request may not be sent again. Such answers say that the outcome is unknown (502, 504).

--- a/crates/core/src/gateway/admission.rs
+++ b/crates/core/src/gateway/admission.rs
@@ -42,23 +42,45 @@
 }
 
 impl Admission {
-    /// Whether a new stream can be expected to begin in time. Upstreams begin more urgent requests
-    /// first, so only those that are as urgent are before it.
+    /// Whether a new stream can be expected to begin in time. `left` is the time until its caller
+    /// leaves.
     #[must_use]
-    pub fn admits(&self, now: Now, service: &str, priority: u8, patience: Duration) -> bool {
+    pub fn admits(
+        &self,
+        now: Now,
+        service: &str,
+        priority: u8,
+        patience: Duration,
+        left: Duration,
+    ) -> bool {
+        let time = patience.mul_f64(WAIT_SHARE_OF_PATIENCE).min(left);
+        self.expected_wait(now, service, priority, patience) <= time
+    }
+
+    /// Time after which a stream that is sent now can be expected to begin; zero unless requests have
+    /// to wait. Upstreams begin more urgent requests first, so only those that are as urgent are
+    /// before it.
+    #[must_use]
+    pub fn expected_wait(
+        &self,
+        now: Now,
+        service: &str,
+        priority: u8,
+        patience: Duration,
+    ) -> Duration {
         let Some(state) = self.services.get(service) else {
-            return true;
+            return Duration::ZERO;
         };
         let before = state.waiting.values().filter(|w| w.priority <= priority);
         let longest = before.clone().map(|w| now.saturating_sub(w.sent_at)).max();
         let count = before.count();
         let overload = patience.mul_f64(OVERLOAD_SHARE_OF_PATIENCE);
         if count < FEW_WAITING || longest.is_none_or(|l| l < overload) {
-            return true;
+            return Duration::ZERO;
         }
         let begun = state.begun_at.iter().filter(|at| now < **at + RATE_PERIOD);
         let rate = begun.count() as f64 / RATE_PERIOD.as_secs_f64();
-        count as f64 <= rate * patience.as_secs_f64() * WAIT_SHARE_OF_PATIENCE
+        Duration::try_from_secs_f64(count as f64 / rate).unwrap_or(Duration::MAX)
     }
 
     /// Records that a stream is sent to an upstream.
--- a/crates/core/src/gateway/health.rs
+++ b/crates/core/src/gateway/health.rs
@@ -61,6 +61,7 @@
             | Outcome::Moved
             | Outcome::Stalled
             | Outcome::GivenUp
+            | Outcome::Expired
             | Outcome::Withdrawn => false,
             Outcome::Answered => record.record_answer(0.0),
             Outcome::Failed => record.record_answer(1.0),
--- a/crates/core/src/gateway/silence.rs
+++ b/crates/core/src/gateway/silence.rs
@@ -11,10 +11,15 @@
 //!
 //! New requests avoid an upstream sooner, since that costs nothing: as soon as it is silent while
 //! others go on. One that stood still gets a single request at a time until it is heard of again.
+//!
+//! Silence has more weight the less time a caller has left: what can still be served elsewhere is
+//! moved while it can. Only streams that run at an upstream make its silence evidence so soon; requests
+//! that wait in its queue are silent in any case.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::departure::Departure;
 use super::registry::UpstreamId;
 use crate::types::{Now, ServiceId};
 
@@ -23,6 +28,8 @@
 const BEGUN_SHARE_OF_PATIENCE: f64 = 0.5;
 /// The same for a stream without an event, from the time at which it was sent.
 const NEW_SHARE_OF_PATIENCE: f64 = 0.5;
+/// Share of a caller's patience that another upstream needs to begin its stream.
+const MOVE_SHARE_OF_PATIENCE: f64 = 0.4;
 /// The same at an upstream that has not been heard of since it stood still.
 const TRIAL_SHARE_OF_PATIENCE: f64 = 0.25;
 /// Time without a sign after which an upstream gets no new requests.
@@ -50,6 +57,8 @@
     pub has_begun: bool,
     /// Time without an event after which the caller gives up.
     pub patience: Duration,
+    /// When the caller leaves.
+    pub departure: Departure,
 }
 
 /// Whether an attempt can be expected to go on.
@@ -61,6 +70,8 @@
     Lost,
     /// Requests like it are refused by now.
     Withdrawn,
+    /// Its caller is about to leave.
+    Expired,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -81,6 +92,17 @@
     is_doubtful: bool,
 }
 
+/// Moments at which the silence of an upstream has lasted for long enough.
+#[derive(Clone, Copy, Debug)]
+struct Silence {
+    /// To give up one attempt.
+    decided_at: Now,
+    /// To give up all attempts at the upstream.
+    certain_at: Now,
+    /// To give up those that have begun.
+    begun_decided_at: Now,
+}
+
 /// What new requests may expect of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Liveness {
@@ -97,6 +119,8 @@
 pub struct Signs {
     services: BTreeMap<ServiceId, Service>,
     last: BTreeMap<UpstreamId, Sign>,
+    /// Number of this host's streams that have begun, by upstream.
+    running: BTreeMap<UpstreamId, u32>,
 }
 
 impl Signs {
@@ -167,42 +191,83 @@
         state.stall_reported_at = Some(now);
     }
 
+    /// Records that a stream has begun at an upstream.
+    pub fn record_begin(&mut self, upstream: &str) {
+        *self.running.entry(upstream.to_owned()).or_default() += 1;
+    }
+
+    /// Records that a stream that had begun at an upstream has ended there.
+    pub fn record_end(&mut self, upstream: &str) {
+        if let Some(count) = self.running.get_mut(upstream) {
+            *count = count.saturating_sub(1);
+            if *count == 0 {
+                self.running.remove(upstream);
+            }
+        }
+    }
+
     /// Prospect of an attempt.
     #[must_use]
     pub fn prospect(&mut self, now: Now, attempt: StreamAttempt<'_>) -> Prospect {
-        let sign = self.last.get(attempt.upstream);
+        let answer_by = attempt.departure.answer_by();
+        if answer_by.is_some_and(|by| now >= by) {
+            return Prospect::Expired;
+        }
+        let sign = self.last.get(attempt.upstream).copied();
         if sign.is_some_and(|s| s.stands_still) {
             return Prospect::Lost;
         }
-        let heard_at = sign.map_or(attempt.sent_at, |s| s.at);
-        let after = |since: Now, share| since + attempt.patience.mul_f64(share);
-        let decided_at = if attempt.has_begun {
-            after(heard_at.max(attempt.sent_at), BEGUN_SHARE_OF_PATIENCE)
-        } else if sign.is_some_and(|s| s.is_doubtful) {
-            after(attempt.sent_at, TRIAL_SHARE_OF_PATIENCE)
-        } else {
-            after(heard_at.max(attempt.sent_at), NEW_SHARE_OF_PATIENCE)
-        };
-        if now < decided_at {
-            // Streams that have begun may be lost sooner.
-            let begun_decided_at = after(heard_at, BEGUN_SHARE_OF_PATIENCE) + RECHECK_INTERVAL;
+        let recheck_at = |at: Now| Prospect::GoesOn(answer_by.map_or(at, |by| by.min(at)));
+        let silence = self.silence(attempt, sign);
+        if now < silence.decided_at {
+            let begun_decided_at = silence.begun_decided_at + RECHECK_INTERVAL;
             let next = if now < begun_decided_at {
-                decided_at.min(begun_decided_at)
+                silence.decided_at.min(begun_decided_at)
             } else {
-                decided_at.min(now + RECHECK_INTERVAL)
+                silence.decided_at.min(now + RECHECK_INTERVAL)
             };
-            return Prospect::GoesOn(next);
+            return recheck_at(next);
         }
         let beats = self.services.get(attempt.service).map_or(0, |s| s.beats);
         let beats_since = beats - sign.map_or(beats, |s| s.beats);
-        if beats_since >= MIN_BEATS || self.stall_reported(now, attempt.service) {
-            if let Some(sign) = self.last.get_mut(attempt.upstream) {
-                sign.stands_still = true;
-                sign.is_doubtful = true;
-            }
-            Prospect::Lost
+        if beats_since < MIN_BEATS && !self.stall_reported(now, attempt.service) {
+            return recheck_at(now + RECHECK_INTERVAL);
+        }
+        if now >= silence.certain_at
+            && let Some(sign) = self.last.get_mut(attempt.upstream)
+        {
+            sign.stands_still = true;
+            sign.is_doubtful = true;
+        }
+        Prospect::Lost
+    }
+
+    /// When the silence of an attempt's upstream is long enough to decide on the attempt.
+    fn silence(&self, attempt: StreamAttempt<'_>, sign: Option<Sign>) -> Silence {
+        let after = |since: Now, share| since + attempt.patience.mul_f64(share);
+        let heard_at = sign.map_or(attempt.sent_at, |s| s.at);
+        let since = heard_at.max(attempt.sent_at);
+        let is_running = self.running.contains_key(attempt.upstream);
+        let certain_at = if attempt.has_begun {
+            after(since, BEGUN_SHARE_OF_PATIENCE)
+        } else if sign.is_some_and(|s| s.is_doubtful) {
+            after(attempt.sent_at, TRIAL_SHARE_OF_PATIENCE)
         } else {
-            Prospect::GoesOn(now + RECHECK_INTERVAL)
+            after(since, NEW_SHARE_OF_PATIENCE)
+        };
+        let move_time = attempt.patience.mul_f64(MOVE_SHARE_OF_PATIENCE);
+        let move_by = attempt
+            .departure
+            .at()
+            .map(|at| at.saturating_sub(move_time));
+        let decided_at = match move_by {
+            Some(by) if is_running => certain_at.min(by.max(since + SUSPECT_TIME)),
+            _ => certain_at,
+        };
+        Silence {
+            decided_at,
+            certain_at,
+            begun_decided_at: after(heard_at, BEGUN_SHARE_OF_PATIENCE),
         }
     }
 
--- a/crates/core/src/gateway/state/choosing.rs
+++ b/crates/core/src/gateway/state/choosing.rs
@@ -31,7 +31,11 @@
     /// Longest time that the request may go on waiting at this host. One that waits longer has too little of
     /// its time left elsewhere if it is refused in the end.
     fn time_to_wait(&self, now: Now) -> Duration {
-        let time = self.deadline.saturating_sub(self.arrived);
+        let end = self
+            .departure
+            .at()
+            .map_or(self.deadline, |at| at.min(self.deadline));
+        let time = end.saturating_sub(self.arrived);
         let limit = self.arrived + time.mul_f64(MAX_SHARE_WAITED);
         limit.saturating_sub(now)
     }
@@ -49,6 +53,10 @@
                 "the time ran out",
             );
         }
+        if request.departure.left(now) == Some(Duration::ZERO) {
+            let detail = "no event in the time for which the caller waits";
+            return self.refuse(now, request, RefusalKind::DeadlineExceeded, detail);
+        }
         if let Some(left) = self.quarantine.refused_for(now, &request.features) {
             return refuse_quarantined(request, left);
         }
@@ -70,15 +78,9 @@
             let detail = "the upstreams that were tried did not serve the request";
             return self.refuse(now, request, RefusalKind::Overloaded, detail);
         }
-        if !repeated && request.route.kind.is_stream() {
-            let (service, patience) = (&request.service, request.route.patience());
-            let admits = self
-                .admission
-                .admits(now, service, request.priority, patience);
-            if !admits {
-                let detail = "the stream could not begin in time";
-                return self.refuse(now, request, RefusalKind::Overloaded, detail);
-            }
+        if !self.can_begin(now, request) {
+            let detail = "the stream could not begin in time";
+            return self.refuse(now, request, RefusalKind::Overloaded, detail);
         }
         let (chosen, reasons) = loop {
             let Some((chosen, reasons)) = self.choose(now, request) else {
@@ -116,6 +118,24 @@
         Next::Send(chosen, reasons)
     }
 
+    /// Whether some upstream can be expected to begin a request before its caller leaves.
+    fn can_begin(&self, now: Now, request: &Admitted) -> bool {
+        let Some(left) = request.departure.left(now) else {
+            return true;
+        };
+        let (service, patience) = (&request.service, request.route.patience());
+        let priority = request.send_priority();
+        if request.tried.is_empty() {
+            return self
+                .admission
+                .admits(now, service, priority, patience, left);
+        }
+        let wait = self
+            .admission
+            .expected_wait(now, service, priority, patience);
+        request.departure.allows(now, wait)
+    }
+
     /// Records whether a request may be sent to an upstream, as the accountant of its limit says; `None`
     /// if that host did not answer.
     pub fn permit_answered(
--- a/crates/core/src/gateway/state/mod.rs
+++ b/crates/core/src/gateway/state/mod.rs
@@ -13,6 +13,7 @@
 
 use super::admission::Admission;
 use super::budget::{RetryBound, RetryBudget};
+use super::departure::Departure;
 use super::health::UpstreamHealth;
 use super::notices::Notices;
 use super::placing::Loads;
@@ -183,6 +184,7 @@
             }
         });
         let service = service.clone();
+        let patience = route.kind.is_stream().then(|| route.patience());
         let parts = head.parts.iter();
         let features = parts.map(|p| quarantine::part_feature(&service, p));
         let features = features.collect();
@@ -196,6 +198,7 @@
             priority: team_priority.unwrap_or(route.priority),
             arrived: now,
             deadline: now + wait,
+            departure: Departure::new(now, patience),
             work,
             features,
             tried: BTreeSet::new(),
--- a/crates/core/src/gateway/state/outcomes.rs
+++ b/crates/core/src/gateway/state/outcomes.rs
@@ -69,13 +69,27 @@
         says && self.limits.record_answer(now, upstream, sent_at, rate)
     }
 
+    /// Records that a stream has begun at an upstream.
+    pub fn stream_begun(&mut self, now: Now, service: &str, upstream: &str, request: &str) {
+        self.admission.record_begin(now, service, request);
+        self.signs.record_begin(upstream);
+    }
+
+    /// Records that an attempt has ended, and with it the stream that may have begun.
+    pub fn stream_ended(&mut self, service: &str, upstream: &str, request: &str, has_begun: bool) {
+        self.admission.record_end(service, request);
+        if has_begun {
+            self.signs.record_end(upstream);
+        }
+    }
+
     /// Records that a part of an answer arrived from an upstream.
     pub fn record_sign(&mut self, now: Now, service: &str, upstream: &str) {
         self.signs.record(now, service, upstream);
     }
 
     /// Prospect of the last attempt of a request, which was sent to an upstream at `sent_at`. One that
-    /// is no stream, or can't be repeated, is not given up for the silence of its upstream.
+    /// is no stream, or must not run twice, is not given up for the silence of its upstream.
     #[must_use]
     pub fn prospect(
         &mut self,
@@ -93,15 +107,22 @@
         {
             return Prospect::Withdrawn;
         }
-        if !(request.route.kind.is_stream() && request.is_repeatable()) {
+        if !request.route.kind.is_stream() {
             return Prospect::GoesOn(request.deadline);
         }
+        if !request.may_be_given_up(has_begun) {
+            return match request.departure.answer_by() {
+                Some(by) if now >= by => Prospect::Expired,
+                by => Prospect::GoesOn(by.unwrap_or(request.deadline)),
+            };
+        }
         let attempt = StreamAttempt {
             service: &request.service,
             upstream,
             sent_at,
             has_begun,
             patience: request.route.patience(),
+            departure: request.departure,
         };
         self.signs.prospect(now, attempt)
     }
--- a/crates/core/src/gateway/state/request.rs
+++ b/crates/core/src/gateway/state/request.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::gateway::departure::Departure;
 use crate::gateway::placing::Work;
 use crate::gateway::quarantine::{self, FeatureId};
 use crate::gateway::registry::{Upstream, UpstreamId};
@@ -51,6 +52,8 @@
     pub arrived: Now,
     /// Time at which its caller or its route stops waiting.
     pub deadline: Now,
+    /// When its caller leaves for lack of an event.
+    pub departure: Departure,
     /// Work of the request, relative to a usual one.
     pub work: Work,
     /// What it has in common with other requests.
@@ -134,6 +137,8 @@
     Withdrawn,
     /// The deadline passed while the upstream was working.
     TimedOut,
+    /// The upstream supplied no event before the caller was about to leave.
+    Expired,
     /// The caller disconnected while the upstream was working.
     GivenUp,
 }
@@ -153,6 +158,13 @@
         may_run_again && attempts_left
     }
 
+    /// Whether an attempt may be given up for the silence of its upstream: if the request can be sent once
+    /// more, or if its caller can do that with nothing lost.
+    pub(super) fn may_be_given_up(&self, has_begun: bool) -> bool {
+        let is_idempotent = self.route.kind.class() == WorkClass::Idempotent;
+        self.is_repeatable() || (is_idempotent && !has_begun)
+    }
+
     /// Priority of the present send. A request that has waited in vain has little of its time left.
     #[must_use]
     pub fn send_priority(&self) -> u8 {
@@ -205,6 +217,7 @@
             Self::Silent => "silent",
             Self::Withdrawn => "withdrawn",
             Self::TimedOut => "timed_out",
+            Self::Expired => "expired",
             Self::GivenUp => "given_up",
         }
     }
--- /dev/null
+++ b/crates/core/src/gateway/tests/departure.rs
@@ -0,0 +1,107 @@
+use std::time::Duration;
+
+use super::ms;
+use super::requests::{admit, end, gateway, refused, send};
+use crate::gateway::departure::Departure;
+use crate::gateway::routes::RouteKind;
+use crate::gateway::silence::Prospect;
+use crate::gateway::{Gateway, Next, Outcome};
+use crate::types::{Now, Run};
+
+const PATIENCE: Duration = Duration::from_secs(2);
+
+// Guards against a departure that is computed from an attempt: each attempt began the wait anew.
+#[test]
+fn a_caller_leaves_after_its_last_event_and_not_after_the_last_attempt() {
+    let mut departure = Departure::new(ms(1_000), Some(PATIENCE));
+    assert_eq!(departure.at(), Some(ms(3_000)));
+    assert!(departure.answer_by() < departure.at());
+    departure.record_event(ms(2_500));
+    assert_eq!(departure.at(), Some(ms(4_500)));
+    assert_eq!(departure.left(ms(9_000)), Some(Duration::ZERO));
+}
+
+#[test]
+fn callers_of_single_answers_leave_at_their_deadline_only() {
+    let departure = Departure::new(ms(0), None);
+    assert_eq!(departure.left(ms(60_000)), None);
+    assert!(departure.allows(ms(60_000), Duration::from_secs(9)));
+}
+
+/// Ends a first attempt at `at` and returns when the request was sent once more, if it was.
+fn moved_at(gateway: &mut Gateway, at: Now) -> Option<Now> {
+    let mut request = admit(gateway, ms(0), "/s/x");
+    let first = send(gateway, ms(0), &mut request);
+    end(gateway, at, &mut request, &first, Outcome::Silent);
+    match gateway.next(at, &mut request) {
+        Next::Send(..) => Some(at),
+        Next::Refuse(refusal) => {
+            assert_eq!(refusal.run, Run::Unknown);
+            None
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+// Guards against second attempts that are sent when their callers are about to leave.
+#[test]
+fn a_request_is_not_sent_again_when_its_caller_is_about_to_leave() {
+    assert!(moved_at(&mut gateway(4), ms(1_000)).is_some());
+    assert!(moved_at(&mut gateway(4), ms(1_900)).is_none());
+    assert!(moved_at(&mut gateway(4), ms(2_500)).is_none());
+}
+
+// Guards against second attempts at a service that begins nothing in the time that is left.
+#[test]
+fn a_request_that_could_not_begin_elsewhere_is_answered_at_once() {
+    let mut gateway = gateway(4);
+    for n in 0..8 {
+        gateway
+            .admission
+            .record_send(ms(0), "drafts", &format!("w-{n}"), 0);
+    }
+    let mut request = admit(&mut gateway, ms(600), "/s/x");
+    request.tried.insert("u-1".into());
+    request.record_outcome("u-1", Outcome::Silent);
+    let refusal = refused(&mut gateway, ms(1_600), &mut request);
+    assert_eq!(refusal.run, Run::Unknown);
+}
+
+// Guards against callers that left at a second upstream which stood still as well.
+#[test]
+fn a_caller_is_answered_before_it_leaves_a_second_silent_upstream() {
+    let mut gateway = gateway(4);
+    let mut request = admit(&mut gateway, ms(0), "/s/x");
+    let first = send(&mut gateway, ms(0), &mut request);
+    end(
+        &mut gateway,
+        ms(1_000),
+        &mut request,
+        &first,
+        Outcome::Silent,
+    );
+    let second = send(&mut gateway, ms(1_000), &mut request);
+    let times = (1_000..2_000).step_by(10).map(ms);
+    let expired = |now: &Now| {
+        gateway.prospect(*now, &request, &second, ms(1_000), false) == Prospect::Expired
+    };
+    let expired_at = times.into_iter().find(expired).unwrap();
+    assert!(expired_at < ms(1_960), "{expired_at:?}");
+}
+
+// Guards against streams that must not run twice, whose callers left an upstream that stood still.
+#[test]
+fn a_caller_is_answered_before_it_leaves_whatever_its_request_allows() {
+    let mut gateway = gateway(4);
+    let mut request = admit(&mut gateway, ms(0), "/s/x");
+    let first = send(&mut gateway, ms(0), &mut request);
+    request.route = {
+        let mut route = (*request.route).clone();
+        route.kind = RouteKind::Stream { resumable: false };
+        route.into()
+    };
+    let prospect =
+        |gateway: &mut Gateway, now| gateway.prospect(now, &request, &first, ms(0), false);
+    assert!(matches!(prospect(&mut gateway, ms(1_500)), Prospect::GoesOn(at) if at < ms(1_960)));
+    assert_eq!(prospect(&mut gateway, ms(1_960)), Prospect::Expired);
+}
--- a/crates/core/src/gateway/tests/mod.rs
+++ b/crates/core/src/gateway/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod budget;
+mod departure;
 mod follow;
 mod forming;
 mod mirror;
--- a/crates/net/src/gateway/exchange.rs
+++ b/crates/net/src/gateway/exchange.rs
@@ -28,6 +28,7 @@
 pub(super) fn given_up_reason(outcome: Outcome) -> &'static str {
     match outcome {
         Outcome::Withdrawn => "requests like this one are refused by now",
+        Outcome::Expired => "no event in the time for which the caller waits",
         _ => "the upstream has long been silent while others were not",
     }
 }
--- a/crates/net/src/gateway/in_flight.rs
+++ b/crates/net/src/gateway/in_flight.rs
@@ -74,9 +74,9 @@
     pub(super) fn record_event(&mut self) {
         self.events += 1;
         if self.events == 1 {
-            let (now, service) = (self.shared.now(), &self.upstream.service);
-            let admission = &mut self.shared.core().admission;
-            admission.record_begin(now, service, &self.request);
+            let (now, upstream) = (self.shared.now(), &self.upstream);
+            let mut core = self.shared.core();
+            core.stream_begun(now, &upstream.service, &upstream.id, &self.request);
         }
         if self.events == MIN_EVENTS_OF_SOUND_REQUEST {
             self.record_sound();
@@ -106,9 +106,10 @@
         let now = shared.now();
         let ejected = {
             let core = &mut shared.core();
-            core.admission
-                .record_end(&self.upstream.service, &self.request);
-            core.attempt_ended(now, &self.upstream.id, self.work, outcome)
+            let upstream = &self.upstream;
+            let has_begun = self.events > 0;
+            core.stream_ended(&upstream.service, &upstream.id, &self.request, has_begun);
+            core.attempt_ended(now, &upstream.id, self.work, outcome)
         };
         shared.metrics.attempt_ended(outcome);
         let event = Event::new(EventKind::AttemptEnded, "")
--- a/crates/net/src/gateway/relay.rs
+++ b/crates/net/src/gateway/relay.rs
@@ -97,6 +97,7 @@
         let took = now.saturating_sub(self.exchange.admitted.arrived);
         self.exchange.shared.metrics.first_answer("stream", took);
         self.last_event_at = now;
+        self.exchange.admitted.departure.record_event(now);
         self.last_event_id = event_id(&event);
         self.first_event = Some(event);
     }
@@ -150,6 +151,7 @@
         let pause = now.saturating_sub(self.last_event_at);
         self.exchange.shared.metrics.event_pause(pause);
         self.last_event_at = now;
+        self.exchange.admitted.departure.record_event(now);
         self.last_event_id = id.or(self.last_event_id);
         true
     }
--- a/crates/net/src/gateway/shared.rs
+++ b/crates/net/src/gateway/shared.rs
@@ -143,6 +143,7 @@
                 },
                 Prospect::Lost => return Outcome::Silent,
                 Prospect::Withdrawn => return Outcome::Withdrawn,
+                Prospect::Expired => return Outcome::Expired,
             }
         }
     }
