Write the time that is left after the connection is open

An upstream was handed up to 0.4 s more than its caller had left: the request was built, with its time limit, before the connection was opened. Read in the code; no test of ours shows it, as a full backlog on loopback delays a connection by a second, beyond the time for connecting. By itself it is below what the rule BUDGET allows (0.5 s).

--- a/crates/net/src/gateway/exchange.rs
+++ b/crates/net/src/gateway/exchange.rs
@@ -277,6 +277,12 @@
         upstream: &Upstream,
         resume_after: Option<u64>,
     ) -> Result<(response::Parts, Incoming, Sender), Outcome> {
+        let connection = self.shared.connection(upstream).await;
+        let mut sender = connection.map_err(|error| {
+            self.record_dropped_answer(&upstream.id, &format!("can't connect: {error}"));
+            Outcome::Unreachable
+        })?;
+        // The time that is left is written last, as it goes on while the connection is opened.
         let request = self.request(upstream, resume_after).map_err(|error| {
             self.record_dropped_answer(
                 &upstream.id,
@@ -284,11 +290,6 @@
             );
             Outcome::Unreachable
         })?;
-        let connection = self.shared.connection(upstream).await;
-        let mut sender = connection.map_err(|error| {
-            self.record_dropped_answer(&upstream.id, &format!("can't connect: {error}"));
-            Outcome::Unreachable
-        })?;
         if !self
             .shared
             .core()
