Log how long a caller still waits when its request is sent

`silent_ms` of an attempt tells a late decision from a late upstream only if the lines of a request are joined and the route's patience is known. `leaves_in_ms` of RequestDispatched has the rest of it.

--- a/crates/net/src/gateway/exchange.rs
+++ b/crates/net/src/gateway/exchange.rs
@@ -1,6 +1,7 @@
 //! Sends an admitted request to upstreams, retries it, and builds the caller's response.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use eelgrasshold_core::event::{Event, EventKind};
@@ -254,10 +255,22 @@
             .with("own_in_flight", reasons.in_flight)
             .with("registry", reasons.registry)
             .with("registry_age_ms", reasons.registry_age)
+            .with("leaves_in_ms", self.time_to_departure())
             .with("resume_after", resume_after.unwrap_or_default());
         self.shared.timeline.record(event);
     }
 
+    /// Time until the caller leaves, or until its deadline.
+    fn time_to_departure(&self) -> Duration {
+        let Admitted {
+            departure,
+            deadline,
+            ..
+        } = &self.admitted;
+        let leaves_at = departure.at().map_or(*deadline, |at| at.min(*deadline));
+        leaves_at.saturating_sub(self.shared.now())
+    }
+
     pub(super) fn end(&mut self, in_flight: InFlight, outcome: Outcome) {
         self.admitted
             .record_outcome(&in_flight.upstream.id, outcome);
