--- a/crates/core/src/gateway/silence.rs
+++ b/crates/core/src/gateway/silence.rs
@@ -92,15 +92,15 @@
     is_doubtful: bool,
 }
 
-/// Moments at which the silence of an upstream has lasted for long enough.
+/// Moments at which the silence of an upstream has lasted for long enough to give something up.
 #[derive(Clone, Copy, Debug)]
 struct Silence {
-    /// To give up one attempt.
-    decided_at: Now,
-    /// To give up all attempts at the upstream.
-    certain_at: Now,
-    /// To give up those that have begun.
-    begun_decided_at: Now,
+    /// The attempt that is looked at.
+    attempt: Now,
+    /// All attempts at the upstream.
+    upstream: Now,
+    /// Streams that have begun there.
+    begun: Now,
 }
 
 /// What new requests may expect of an upstream.
@@ -219,21 +219,22 @@
         }
         let recheck_at = |at: Now| Prospect::GoesOn(answer_by.map_or(at, |by| by.min(at)));
         let silence = self.silence(attempt, sign);
-        if now < silence.decided_at {
-            let begun_decided_at = silence.begun_decided_at + RECHECK_INTERVAL;
-            let next = if now < begun_decided_at {
-                silence.decided_at.min(begun_decided_at)
+        if now < silence.attempt {
+            // Streams that have begun may be lost sooner, and this one with them.
+            let begun = silence.begun + RECHECK_INTERVAL;
+            let next = if now < begun {
+                begun
             } else {
-                silence.decided_at.min(now + RECHECK_INTERVAL)
+                now + RECHECK_INTERVAL
             };
-            return recheck_at(next);
+            return recheck_at(next.min(silence.attempt));
         }
         let beats = self.services.get(attempt.service).map_or(0, |s| s.beats);
         let beats_since = beats - sign.map_or(beats, |s| s.beats);
         if beats_since < MIN_BEATS && !self.stall_reported(now, attempt.service) {
             return recheck_at(now + RECHECK_INTERVAL);
         }
-        if now >= silence.certain_at
+        if now >= silence.upstream
             && let Some(sign) = self.last.get_mut(attempt.upstream)
         {
             sign.stands_still = true;
@@ -242,13 +243,13 @@
         Prospect::Lost
     }
 
-    /// When the silence of an attempt's upstream is long enough to decide on the attempt.
+    /// When the silence of an attempt's upstream is long enough.
     fn silence(&self, attempt: StreamAttempt<'_>, sign: Option<Sign>) -> Silence {
         let after = |since: Now, share| since + attempt.patience.mul_f64(share);
         let heard_at = sign.map_or(attempt.sent_at, |s| s.at);
         let since = heard_at.max(attempt.sent_at);
         let is_running = self.running.contains_key(attempt.upstream);
-        let certain_at = if attempt.has_begun {
+        let upstream = if attempt.has_begun {
             after(since, BEGUN_SHARE_OF_PATIENCE)
         } else if sign.is_some_and(|s| s.is_doubtful) {
             after(attempt.sent_at, TRIAL_SHARE_OF_PATIENCE)
@@ -260,14 +261,13 @@
             .departure
             .at()
             .map(|at| at.saturating_sub(move_time));
-        let decided_at = match move_by {
-            Some(by) if is_running => certain_at.min(by.max(since + SUSPECT_TIME)),
-            _ => certain_at,
-        };
         Silence {
-            decided_at,
-            certain_at,
-            begun_decided_at: after(heard_at, BEGUN_SHARE_OF_PATIENCE),
+            attempt: match move_by {
+                Some(by) if is_running => upstream.min(by.max(since + SUSPECT_TIME)),
+                _ => upstream,
+            },
+            upstream,
+            begun: after(heard_at, BEGUN_SHARE_OF_PATIENCE),
         }
     }
 
--- a/crates/core/src/gateway/tests/silence.rs
+++ b/crates/core/src/gateway/tests/silence.rs
@@ -219,7 +219,7 @@
                 end => break end,
             }
         };
-        assert!(now < sent_at + PATIENCE - ms(50), "{until}: {now:?}");
+        assert!(now + ms(50) < sent_at + PATIENCE, "{until}: {now:?}");
         let early = now < ms(until) + PATIENCE / 2;
         assert!(early || until <= 300, "{until}: {end:?} at {now:?}");
     }
