Bound the bytes of answers that callers do not read

Answers of engines without end, or just long ones, whose callers do not read them could take all the memory of a host beside an upstream. A streamed body buffered 16 frames, but the size of a frame is what was read at once: up to 400 KiB by the default of the HTTP library. An HTTP/2 stream added a send buffer of 400 KiB.

All HTTP/1.1 clients now read ahead 32 KiB, by the constant that gateways had for themselves; gateways and sidecars open connections by the same function. A streamed body buffers one frame, and HTTP/2 streams 32 KiB to send. So what an answer keeps is bounded in bytes.

--- a/crates/net/src/gateway/answer.rs
+++ b/crates/net/src/gateway/answer.rs
@@ -12,7 +12,7 @@
 
 use super::in_flight::InFlight;
 use super::permits;
-use super::pool::Sender;
+use crate::http::Sender;
 use crate::wire::headers::parsed;
 
 /// The head of an upstream's answer, with its unread body and the connection.
--- a/crates/net/src/gateway/exchange.rs
+++ b/crates/net/src/gateway/exchange.rs
@@ -17,11 +17,11 @@
 use super::answer::Answer;
 use super::in_flight::InFlight;
 use super::intake::refuse;
-use super::pool::{Sender, idle_limit};
+use super::pool::idle_limit;
 use super::relay::Relay;
 use super::shared::{OpenRequest, Shared};
 use super::{notices, permits};
-use crate::http::{Body, full};
+use crate::http::{Body, Sender, full};
 use crate::wire::headers::{remove_hop_by_hop, text, value};
 
 /// Why an attempt was given up, for logs.
--- a/crates/net/src/gateway/pool.rs
+++ b/crates/net/src/gateway/pool.rs
@@ -11,15 +11,12 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
 use eelgrasshold_core::gateway::registry::UpstreamId;
 use eelgrasshold_core::types::Now;
 use http::HeaderMap;
-use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
 
 use crate::connect::{connect, reset_on_close};
+use crate::http::{Sender, handshake};
 
 /// Idle timeout if the upstream announces none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(800);
@@ -31,12 +28,6 @@
 /// Maximum number of idle connections to one upstream; a further one replaces the oldest.
 const MAX_IDLE_PER_UPSTREAM: usize = 16;
 
-/// Largest head of an answer, and bytes of a body that are read ahead. Heads may come without end.
-const READ_BUFFER_BYTES: usize = 32 << 10;
-
-/// Sends requests on a connection to an upstream, one at a time.
-pub(super) type Sender = SendRequest<Full<Bytes>>;
-
 #[derive(Debug)]
 struct IdleConnection {
     sender: Sender,
@@ -58,17 +49,7 @@
     pub(super) async fn open(address: SocketAddr) -> io::Result<Sender> {
         let stream = connect(address).await?;
         reset_on_close(&stream);
-        let (sender, connection) = http1::Builder::new()
-            .max_buf_size(READ_BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
-            .await
-            .map_err(io::Error::other)?;
-        tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!("a connection to an upstream ended with an error: {error}");
-            }
-        });
-        Ok(sender)
+        handshake(stream).await.map_err(io::Error::other)
     }
 
     /// Adds a connection after a complete answer. `limit` is the idle timeout that the upstream
--- a/crates/net/src/gateway/relay.rs
+++ b/crates/net/src/gateway/relay.rs
@@ -19,9 +19,9 @@
 use super::answer::Answer;
 use super::exchange::{Exchange, SendResult, forward_answer, given_up_reason};
 use super::in_flight::InFlight;
-use super::pool::{Sender, idle_limit};
+use super::pool::idle_limit;
 use super::sse::{EventSplitter, event_id, is_event};
-use crate::http::Body;
+use crate::http::{Body, Sender};
 
 /// The upstream that currently supplies the stream.
 struct Source {
--- a/crates/net/src/gateway/shared.rs
+++ b/crates/net/src/gateway/shared.rs
@@ -22,7 +22,8 @@
 use super::copies::Copies;
 use super::metrics::GatewayMetrics;
 use super::permits::Permits;
-use super::pool::{Pool, Sender};
+use super::pool::Pool;
+use crate::http::Sender;
 use crate::platform::Platform;
 use crate::runtime::{Clock, Timeline};
 
--- a/crates/net/src/http/body.rs
+++ b/crates/net/src/http/body.rs
@@ -16,9 +16,9 @@
 /// Sender of the frames of a streamed body; see [`channel_body`].
 pub type BodySender = mpsc::Sender<Result<Frame<Bytes>, Box<dyn Error + Send + Sync>>>;
 
-/// Frames that a streamed body buffers. A full buffer makes the sender wait, so that a slow caller
-/// slows its engine.
-const CHANNEL_FRAMES: usize = 16;
+/// Frames that a streamed body buffers; each is as large as a client reads ahead at most. A full
+/// buffer makes the sender wait, so that a slow caller slows its engine.
+const CHANNEL_FRAMES: usize = 1;
 
 /// Error of [`collect`].
 #[derive(Debug, Snafu)]
--- a/crates/net/src/http/client.rs
+++ b/crates/net/src/http/client.rs
@@ -5,13 +5,17 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use http::Uri;
+use http_body_util::Full;
+use hyper::client::conn::http1;
 use hyper::rt;
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::{Connected, HttpConnector};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use tokio::net::TcpStream;
 use tower_service::Service;
 
 use super::Body;
@@ -28,6 +32,11 @@
 const PING_TIMEOUT: Duration = Duration::from_secs(2);
 /// Interval of HTTP/2 pings on connections with open streams.
 const PING_INTERVAL: Duration = Duration::from_secs(2);
+/// Largest head of an answer, and bytes of a body that are read ahead. Both may come without end.
+const READ_BUFFER_BYTES: usize = 32 << 10;
+
+/// Sends requests on one HTTP/1.1 connection, one at a time.
+pub(crate) type Sender = http1::SendRequest<Full<Bytes>>;
 
 /// Opens TCP connections, with mutual TLS if there is an identity.
 #[derive(Clone, Debug)]
@@ -114,6 +123,7 @@
 pub fn single_use_client() -> Client {
     legacy::Client::builder(TokioExecutor::new())
         .pool_max_idle_per_host(0)
+        .http1_max_buf_size(READ_BUFFER_BYTES)
         .retry_canceled_requests(false)
         .build(Connector::new(None))
 }
@@ -124,10 +134,29 @@
     legacy::Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
+        .http1_max_buf_size(READ_BUFFER_BYTES)
         .retry_canceled_requests(false)
         .build(Connector::new(identity))
 }
 
+/// Starts HTTP/1.1 on an open connection, which is then driven by a task.
+///
+/// # Errors
+///
+/// If the connection fails.
+pub(crate) async fn handshake(stream: TcpStream) -> hyper::Result<Sender> {
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(READ_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await?;
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!("a connection to an upstream ended with an error: {error}");
+        }
+    });
+    Ok(sender)
+}
+
 /// Creates a client for upstream processes: HTTP/2 with prior knowledge, one connection for each
 /// process, with mutual TLS if there is an identity.
 #[must_use]
--- a/crates/net/src/http/mod.rs
+++ b/crates/net/src/http/mod.rs
@@ -6,6 +6,7 @@
 
 pub use body::{Body, BodyError, BodySender, channel_body, collect, empty, full};
 pub use client::{Client, http1_client, plain_client, prior_knowledge_client, single_use_client};
+pub(crate) use client::{Sender, handshake};
 pub use server::{Limits, LimitsBuilder, Server};
 
 #[cfg(test)]
--- a/crates/net/src/http/server.rs
+++ b/crates/net/src/http/server.rs
@@ -19,6 +19,9 @@
 use crate::connect::{ACCEPT_RETRY_DELAY, SharedStream, may_end};
 use crate::tls::{Identity, server_stream};
 
+/// Bytes of an answer that an HTTP/2 stream buffers while its peer does not read them.
+const SEND_BUFFER_BYTES: usize = 32 << 10;
+
 /// Limits of a [`Server`]; see the methods of [`LimitsBuilder`].
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -204,6 +207,7 @@
         .http2()
         .timer(TokioTimer::new())
         .adaptive_window(true)
+        .max_send_buf_size(SEND_BUFFER_BYTES)
         .max_concurrent_streams(limits.streams)
         .max_header_list_size(u32::try_from(limits.header_bytes).unwrap_or(u32::MAX));
     builder
--- a/crates/net/src/ranks/engine.rs
+++ b/crates/net/src/ranks/engine.rs
@@ -9,13 +9,11 @@
 use eelgrasshold_platform::engine;
 use http::{Request, StatusCode};
 use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
 use tokio::sync::Mutex;
 
 use crate::connect::connect;
-use crate::http::collect;
+use crate::http::{Sender, collect, handshake};
 
 /// Time limit of a read; an engine normally answers in a millisecond.
 const READ_TIMEOUT: Duration = Duration::from_millis(150);
@@ -45,7 +43,7 @@
 pub(super) struct Engine {
     address: SocketAddr,
     experts: usize,
-    connection: Mutex<Option<SendRequest<Full<Bytes>>>>,
+    connection: Mutex<Option<Sender>>,
 }
 
 impl Engine {
@@ -114,7 +112,7 @@
     async fn call(&self, request: Request<Bytes>, limit: Duration) -> Option<(StatusCode, Bytes)> {
         let mut idle = self.connection.lock().await;
         let calling = async {
-            let ready = idle.as_ref().is_some_and(SendRequest::is_ready);
+            let ready = idle.as_ref().is_some_and(Sender::is_ready);
             let mut sender = match idle.take().filter(|_| ready) {
                 Some(sender) => sender,
                 None => self.open().await?,
@@ -132,14 +130,8 @@
         Some((status, body))
     }
 
-    async fn open(&self) -> Option<SendRequest<Full<Bytes>>> {
+    async fn open(&self) -> Option<Sender> {
         let stream = connect(self.address).await.ok()?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-        tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!("a connection to an engine ended with an error: {error}");
-            }
-        });
-        Some(sender)
+        handshake(stream).await.ok()
     }
 }
--- a/crates/standins/tests/faulty_engines/endless.rs
+++ b/crates/standins/tests/faulty_engines/endless.rs
@@ -38,6 +38,8 @@
     HeadLine,
     /// Heads of provisional answers.
     Provisional,
+    /// The body of an answer that is no draft.
+    Body,
     /// Lines of an event of a draft, without the blank line that ends it.
     Event,
 }
@@ -51,6 +53,7 @@
         match self {
             Self::Head => (head, filler("X-Filler: ab\r\n\t\t")),
             Self::HeadLine => (format!("{head}X-Filler: "), filler("aaaaaaaaaaaaaaaa")),
+            Self::Body => (format!("{head}\r\n"), filler("aaaaaaaaaaaaaaaa")),
             Self::Event => (format!("{stream}id: 0\n"), filler("data: aaaaaaaaa\n")),
             Self::Provisional => (String::new(), filler("HTTP/1.1 103 Early Hints\r\n\r\n")),
         }
@@ -185,6 +188,11 @@
     check_memory(Place::Provisional).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn unread_bodies_of_engines_without_end_do_not_fill_memory() {
+    check_memory(Place::Body).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn events_of_engines_without_end_do_not_fill_memory() {
     check_memory(Place::Event).await;
