Keep an unread answer from stalling the other answers of its upstream

While one caller did not read an answer without end, all other requests to the same upstream process waited for theirs. With an adaptive window, hyper gives an HTTP/2 stream the window of its connection, so that the unread bytes of one answer take all of it.

Evidence: unread_answer_without_end_does_not_stall_other_callers on: a sound request beside one such answer is not answered within 3 s.

A stream now has 64 KiB and a connection 16 MiB, the most that the adaptive window could reach. An entry host keeps 64 KiB at most for each unread answer, whatever the number of connections.

--- a/crates/net/src/http/client.rs
+++ b/crates/net/src/http/client.rs
@@ -34,6 +34,11 @@
 const PING_INTERVAL: Duration = Duration::from_secs(2);
 /// Largest head of an answer, and bytes of a body that are read ahead. Both may come without end.
 const READ_BUFFER_BYTES: usize = 32 << 10;
+/// Unread bytes of one answer over HTTP/2 that are buffered.
+const STREAM_WINDOW_BYTES: u32 = 64 << 10;
+/// Unread bytes of all answers on one connection. It is many times [`STREAM_WINDOW_BYTES`], so that
+/// callers who do not read theirs don't stall the answers to others.
+const CONNECTION_WINDOW_BYTES: u32 = 16 << 20;
 
 /// Sends requests on one HTTP/1.1 connection, one at a time.
 pub(crate) type Sender = http1::SendRequest<Full<Bytes>>;
@@ -165,7 +170,8 @@
         .pool_timer(TokioTimer::new())
         .timer(TokioTimer::new())
         .http2_only(true)
-        .http2_adaptive_window(true)
+        .http2_initial_stream_window_size(STREAM_WINDOW_BYTES)
+        .http2_initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .http2_keep_alive_interval(PING_INTERVAL)
         .http2_keep_alive_timeout(PING_TIMEOUT)
         .retry_canceled_requests(false)
--- a/crates/standins/tests/faulty_engines/endless.rs
+++ b/crates/standins/tests/faulty_engines/endless.rs
@@ -11,8 +11,8 @@
 use tokio::sync::Mutex;
 use tokio::task::JoinHandle;
 
-use super::Fleet;
 use super::engine::read_request;
+use super::{DEADLINE, Fleet};
 
 /// Answers at once that never end; the service allows that many to one upstream.
 const ANSWERS: usize = 200;
@@ -23,7 +23,8 @@
 const MAX_GROWTH_BYTES: usize = 64 << 20;
 /// Time for which callers leave their answers unread.
 const UNREAD_TIME: Duration = Duration::from_secs(1);
-/// Limit on the end of answers whose callers have left.
+/// Limit on the answer to a sound request beside endless ones, and on the end of answers whose
+/// callers have left.
 const SOUND_TIME: Duration = Duration::from_secs(3);
 
 /// Held by a test that measures memory.
@@ -197,3 +198,31 @@
 async fn events_of_engines_without_end_do_not_fill_memory() {
     check_memory(Place::Event).await;
 }
+
+/// Guards against one caller that does not read its answer and stalls all others at the upstream.
+#[tokio::test(flavor = "multi_thread")]
+async fn unread_answer_without_end_does_not_stall_other_callers() {
+    let (address, task, open) = start(Place::Body).await;
+    let fleet = Fleet::beside(ServiceKind::Plain, 16, vec![(address, task)]).await;
+    let caller = send_request(&fleet, Place::Body).await;
+    tokio::time::sleep(UNREAD_TIME).await;
+    let answer = tokio::time::timeout(SOUND_TIME, fleet.call("GET", "/sound", "")).await;
+    let answer = answer.expect("a sound request is answered");
+    assert_eq!((answer.status, answer.body.as_str()), (200, "ok"));
+    drop(caller);
+    wait_until_closed(Place::Body, &open).await;
+    fleet.close().await;
+}
+
+/// Guards against a caller that does not read its answer and keeps its engine at work past the
+/// deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn unread_answer_without_end_ends_at_the_deadline() {
+    let (address, task, open) = start(Place::Body).await;
+    let fleet = Fleet::beside(ServiceKind::Plain, 16, vec![(address, task)]).await;
+    let caller = send_request(&fleet, Place::Body).await;
+    tokio::time::sleep(DEADLINE).await;
+    wait_until_closed(Place::Body, &open).await;
+    drop(caller);
+    fleet.close().await;
+}
