Bound the sum of the pages of a list

A store in trouble that says `has_more` for ever filled the memory of whoever read the list. A page that came again and again was asked for without end and without an error.

A gateway that meets such a list keeps what it has and tries again after the delay of failed calls.

--- a/crates/core/src/gateway/follow.rs
+++ b/crates/core/src/gateway/follow.rs
@@ -12,13 +12,12 @@
 //! The answer to a watch may be lost without a sign of it, so a watch waits only for a part of the
 //! time after a fault in which hosts must be up to date again; see [`watch_wait`].
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use crate::platform::{Change, KindCall, KindReply, StoredObject, Version, era};
+use crate::platform::{Change, KindCall, KindReply, Pages, StoredObject, Version, era};
 use crate::types::Now;
 
 /// Part of the settle time for which a watch waits; the rest is for noticing that its answer was lost
@@ -60,8 +59,7 @@
 enum Phase {
     /// Reading the list; `pages` has the objects so far.
     List {
-        pages: BTreeMap<String, StoredObject>,
-        after: Option<String>,
+        pages: Pages,
         /// Revision of the first page: later changes of its objects are in no other page.
         revision: Option<Version>,
     },
@@ -111,8 +109,7 @@
 
     fn first_page() -> Phase {
         Phase::List {
-            pages: BTreeMap::new(),
-            after: None,
+            pages: Pages::default(),
             revision: None,
         }
     }
@@ -122,9 +119,9 @@
     pub fn next(&self) -> (Now, KindCall) {
         let kind = self.kind.clone();
         let call = match &self.phase {
-            Phase::List { after, .. } => KindCall::List {
+            Phase::List { pages, .. } => KindCall::List {
                 kind,
-                after: after.clone(),
+                after: pages.after().cloned(),
                 stale: false,
             },
             Phase::Watch(after) => KindCall::Watch {
@@ -143,7 +140,6 @@
             (
                 Phase::List {
                     pages,
-                    after,
                     revision: first_page_revision,
                 },
                 KindReply::Items {
@@ -152,18 +148,18 @@
                     revision: page_revision,
                 },
             ) => {
-                self.failures = 0;
                 let revision = *first_page_revision.get_or_insert(page_revision);
                 if era(page_revision) != era(revision) {
                     self.phase = Self::first_page();
                     return Some(FollowUpdate::HistoryGone);
                 }
-                *after = items.last().map(|o| o.name.clone());
-                pages.extend(items.into_iter().map(|o| (o.name.clone(), o)));
-                if more && after.is_some() {
-                    return None;
+                match pages.add(items, more) {
+                    Ok(true) => return None,
+                    Ok(false) => {}
+                    Err(reason) => return Some(self.failed(now, reason)),
                 }
-                let all = std::mem::take(pages).into_values().collect();
+                self.failures = 0;
+                let all = std::mem::take(pages).into_objects();
                 self.phase = Phase::Watch(revision);
                 self.revision = self.revision.max(revision);
                 Some(FollowUpdate::All(all, revision))
--- a/crates/core/src/gateway/tests/follow.rs
+++ b/crates/core/src/gateway/tests/follow.rs
@@ -44,6 +44,49 @@
     assert_eq!(watched_from(&follower), Some(7));
 }
 
+// Guards against a store whose list has no end and fills the memory of its reader.
+#[test]
+fn a_list_without_end_fails() {
+    let mut follower = Follower::new("servers", ms(1_800), 1);
+    let mut bytes = 0;
+    for n in 0..100 {
+        let items = vec![StoredObject {
+            value: vec![b' '; 1 << 20],
+            ..object(&format!("{n:03}"), 1)
+        }];
+        let reply = KindReply::Items {
+            items,
+            more: true,
+            revision: 7,
+        };
+        bytes += 1 << 20;
+        if let Some(update) = follower.handle_reply(ms(n), reply) {
+            assert!(matches!(update, FollowUpdate::Failed { .. }), "{update:?}");
+            break;
+        }
+    }
+    assert!(bytes <= 32 << 20, "{bytes} bytes");
+    assert!(matches!(
+        follower.next().1,
+        KindCall::List { after: None, .. }
+    ));
+}
+
+// Guards against a store that gives the same page for ever.
+#[test]
+fn a_list_that_does_not_advance_fails() {
+    let mut follower = Follower::new("servers", ms(1_800), 1);
+    assert_eq!(
+        follower.handle_reply(ms(1), page(&["a", "b"], true, 7)),
+        None
+    );
+    let update = follower.handle_reply(ms(2), page(&["a", "b"], true, 7));
+    assert!(
+        matches!(update, Some(FollowUpdate::Failed { .. })),
+        "{update:?}"
+    );
+}
+
 // Guards against changes that are lost between two watches.
 #[test]
 fn a_watch_continues_from_the_revision_of_the_last_reply() {
--- a/crates/core/src/platform/mod.rs
+++ b/crates/core/src/platform/mod.rs
@@ -5,11 +5,13 @@
 //! [`Reply::Lost`]: it may have taken effect, which only a read can determine.
 
 mod kinds;
+mod pages;
 mod version;
 
 use serde::{Deserialize, Serialize};
 
 pub use kinds::{Change, KindCall, KindReply, StoredObject};
+pub use pages::{MAX_LIST_BYTES, Pages};
 pub use version::{Era, Revision, Version, era, revision, version};
 
 /// Id that matches a reply to its call, unique within one machine.
--- a/crates/net/src/ranks/host.rs
+++ b/crates/net/src/ranks/host.rs
@@ -7,7 +7,7 @@
 use eelgrasshold_core::event::{Event, EventKind};
 use eelgrasshold_core::gateway::registry::Upstream;
 use eelgrasshold_core::gateway::routes::{EngineProfile, ExpertLayout};
-use eelgrasshold_core::platform::{KindCall, KindReply, StoredObject};
+use eelgrasshold_core::platform::{KindCall, KindReply, Pages, StoredObject};
 use eelgrasshold_core::ranks::{Input, LeaderSettings};
 use eelgrasshold_core::types::{HostId, ServiceId};
 use eelgrasshold_platform::store::{CONFIG_KIND, CONFIG_NAME, SERVERS_KIND};
@@ -200,26 +200,25 @@
 /// The objects of a kind, which may be stale by seconds, since a stale read costs the platform a
 /// tenth of a current one. Callers repeat the read if something is missing.
 async fn list(platform: &Platform, kind: &str) -> Vec<StoredObject> {
-    let mut objects: Vec<StoredObject> = Vec::new();
+    let mut pages = Pages::default();
     for _ in 0..MAX_PAGES {
         let call = KindCall::List {
             kind: kind.to_owned(),
-            after: objects.last().map(|o| o.name.clone()),
+            after: pages.after().cloned(),
             stale: true,
         };
-        match platform.call_kind(&call).await {
-            KindReply::Items { items, more, .. } => {
-                let ended = !more || items.is_empty();
-                objects.extend(items);
-                if ended {
-                    break;
-                }
-            }
-            other => {
-                log::info!("can't list objects of kind `{kind}`: {other:?}");
+        let added = match platform.call_kind(&call).await {
+            KindReply::Items { items, more, .. } => pages.add(items, more),
+            other => Err(format!("{other:?}")),
+        };
+        match added {
+            Ok(true) => {}
+            Ok(false) => break,
+            Err(reason) => {
+                log::info!("can't list objects of kind `{kind}`: {reason}");
                 break;
             }
         }
     }
-    objects
+    pages.into_objects()
 }
--- a/crates/standins/tests/gateway/endless.rs
+++ b/crates/standins/tests/gateway/endless.rs
@@ -1,13 +1,15 @@
-//! Replicas that send bytes without end in place of an answer.
+//! Replicas that send bytes without end in place of an answer, and a store whose lists have no end.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use eelgrasshold_net::ranks::{RankHost, RankOptions};
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Mutex;
 
 use super::cluster::{Cluster, request, send};
 
@@ -16,6 +18,9 @@
 /// Memory of the smallest entry host, in bytes.
 const MAX_GROWTH_BYTES: usize = 128 << 20;
 
+/// Held by each test: they would change the memory that another one measures.
+static ALONE: Mutex<()> = Mutex::const_new(());
+
 /// Where the bytes without end begin.
 #[derive(Clone, Copy, Debug)]
 enum Place {
@@ -90,6 +95,7 @@
 /// until the deadline, or are passed on.
 #[tokio::test(flavor = "multi_thread")]
 async fn answers_without_end_are_cut_and_other_callers_served() {
+    let _alone = ALONE.lock().await;
     for (place, path) in [
         (Place::Head, "/safe/x"),
         (Place::HeadLine, "/stream/x"),
@@ -145,3 +151,78 @@
             .await;
     }
 }
+
+/// Content of one page of a list without end, in bytes.
+const PAGE_BYTES: usize = 12 << 20;
+/// Pages after which the memory is judged, or the time for which they are read.
+const PAGES: usize = 12;
+const LIST_TIME: Duration = Duration::from_secs(3);
+
+/// Starts a store whose lists have no end, and counts the pages that it gave.
+async fn store_without_end() -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let pages = Arc::new(AtomicUsize::new(0));
+    let counter = Arc::clone(&pages);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let counter = Arc::clone(&counter);
+            tokio::spawn(async move {
+                let mut buf = vec![0; 16 << 10];
+                while stream.read(&mut buf).await.is_ok_and(|length| length > 0) {
+                    let page = counter.fetch_add(1, Ordering::Relaxed);
+                    if send_page(&mut stream, page).await.is_err() {
+                        break;
+                    }
+                }
+            });
+        }
+    });
+    (address, pages)
+}
+
+/// Sends a page with one object.
+async fn send_page(stream: &mut TcpStream, page: usize) -> std::io::Result<()> {
+    let start = format!(r#"{{"items":[{{"meta":{{"name":"{page:06}","rev":1}},"spec":""#);
+    let end = r#""}],"has_more":true,"current_rev":7}"#;
+    let length = start.len() + PAGE_BYTES + end.len();
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+    stream.write_all((head + &start).as_bytes()).await?;
+    let filler = vec![b'a'; 16 << 10];
+    for _ in 0..PAGE_BYTES / filler.len() {
+        stream.write_all(&filler).await?;
+    }
+    stream.write_all(end.as_bytes()).await
+}
+
+/// Guards against lists without end that fill the memory of a sidecar.
+#[tokio::test(flavor = "multi_thread")]
+async fn list_without_end_does_not_fill_the_memory_of_a_sidecar() {
+    let _alone = ALONE.lock().await;
+    let (store, pages) = store_without_end().await;
+    let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+    let before = resident_bytes();
+    let options = RankOptions {
+        engine: loopback,
+        service: "drafts".into(),
+        peers: loopback,
+        platform: format!("http://{store}"),
+        link_bytes_per_s: 12_500_000.0,
+        fanout: 4,
+        first_start: true,
+        host: "side-0".into(),
+        metrics: None,
+    };
+    let host = RankHost::start(options).await.unwrap();
+    let until = Instant::now() + LIST_TIME;
+    let mut most = before;
+    while pages.load(Ordering::Relaxed) < PAGES && Instant::now() < until {
+        most = most.max(resident_bytes());
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    host.close();
+    let (growth, read) = (most - before, pages.load(Ordering::Relaxed));
+    println!("{growth} bytes after {read} pages");
+    assert!(read > 1, "{read} pages");
+    assert!(growth < MAX_GROWTH_BYTES, "{growth} bytes");
+}
