--- a/crates/standins/tests/faulty_engines/endless.rs
+++ b/crates/standins/tests/faulty_engines/endless.rs
@@ -82,30 +82,48 @@
     }
 }
 
-/// Starts an engine that answers requests with bytes until the connection closes, and counts the
-/// answers in progress. Requests for `/probe` and `/sound` get an answer that ends.
-async fn start(place: Place) -> (SocketAddr, JoinHandle<()>, Arc<AtomicUsize>) {
+/// Answers without end of an engine.
+#[derive(Debug, Default)]
+struct Answers {
+    begun: AtomicUsize,
+    ended: AtomicUsize,
+}
+
+impl Answers {
+    fn begun(&self) -> usize {
+        self.begun.load(Ordering::Relaxed)
+    }
+
+    fn open(&self) -> usize {
+        let ended = self.ended.load(Ordering::Relaxed);
+        self.begun().saturating_sub(ended)
+    }
+}
+
+/// Starts an engine that answers requests with bytes until the connection closes, and counts these
+/// answers. Requests for `/probe` and `/sound` get an answer that ends.
+async fn start(place: Place) -> (SocketAddr, JoinHandle<()>, Arc<Answers>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let open = Arc::new(AtomicUsize::new(0));
-    let counter = Arc::clone(&open);
+    let answers = Arc::new(Answers::default());
+    let counter = Arc::clone(&answers);
     let task = tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             tokio::spawn(serve(stream, place, Arc::clone(&counter)));
         }
     });
-    (address, task, open)
+    (address, task, answers)
 }
 
-async fn serve(mut stream: TcpStream, place: Place, open: Arc<AtomicUsize>) {
+async fn serve(mut stream: TcpStream, place: Place, answers: Arc<Answers>) {
     while let Some((path, id)) = read_request(&mut stream).await {
         let status = match path.as_str() {
             p if p.ends_with("/probe") => "404 Not Found",
             p if p.ends_with("/sound") => "200 OK",
             _ => {
-                open.fetch_add(1, Ordering::Relaxed);
+                answers.begun.fetch_add(1, Ordering::Relaxed);
                 send_endless(&mut stream, place, &path, &id).await;
-                open.fetch_sub(1, Ordering::Relaxed);
+                answers.ended.fetch_add(1, Ordering::Relaxed);
                 return;
             }
         };
@@ -149,9 +167,9 @@
     stream
 }
 
-async fn wait_until_closed(place: Place, open: &AtomicUsize) {
+async fn wait_until_closed(place: Place, answers: &Answers) {
     let until = Instant::now() + SOUND_TIME;
-    while open.load(Ordering::Relaxed) > 0 {
+    while answers.open() > 0 {
         assert!(Instant::now() < until, "{place:?}: answers go on");
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
@@ -160,32 +178,33 @@
 /// Checks the memory of an entry host and an upstream process together while answers of an engine
 /// come without end, and that none is read after its caller has left.
 async fn check_memory(place: Place) {
-    let (address, task, open) = start(place).await;
+    let (address, task, answers) = start(place).await;
     let concurrency = u32::try_from(ANSWERS).unwrap();
     let fleet = Fleet::beside(place.kind(), concurrency, vec![(address, task)]).await;
     let _alone = ALONE.lock().await;
     let before = resident_bytes();
     let mut callers = Vec::new();
-    let answers = match place {
+    let requests = match place {
         Place::Provisional => BUSY_ANSWERS,
         _ => ANSWERS,
     };
-    for _ in 0..answers {
+    for _ in 0..requests {
         callers.push(send_request(&fleet, place).await);
     }
     let (mut most, mut most_open) = (before, 0);
     let until = Instant::now() + UNREAD_TIME;
     while Instant::now() < until {
         most = most.max(resident_bytes());
-        most_open = most_open.max(open.load(Ordering::Relaxed));
+        most_open = most_open.max(answers.open());
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
     drop(callers);
-    wait_until_closed(place, &open).await;
+    wait_until_closed(place, &answers).await;
     fleet.close().await;
     let growth = most - before;
-    println!("{place:?}: {growth} bytes, {most_open} answers at once");
-    assert!(most_open > 0, "{place:?}: no answer began");
+    let begun = answers.begun();
+    println!("{place:?}: {growth} bytes, {begun} answers, up to {most_open} at once");
+    assert!(begun > 0, "{place:?}: no answer began");
     assert!(growth < MAX_GROWTH_BYTES, "{place:?}: {growth} bytes");
 }
 
@@ -213,7 +232,7 @@
 /// Guards against one caller that does not read its answer and stalls all others at the upstream.
 #[tokio::test(flavor = "multi_thread")]
 async fn unread_answer_without_end_does_not_stall_other_callers() {
-    let (address, task, open) = start(Place::Body).await;
+    let (address, task, answers) = start(Place::Body).await;
     let fleet = Fleet::beside(ServiceKind::Plain, 16, vec![(address, task)]).await;
     let caller = send_request(&fleet, Place::Body).await;
     tokio::time::sleep(UNREAD_TIME).await;
@@ -221,7 +240,7 @@
     let answer = answer.expect("a sound request is answered");
     assert_eq!((answer.status, answer.body.as_str()), (200, "ok"));
     drop(caller);
-    wait_until_closed(Place::Body, &open).await;
+    wait_until_closed(Place::Body, &answers).await;
     fleet.close().await;
 }
 
@@ -229,11 +248,11 @@
 /// deadline.
 #[tokio::test(flavor = "multi_thread")]
 async fn unread_answer_without_end_ends_at_the_deadline() {
-    let (address, task, open) = start(Place::Body).await;
+    let (address, task, answers) = start(Place::Body).await;
     let fleet = Fleet::beside(ServiceKind::Plain, 16, vec![(address, task)]).await;
     let caller = send_request(&fleet, Place::Body).await;
     tokio::time::sleep(DEADLINE).await;
-    wait_until_closed(Place::Body, &open).await;
+    wait_until_closed(Place::Body, &answers).await;
     drop(caller);
     fleet.close().await;
 }
@@ -241,7 +260,7 @@
 /// Guards against an engine that never answers a cancellation and keeps the place of the draft.
 #[tokio::test(flavor = "multi_thread")]
 async fn unanswered_cancellation_does_not_keep_a_place() {
-    let (address, task, open) = start(Place::Cancellation).await;
+    let (address, task, answers) = start(Place::Cancellation).await;
     let fleet = Fleet::beside(ServiceKind::Model, 1, vec![(address, task)]).await;
     let caller = send_request(&fleet, Place::Cancellation).await;
     tokio::time::sleep(UNREAD_TIME).await;
@@ -249,6 +268,6 @@
     let answer = tokio::time::timeout(SOUND_TIME, fleet.call("GET", "/sound", "")).await;
     let answer = answer.expect("a sound request is answered");
     assert_eq!((answer.status, answer.body.as_str()), (200, "ok"));
-    wait_until_closed(Place::Cancellation, &open).await;
+    wait_until_closed(Place::Cancellation, &answers).await;
     fleet.close().await;
 }
