Cut events of drafts at 32 KiB

With 128 KiB for each event, as two processes keep it in buffers that double, 199 events without end at once took 86,941,696 bytes (events_of_engines_without_end_do_not_fill_memory on, once; 5 to 35 MB in other runs with 3 to 46 at once). The bound is 64 MiB.

A draft's event is one token with what belongs to it. At 32 KiB, 200 of them can't take more than 26 MB in the buffers of both processes.

--- a/crates/net/src/wire/sse.rs
+++ b/crates/net/src/wire/sse.rs
@@ -5,7 +5,7 @@
 /// Data of the event that marks an answer as complete.
 const DONE: &str = "[DONE]";
 /// A stream with an unfinished event larger than this is malformed.
-const MAX_EVENT_BYTES: usize = 128 << 10;
+const MAX_EVENT_BYTES: usize = 32 << 10;
 
 /// A complete event.
 #[derive(Clone, Debug, PartialEq, Eq)]
