--- a/crates/net/src/http/server.rs
+++ b/crates/net/src/http/server.rs
@@ -20,7 +20,7 @@
 use crate::tls::{Identity, server_stream};
 
 /// Bytes of an answer that an HTTP/2 stream buffers while its peer does not read them.
-const SEND_BUFFER_BYTES: usize = 32 << 10;
+const SEND_BUFFER_BYTES: usize = 16 << 10;
 
 /// Limits of a [`Server`]; see the methods of [`LimitsBuilder`].
 #[derive(Clone, Debug)]
