--- a/crates/net/src/http/client.rs
+++ b/crates/net/src/http/client.rs
@@ -5,13 +5,17 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use http::Uri;
+use http_body_util::Full;
+use hyper::client::conn::http1;
 use hyper::rt;
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::{Connected, HttpConnector};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use tokio::net::TcpStream;
 use tower_service::Service;
 
 use super::Body;
@@ -28,6 +32,16 @@
 const PING_TIMEOUT: Duration = Duration::from_secs(2);
 /// Interval of HTTP/2 pings on connections with open streams.
 const PING_INTERVAL: Duration = Duration::from_secs(2);
+/// Largest head of an answer, and bytes of a body that are read ahead. Both may come without end.
+const READ_BUFFER_BYTES: usize = 32 << 10;
+/// Unread bytes of one answer over HTTP/2 that are buffered.
+const STREAM_WINDOW_BYTES: u32 = 64 << 10;
+/// Unread bytes of all answers on one connection. It is many times [`STREAM_WINDOW_BYTES`], so that
+/// callers who do not read theirs don't stall the answers to others.
+const CONNECTION_WINDOW_BYTES: u32 = 16 << 20;
+
+/// Sends requests on one HTTP/1.1 connection, one at a time.
+pub(crate) type Sender = http1::SendRequest<Full<Bytes>>;
 
 /// Opens TCP connections, with mutual TLS if there is an identity.
 #[derive(Clone, Debug)]
@@ -114,6 +128,7 @@
 pub fn single_use_client() -> Client {
     legacy::Client::builder(TokioExecutor::new())
         .pool_max_idle_per_host(0)
+        .http1_max_buf_size(READ_BUFFER_BYTES)
         .retry_canceled_requests(false)
         .build(Connector::new(None))
 }
@@ -124,10 +139,29 @@
     legacy::Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
+        .http1_max_buf_size(READ_BUFFER_BYTES)
         .retry_canceled_requests(false)
         .build(Connector::new(identity))
 }
 
+/// Starts HTTP/1.1 on an open connection, which is then driven by a task.
+///
+/// # Errors
+///
+/// If the connection fails.
+pub(crate) async fn handshake(stream: TcpStream) -> hyper::Result<Sender> {
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(READ_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await?;
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!("a connection to an upstream ended with an error: {error}");
+        }
+    });
+    Ok(sender)
+}
+
 /// Creates a client for upstream processes: HTTP/2 with prior knowledge, one connection for each
 /// process, with mutual TLS if there is an identity.
 #[must_use]
@@ -136,7 +170,8 @@
         .pool_timer(TokioTimer::new())
         .timer(TokioTimer::new())
         .http2_only(true)
-        .http2_adaptive_window(true)
+        .http2_initial_stream_window_size(STREAM_WINDOW_BYTES)
+        .http2_initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .http2_keep_alive_interval(PING_INTERVAL)
         .http2_keep_alive_timeout(PING_TIMEOUT)
         .retry_canceled_requests(false)
