Show first sends to upstreams that can't begin in time

What callers see: a request that has waited here until its caller is about to leave (for permits, for a slow body, for up to four connections of 0.4 s each) is sent all the same. It is cut at most some tens of milliseconds later, with an answer that says that the outcome is unknown.

Cause: `Gateway::can_begin` asks for the shortest time that an upstream needs only if `tried` holds an upstream. Failed connections and moved requests leave it empty.

--- a/crates/core/src/gateway/tests/departure.rs
+++ b/crates/core/src/gateway/tests/departure.rs
@@ -105,3 +105,12 @@
     assert!(matches!(prospect(&mut gateway, ms(1_500)), Prospect::GoesOn(at) if at < ms(1_960)));
     assert_eq!(prospect(&mut gateway, ms(1_960)), Prospect::Expired);
 }
+
+// Guards against first sends whose upstream has no time left to begin: their outcome is unknown.
+#[test]
+fn a_request_is_not_sent_for_the_first_time_when_its_caller_is_about_to_leave() {
+    let mut gateway = gateway(4);
+    let mut request = admit(&mut gateway, ms(0), "/s/x");
+    let refusal = refused(&mut gateway, ms(1_900), &mut request);
+    assert_eq!(refusal.run, Run::NotRun);
+}
