Show streams that are cut instead of waiting for a pause

What callers see: a stream breaks off 50 ms after its last event, and the other upstream takes requests in 200 ms. The stream is cut at once, 1.9 s before its caller leaves.

Cause: `Admitted::time_to_wait` has the end of the time from the last event, but counts the share of it from the arrival of the request. A stream that has run for a third of its time may not wait at all. This was so before too, with the deadline as the end.

--- a/crates/core/src/gateway/tests/departure.rs
+++ b/crates/core/src/gateway/tests/departure.rs
@@ -1,8 +1,9 @@
 use std::time::Duration;
 
-use super::ms;
 use super::requests::{admit, end, gateway, refused, send};
+use super::{ms, upstream};
 use crate::gateway::departure::Departure;
+use crate::gateway::notices::Notice;
 use crate::gateway::routes::RouteKind;
 use crate::gateway::silence::Prospect;
 use crate::gateway::{Gateway, Next, Outcome};
@@ -114,3 +115,31 @@
     let refusal = refused(&mut gateway, ms(1_900), &mut request);
     assert_eq!(refusal.run, Run::NotRun);
 }
+
+/// Has an upstream pause for 200 ms.
+fn pause(gateway: &mut Gateway, now: Now, n: u8) {
+    let notice = Notice {
+        leaving: false,
+        pause: Some(ms(200)),
+    };
+    gateway.record_notice(now, &upstream(n), now, notice);
+}
+
+// Guards against streams that are cut although their callers would wait for the end of a pause.
+#[test]
+fn a_stream_waits_for_the_end_of_a_pause_in_the_time_since_its_last_event() {
+    let mut gateway = gateway(2);
+    let mut request = admit(&mut gateway, ms(0), "/s/x");
+    let first = send(&mut gateway, ms(0), &mut request);
+    request.departure.record_event(ms(1_600));
+    end(
+        &mut gateway,
+        ms(1_650),
+        &mut request,
+        &first,
+        Outcome::Broken,
+    );
+    pause(&mut gateway, ms(1_650), if first == "u-1" { 2 } else { 1 });
+    let next = gateway.next(ms(1_650), &mut request);
+    assert!(matches!(next, Next::Wait(_)), "{next:?}");
+}
