Show streams that are lost for silence although they can't be repeated

What callers see: a stream on a route that is not resumable and has two attempts gets a 502, or is cut midway, after its upstream was silent for half of the patience or less. It may not be sent again, and its caller may not repeat it.

Cause: `Admitted::is_repeatable` looks at `may_have_run`, which is not set before the attempt has ended. During the first attempt it is true for all kinds of requests if the route has a second attempt. The documentation of `Gateway::prospect` says that these are not given up.

--- a/crates/core/src/gateway/tests/departure.rs
+++ b/crates/core/src/gateway/tests/departure.rs
@@ -6,7 +6,7 @@
 use crate::gateway::notices::Notice;
 use crate::gateway::routes::RouteKind;
 use crate::gateway::silence::Prospect;
-use crate::gateway::{Gateway, Next, Outcome};
+use crate::gateway::{Admitted, Gateway, Next, Outcome};
 use crate::types::{Now, Run};
 
 const PATIENCE: Duration = Duration::from_secs(2);
@@ -143,3 +143,41 @@
     let next = gateway.next(ms(1_650), &mut request);
     assert!(matches!(next, Next::Wait(_)), "{next:?}");
 }
+
+/// Whether the attempt at an upstream that is silent from `silent_from` on is lost by `until`, while
+/// others go on.
+fn is_lost(
+    gateway: &mut Gateway,
+    request: &Admitted,
+    upstream: &str,
+    (silent_from, until): (u64, u64),
+    has_begun: bool,
+) -> bool {
+    for now in (silent_from..until).step_by(50) {
+        for other in ["u-1", "u-2", "u-3", "u-4"] {
+            if other != upstream {
+                gateway.record_sign(ms(now), "drafts", other);
+            }
+        }
+        let sent_at = ms(silent_from);
+        if gateway.prospect(ms(now), request, upstream, sent_at, has_begun) == Prospect::Lost {
+            return true;
+        }
+    }
+    false
+}
+
+// Guards against streams that are cut for the silence of their upstream although they must not run twice.
+#[test]
+fn a_stream_that_must_not_run_twice_is_not_given_up_for_silence() {
+    let is_given_up = |has_begun| {
+        let mut gateway = gateway(4);
+        let mut request = admit(&mut gateway, ms(0), "/s/x");
+        let first = send(&mut gateway, ms(0), &mut request);
+        let mut route = (*request.route).clone();
+        route.kind = RouteKind::Stream { resumable: false };
+        request.route = route.into();
+        is_lost(&mut gateway, &request, &first, (0, 1_900), has_begun)
+    };
+    assert_eq!([false, true].map(is_given_up), [false, false]);
+}
