Show resumed streams that are cut early at their last upstream

What callers see: a stream is resumed at a second upstream, the last that the route allows, and cut when that one is silent while others go on, well before its caller leaves.

--- a/crates/core/src/gateway/tests/departure.rs
+++ b/crates/core/src/gateway/tests/departure.rs
@@ -181,3 +181,21 @@
     };
     assert_eq!([false, true].map(is_given_up), [false, false]);
 }
+
+// Guards against resumed streams that are cut early although they can't be resumed once more.
+#[test]
+fn a_resumed_stream_is_not_given_up_for_silence_at_its_last_upstream() {
+    let mut gateway = gateway(4);
+    let mut request = admit(&mut gateway, ms(0), "/s/x");
+    let first = send(&mut gateway, ms(0), &mut request);
+    request.departure.record_event(ms(500));
+    end(&mut gateway, ms(500), &mut request, &first, Outcome::Broken);
+    let second = send(&mut gateway, ms(500), &mut request);
+    assert!(!is_lost(
+        &mut gateway,
+        &request,
+        &second,
+        (500, 2_400),
+        false
+    ));
+}
