Show slow upstreams that are taken for silent between two signs

What callers see: requests that wait in the queue of an upstream whose signs come each 400 ms, such as a slow group with passes of that length, are given up there from 1.5 s on. Each is charged to the budget of repeated sends, and the outcome `Silent` ejects an upstream that works.

Cause: gives a request up as soon as its upstream was silent for `SUSPECT_TIME`, 300 ms, once 1.2 s of its patience have passed. That time does not depend on the usual pauses of the upstream or of the route. Whether upstreams of the users work so slowly was not looked at.

--- a/crates/core/src/gateway/tests/silence.rs
+++ b/crates/core/src/gateway/tests/silence.rs
@@ -233,3 +233,24 @@
     assert_ne!(all_silent.prospect(ms(2_800), new), Prospect::Expired);
     assert_eq!(all_silent.prospect(ms(2_850), new), Prospect::Expired);
 }
+
+// Guards against upstreams that are taken for silent, and ejected, since they work more slowly than others.
+#[test]
+fn requests_that_wait_at_a_slow_upstream_are_not_lost_between_its_signs() {
+    let mut signs = Signs::default();
+    for upstream in ["u-1", "u-2", "u-3"] {
+        signs.record_send(ms(0), "drafts", upstream, true);
+        signs.record_begin(upstream);
+    }
+    let waiting = attempt(ms(0), false);
+    for now in (50..1_900).step_by(10) {
+        for upstream in ["u-2", "u-3"] {
+            signs.record(ms(now), "drafts", upstream);
+        }
+        if now % 400 == 0 {
+            signs.record(ms(now), "drafts", "u-1");
+        }
+        let prospect = signs.prospect(ms(now), waiting);
+        assert_ne!(prospect, Prospect::Lost, "at {now} ms");
+    }
+}
