Show callers that leave while the rest of a refusal is awaited

What callers see: a rank stands still between the head of its refusal or failure and the end of its body. The caller of the stream gets nothing and leaves after two seconds.

Cause: `Exchange::read_answer` reads the body of an answer that is no success until the deadline of the request, 3 s in the test and up to 8 s for the users' streams, and watches neither the departure nor the silence of the upstream. The body of a refusal is read only to keep the connection.

--- a/crates/standins/tests/gateway/stalls.rs
+++ b/crates/standins/tests/gateway/stalls.rs
@@ -195,3 +195,19 @@
     }
     assert_all_are_answered(&cluster, 12).await;
 }
+
+// Guards against callers that leave while the rest of a refusal or of a failure is awaited.
+#[tokio::test]
+async fn callers_of_a_rank_that_stands_still_in_a_refusal_are_answered_before_they_give_up() {
+    let refusal = "X-Not-Executed: 1\r\nX-Signature: s\r\n";
+    let mut given_up = Vec::new();
+    for (status, headers) in [("503 Full", refusal), ("500 Failed", "X-Signature: s\r\n")] {
+        let cluster = Cluster::start(1, 1).await;
+        let bytes = format!(
+            "HTTP/1.1 {status}\r\nX-Request-Id: r-0\r\n{headers}Content-Length: 9\r\n\r\nno"
+        );
+        cluster.replicas[0].queue_replies([Reply::Bytes(bytes.into_bytes())]);
+        given_up.push(callers_that_give_up(&cluster, 1).await);
+    }
+    assert_eq!(given_up, [0, 0]);
+}
