Show callers whose body is awaited past their time limit

What callers see: the body of a request does not arrive in full, and there is no answer at the end of the time limit of the caller or the route (2.5 s and 3 s in the test).

Cause: `intake::serve` admits the request, which begins its deadline, and then reads the body for up to `BODY_TIMEOUT`, 10 s, whatever is left of that time.

--- a/crates/standins/tests/gateway/answers.rs
+++ b/crates/standins/tests/gateway/answers.rs
@@ -300,3 +300,24 @@
         assert_eq!(answer.body, events + rest);
     }
 }
+
+/// Time limit of a request in [`request`].
+const TIME_LIMIT: Duration = Duration::from_millis(2_500);
+/// Time after its limit within which a request has its answer.
+const ANSWER_TIME: Duration = Duration::from_millis(500);
+
+// Guards against callers that wait past their time limit since their body does not arrive.
+#[tokio::test]
+async fn request_whose_body_does_not_arrive_is_answered_at_its_time_limit() {
+    let cluster = Cluster::start(1, 1).await;
+    let mut stream = TcpStream::connect(cluster.gateways[0].callers_address())
+        .await
+        .unwrap();
+    let text = request("POST", "/safe/x", "r-1");
+    let text = text.replace("Content-Length: 0", "Content-Length: 5") + "he";
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let answer = tokio::time::timeout(TIME_LIMIT + ANSWER_TIME, read_answer(&mut stream))
+        .await
+        .expect("answer arrives in time");
+    assert_eq!(answer.status, 408, "{answer:?}");
+}
