Show requests that are lost as soon as they are sent

What callers see: a request that only an upstream that stands still may take is charged to the budget, given up in the same moment, and answered with 502, outcome unknown, although nothing may have been written.

Cause: `Signs::record_send` keeps `stands_still` while this host has another request there, and `Signs::prospect` returns `Lost` for each attempt at such an upstream, before it looks at `sent_at`. `Gateway::choose` takes such upstreams if there is nothing else, or if more than half are suspect.

In operation the ejection after the first loss hides this for 0.25 to 4 s while another upstream is left.

--- a/crates/core/src/gateway/tests/standstill.rs
+++ b/crates/core/src/gateway/tests/standstill.rs
@@ -143,3 +143,22 @@
         "{decided_at:?}"
     );
 }
+
+// Guards against requests that are lost as soon as they are sent, since no upstream but those that stand
+// still may take them.
+#[test]
+fn a_request_that_is_just_sent_is_not_lost() {
+    let mut gateway = gateway_with_a_silent_upstream();
+    others_go_on(&mut gateway, 50, 2_000);
+    assert!(lost_at(&mut gateway, ms(0)).is_some());
+    let mut request = admit(&mut gateway, ms(2_000), "/s/x");
+    request
+        .tried
+        .extend(["u-2", "u-3", "u-4"].map(str::to_owned));
+    let mut route = (*request.route).clone();
+    route.attempts = 9;
+    request.route = route.into();
+    assert_eq!(send(&mut gateway, ms(2_000), &mut request), "u-1");
+    let prospect = gateway.prospect(ms(2_000), &request, "u-1", ms(2_000), false);
+    assert!(matches!(prospect, Prospect::GoesOn(_)), "{prospect:?}");
+}
