Show calls to the store whose time limit begins anew with the body

What callers see: a host keeps sending to an upstream that has left, since its call to the store was answered with a head but without the rest, and lasts longer than the time that was reckoned for it.

Cause: `send_kind` gives a list 1.2 s, and a watch its wait and 0.7 s, until the head. `read_response` then gives the body `CALL_TIMEOUT`, 2 s, anew. A list may last 3.2 s and a watch of 1.8 s 4.5 s, where two seconds are promised for all of it.

--- a/crates/standins/tests/gateway/store.rs
+++ b/crates/standins/tests/gateway/store.rs
@@ -1,8 +1,14 @@
 //! Configuration and registry when the object store fails or holds unexpected objects.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use eelgrasshold_core::fleet::platform_policy::PlatformLimits;
+use eelgrasshold_core::platform::KindCall;
+use eelgrasshold_net::platform::Platform;
+use eelgrasshold_net::runtime::Clock;
 use eelgrasshold_standins::users::{AccessMode, Replica};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 
 use super::cluster::{Cluster, config, request, send, with_route};
 
@@ -235,3 +241,33 @@
     }
     assert_eq!(cluster.replicas[0].arrivals().len(), before);
 }
+
+/// Time limit of a list, and of a watch beyond its wait, with a margin.
+const CALL_TIME: Duration = Duration::from_millis(1_500);
+
+// Guards against calls to a store that stands still within an answer, whose time limit begins anew with
+// the body.
+#[tokio::test]
+async fn list_whose_body_does_not_arrive_ends_at_its_time_limit() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let base = format!("http://{}", listener.local_addr().unwrap());
+    let answering = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let head = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{";
+        stream.write_all(head).await.unwrap();
+        std::future::pending::<()>().await;
+    };
+    let platform = Platform::new(&base, Clock::start(), PlatformLimits::default(), 1);
+    let call = KindCall::List {
+        kind: "servers".into(),
+        after: None,
+        stale: false,
+    };
+    let started = Instant::now();
+    tokio::select! {
+        _ = platform.call_kind(&call) => {}
+        () = answering => {}
+    }
+    assert!(started.elapsed() < CALL_TIME, "{:?}", started.elapsed());
+}
