Give up no stream for silence that must not run twice

A stream that may not be resumed was given up when its upstream was silent, although `prospect` says that it is not: until its first attempt has ended it counts as repeatable. It is kept until its caller is about to leave. No route of the users' sites is of this kind.

Evidence: `a_stream_that_must_not_run_twice_is_not_given_up_for_silence` failed before (lost with and without an event).

--- a/crates/core/src/gateway/state/request.rs
+++ b/crates/core/src/gateway/state/request.rs
@@ -162,7 +162,7 @@
     /// more, or if its caller can do that with nothing lost.
     pub(super) fn may_be_given_up(&self, has_begun: bool) -> bool {
         let is_idempotent = self.route.kind.class() == WorkClass::Idempotent;
-        self.is_repeatable() || (is_idempotent && !has_begun)
+        is_idempotent && (self.is_repeatable() || !has_begun)
     }
 
     /// Priority of the present send. A request that has waited in vain has little of its time left.
