Keep a resumed stream at its last upstream until its caller is about to leave

A stream that had events and no attempt left was cut as soon as its new upstream was silent for a while: whether the attempt had an event decided, and not whether the caller has one.

--- a/crates/core/src/gateway/departure.rs
+++ b/crates/core/src/gateway/departure.rs
@@ -22,6 +22,8 @@
     patience: Option<Duration>,
     /// When the caller sent its request or last got an event.
     served_at: Now,
+    /// Whether it has got an event.
+    has_event: bool,
 }
 
 impl Departure {
@@ -31,12 +33,20 @@
         Self {
             patience,
             served_at: now,
+            has_event: false,
         }
     }
 
     /// Records that the caller gets an event.
     pub fn record_event(&mut self, now: Now) {
         self.served_at = now;
+        self.has_event = true;
+    }
+
+    /// Whether the caller has got an event.
+    #[must_use]
+    pub fn has_event(&self) -> bool {
+        self.has_event
     }
 
     /// When the caller leaves unless it gets an event before; `None` if that makes no difference to it.
--- a/crates/core/src/gateway/state/outcomes.rs
+++ b/crates/core/src/gateway/state/outcomes.rs
@@ -110,7 +110,7 @@
         if !request.route.kind.is_stream() {
             return Prospect::GoesOn(request.deadline);
         }
-        if !request.may_be_given_up(has_begun) {
+        if !request.may_be_given_up() {
             return match request.departure.answer_by() {
                 Some(by) if now >= by => Prospect::Expired,
                 by => Prospect::GoesOn(by.unwrap_or(request.deadline)),
--- a/crates/core/src/gateway/state/request.rs
+++ b/crates/core/src/gateway/state/request.rs
@@ -160,9 +160,9 @@
 
     /// Whether an attempt may be given up for the silence of its upstream: if the request can be sent once
     /// more, or if its caller can do that with nothing lost.
-    pub(super) fn may_be_given_up(&self, has_begun: bool) -> bool {
+    pub(super) fn may_be_given_up(&self) -> bool {
         let is_idempotent = self.route.kind.class() == WorkClass::Idempotent;
-        is_idempotent && (self.is_repeatable() || !has_begun)
+        is_idempotent && (self.is_repeatable() || !self.departure.has_event())
     }
 
     /// Priority of the present send. A request that has waited in vain has little of its time left.
