Try an upstream that stood still with what is sent there since

A request that was sent to an upstream whose streams had been lost, while others of this host were still there, was lost in the same moment: the budget of repeated sends was charged, and its caller could be told that the outcome is unknown of what may not have been written. The verdict counts for what was sent before it; the other ones are trials.

Evidence: `a_request_that_is_just_sent_is_not_lost` failed before (lost at the time of the send).

--- a/crates/core/src/gateway/silence.rs
+++ b/crates/core/src/gateway/silence.rs
@@ -86,8 +86,8 @@
     at: Now,
     /// Beats of the service at that time.
     beats: u64,
-    /// A stream was lost since.
-    stands_still: bool,
+    /// When all streams there were lost, if they were since.
+    lost_at: Option<Now>,
     /// It stood still, and nothing has arrived from it since.
     is_doubtful: bool,
 }
@@ -131,7 +131,7 @@
         let sign = Sign {
             at: now,
             beats,
-            stands_still: false,
+            lost_at: None,
             is_doubtful: self.last.get(upstream).is_some_and(|s| s.is_doubtful),
         };
         if is_idle || !self.last.contains_key(upstream) {
@@ -156,7 +156,7 @@
             *sign = Sign {
                 at: now,
                 beats,
-                stands_still: false,
+                lost_at: None,
                 is_doubtful: false,
             };
         }
@@ -178,7 +178,7 @@
         }
         let beats = self.services.get(service).map_or(0, |s| s.beats);
         let is_silent = now >= sign.at + SUSPECT_TIME && beats - sign.beats >= MIN_BEATS;
-        if is_silent || sign.stands_still || sign.is_doubtful {
+        if is_silent || sign.lost_at.is_some() || sign.is_doubtful {
             Liveness::Suspect
         } else {
             Liveness::Likely
@@ -214,7 +214,8 @@
             return Prospect::Expired;
         }
         let sign = self.last.get(attempt.upstream).copied();
-        if sign.is_some_and(|s| s.stands_still) {
+        let lost_at = sign.and_then(|s| s.lost_at);
+        if lost_at.is_some_and(|at| attempt.sent_at < at) {
             return Prospect::Lost;
         }
         let recheck_at = |at: Now| Prospect::GoesOn(answer_by.map_or(at, |by| by.min(at)));
@@ -237,7 +238,7 @@
         if now >= silence.upstream
             && let Some(sign) = self.last.get_mut(attempt.upstream)
         {
-            sign.stands_still = true;
+            sign.lost_at = Some(now);
             sign.is_doubtful = true;
         }
         Prospect::Lost
