Give up a request early only after twice the usual pause of its upstream

In the last part of a caller's patience, an upstream counted as silent after 0.3 s. One that is slow and sends each 0.4 s was taken for one that stands still, and its requests were moved.

Evidence: `requests_that_wait_at_a_slow_upstream_are_not_lost_between_its_signs` failed before (lost at 1.5 s with signs each 400 ms).

--- a/crates/core/src/gateway/silence.rs
+++ b/crates/core/src/gateway/silence.rs
@@ -34,6 +34,11 @@
 const TRIAL_SHARE_OF_PATIENCE: f64 = 0.25;
 /// Time without a sign after which an upstream gets no new requests.
 const SUSPECT_TIME: Duration = Duration::from_millis(300);
+/// Multiple of an upstream's usual time between signs after which it is silent, if that is longer.
+const SUSPECT_INTERVALS: u32 = 2;
+/// Share of the usual time between signs that is left after each sign, unless the time before that sign
+/// was longer: signs come in bursts, and each pass ends with a long pause.
+const INTERVAL_DECAY: f64 = 0.95;
 /// Signs of other upstreams count once in this time, so that bytes which waited for this host while
 /// it was paused are no evidence of an upstream's silence.
 const BEAT: Duration = Duration::from_millis(100);
@@ -86,6 +91,8 @@
     at: Now,
     /// Beats of the service at that time.
     beats: u64,
+    /// Usual time between signs.
+    interval: Duration,
     /// When all streams there were lost, if they were since.
     lost_at: Option<Now>,
     /// It stood still, and nothing has arrived from it since.
@@ -131,6 +138,7 @@
         let sign = Sign {
             at: now,
             beats,
+            interval: Duration::ZERO,
             lost_at: None,
             is_doubtful: self.last.get(upstream).is_some_and(|s| s.is_doubtful),
         };
@@ -153,9 +161,11 @@
         }
         let beats = state.beats;
         if let Some(sign) = self.last.get_mut(upstream) {
+            let pause = now.saturating_sub(sign.at);
             *sign = Sign {
                 at: now,
                 beats,
+                interval: pause.max(sign.interval.mul_f64(INTERVAL_DECAY)),
                 lost_at: None,
                 is_doubtful: false,
             };
@@ -257,6 +267,7 @@
         } else {
             after(since, NEW_SHARE_OF_PATIENCE)
         };
+        let usual = sign.map_or(Duration::ZERO, |s| s.interval * SUSPECT_INTERVALS);
         let move_time = attempt.patience.mul_f64(MOVE_SHARE_OF_PATIENCE);
         let move_by = attempt
             .departure
@@ -264,7 +275,7 @@
             .map(|at| at.saturating_sub(move_time));
         Silence {
             attempt: match move_by {
-                Some(by) if is_running => upstream.min(by.max(since + SUSPECT_TIME)),
+                Some(by) if is_running => upstream.min(by.max(since + SUSPECT_TIME.max(usual))),
                 _ => upstream,
             },
             upstream,
