Let a stream wait for a pause in the time since its last event

A stream whose upstream had broken off was refused right after an event, though all others paused for 200 ms only: the third of its time that it may wait was counted from the arrival of the request.

Evidence: `a_stream_waits_for_the_end_of_a_pause_in_the_time_since_its_last_event` failed before.

--- a/crates/core/src/gateway/departure.rs
+++ b/crates/core/src/gateway/departure.rs
@@ -43,6 +43,12 @@
         self.has_event = true;
     }
 
+    /// When the caller sent its request or last got an event.
+    #[must_use]
+    pub fn served_at(&self) -> Now {
+        self.served_at
+    }
+
     /// Whether the caller has got an event.
     #[must_use]
     pub fn has_event(&self) -> bool {
--- a/crates/core/src/gateway/state/choosing.rs
+++ b/crates/core/src/gateway/state/choosing.rs
@@ -34,9 +34,10 @@
         let end = self
             .departure
             .at()
-            .map_or(self.deadline, |at| at.min(self.deadline));
-        let time = end.saturating_sub(self.arrived);
-        let limit = self.arrived + time.mul_f64(MAX_SHARE_WAITED);
+            .unwrap_or(self.deadline)
+            .min(self.deadline);
+        let start = self.departure.served_at();
+        let limit = start + end.saturating_sub(start).mul_f64(MAX_SHARE_WAITED);
         limit.saturating_sub(now)
     }
 }
