Refuse a first send that leaves an upstream no time to begin

A request whose connections had failed, or that had waited, was sent for the first time 40 ms before its caller had to be answered, and the caller was told that the outcome is unknown. It is refused as not run, like a second send with too little time.

Evidence: `a_request_is_not_sent_for_the_first_time_when_its_caller_is_about_to_leave` failed before (sent at 1.9 of 2 s).

--- a/crates/core/src/gateway/state/choosing.rs
+++ b/crates/core/src/gateway/state/choosing.rs
@@ -126,14 +126,12 @@
         };
         let (service, patience) = (&request.service, request.route.patience());
         let priority = request.send_priority();
+        let admission = &self.admission;
         if request.tried.is_empty() {
-            return self
-                .admission
-                .admits(now, service, priority, patience, left);
+            return request.departure.allows(now, Duration::ZERO)
+                && admission.admits(now, service, priority, patience, left);
         }
-        let wait = self
-            .admission
-            .expected_wait(now, service, priority, patience);
+        let wait = admission.expected_wait(now, service, priority, patience);
         request.departure.allows(now, wait)
     }
 
