Test (fails): ends under a repeated request that are not counted in a crowd

Callers saw requests under which three servers had ended sent to servers again (BUDGET: three retries at most, sent later than 3 s after the third end). An end counts for a request only after a check that its upstream refuses connections. A host runs 32 checks at a time and leaves out further ones for good. If an upstream ends with more requests of one host in flight, all their answers break off at once, the oldest first as the process closes its sockets; the request that ended it comes last and is never counted.

Fails at: 8 late arrivals, 12 ends, with 104 to 497 requests in flight; the request is not refused at all.

--- a/crates/standins/tests/gateway/main.rs
+++ b/crates/standins/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod cluster;
 mod crashes;
+mod crowded_ends;
 mod departures;
 mod endless;
 mod faulty;
