Count all ends of an upstream that had many requests in flight

Cause: an end counts for a request after a check that its upstream refuses connections. Each request had a check of its own, a host ran 32 at a time over all upstreams, and left out the others without a word. If a crowded upstream ends, the request that ended it is the last whose answer breaks off, so that it never got a check. The bound was one of a host and a moment, the promise is one of a request.

Change: all requests of an incarnation at an address share one check, so that the number of checks is bounded by that of upstreams and no request is left out. What can't be checked is logged as 2022 (SuspectUnchecked).

--- a/crates/core/src/event/catalogue.rs
+++ b/crates/core/src/event/catalogue.rs
@@ -97,6 +97,7 @@
     QuarantineBegun = 2019, "requests with something in common are refused since upstreams ended under them";
     QuarantineLifted = 2020, "requests with something in common are no longer refused";
     RequestDelayed = 2021, "a request waits until an upstream that pauses takes requests";
+    SuspectUnchecked = 2022, "whether an upstream crashed while it ran a request can't be told";
     TeamShareExpired = 2101, "no share of a team's limit came and the host falls back to an even part";
 
     WorkQueued = 3001, "work was queued";
--- a/crates/net/src/gateway/host.rs
+++ b/crates/net/src/gateway/host.rs
@@ -27,6 +27,7 @@
 
 use super::buffer::AnswerBuffers;
 use super::copies::Copies;
+use super::ends::EndChecks;
 use super::metrics::{GatewayMetrics, open_descriptors, resident_bytes};
 use super::permits::Permits;
 use super::pool::Pool;
@@ -259,7 +260,7 @@
         permits,
         answer_buffers: AnswerBuffers::default(),
         connections: TaskTracker::new(),
-        end_checks: TaskTracker::new(),
+        end_checks: EndChecks::default(),
         quarantine_news: Notify::new(),
         quarantine_changed: Notify::new(),
         document: Mutex::new(Bytes::new()),
--- a/crates/net/src/gateway/shared.rs
+++ b/crates/net/src/gateway/shared.rs
@@ -20,6 +20,7 @@
 use super::GatewayOptions;
 use super::buffer::AnswerBuffers;
 use super::copies::Copies;
+use super::ends::EndChecks;
 use super::metrics::GatewayMetrics;
 use super::permits::Permits;
 use super::pool::{Pool, Sender};
@@ -43,7 +44,7 @@
     /// Connections of callers.
     pub(super) connections: TaskTracker,
     /// Checks whether upstreams have ended.
-    pub(super) end_checks: TaskTracker,
+    pub(super) end_checks: EndChecks,
     /// Notified when other hosts have to get reports of requests that end upstreams.
     pub(super) quarantine_news: Notify,
     /// Notified when requests in flight may be refused by now.
