Test (fails): a repeated request whose route is split between services

A feature is a hash of the service and of the request (request_feature), and a split route draws the service anew for each repetition. Ends under one request are therefore counted apart for each service, three each, while BUDGET counts those of the request. A configuration that moves a route to another service begins the count anew in the same way.

--- a/crates/core/src/gateway/tests/mod.rs
+++ b/crates/core/src/gateway/tests/mod.rs
@@ -15,6 +15,7 @@
 mod requests;
 mod silence;
 mod sources;
+mod split_routes;
 mod standstill;
 mod stopping;
 mod upstream_limits;
--- a/crates/core/src/gateway/tests/requests.rs
+++ b/crates/core/src/gateway/tests/requests.rs
@@ -11,7 +11,7 @@
 
 const STREAM: RouteKind = RouteKind::Stream { resumable: true };
 
-fn route(prefix: &str, kind: RouteKind, attempts: u32) -> Route {
+pub(super) fn route(prefix: &str, kind: RouteKind, attempts: u32) -> Route {
     Route {
         name: prefix.into(),
         host: "h.example".into(),
@@ -37,7 +37,7 @@
     Arc::new(table)
 }
 
-fn settings() -> GatewaySettings {
+pub(super) fn settings() -> GatewaySettings {
     GatewaySettings {
         host: "edge-1".into(),
         data_centre: "north-1".into(),
