Count repeated sends that wait for a pause when they are sent

In any 10 s, a service may receive a share of its requests plus an allowance as additional arrivals (BUDGET). More could arrive after a pause of all upstreams.

Cause: the budget is charged when an upstream is chosen. If the request was not sent after all, the charge was kept for its next send, which may wait for the end of the pause for up to a third of the request's time. By then the charge had nearly left the window, or had left it: the send arrived with those that the window had room for again. The charge was one of a step, the promise is one of arrivals.

Change: a request keeps the time at which it was charged. When the next upstream is chosen, that charge is given back and a new one is taken, so that each arrival counts from when it is sent, and a charge that has left the window pays for nothing. A request that waits still holds its charge, so that it loses nothing to others.

--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -76,6 +76,14 @@
         account.requests.push_back(now);
     }
 
+    /// Gives back a retry that was spent at a time, as it was not sent.
+    pub fn give_back(&mut self, now: Now, service: &str, spent_at: Now) {
+        let retries = &mut self.account(now, service).retries;
+        if let Some(index) = retries.iter().rposition(|t| *t == spent_at) {
+            retries.remove(index);
+        }
+    }
+
     /// Spends one retry of the service's budget; false if the budget is exhausted.
     #[must_use]
     pub fn try_take(&mut self, now: Now, service: &str) -> bool {
--- a/crates/core/src/gateway/state/choosing.rs
+++ b/crates/core/src/gateway/state/choosing.rs
@@ -84,11 +84,10 @@
             let Some((chosen, reasons)) = self.choose(now, request) else {
                 return self.wait_or_refuse(now, request);
             };
-            if repeated && !request.is_charged && !self.budget.try_take(now, &request.service) {
+            if repeated && !self.charge(now, request) {
                 let detail = "the budget of repeated sends is spent";
                 return self.refuse(now, request, RefusalKind::Overloaded, detail);
             }
-            request.is_charged = repeated;
             if request.permit.take().is_some_and(|id| id == chosen.id) {
                 break (chosen, reasons);
             }
@@ -101,7 +100,7 @@
                 },
             }
         };
-        request.is_charged = false;
+        request.last_charge = request.charged_at.take();
         request.tried.insert(chosen.id.clone());
         let is_idle = self.loads.requests(&chosen.id) == 0;
         self.signs
@@ -116,6 +115,17 @@
         Next::Send(chosen, reasons)
     }
 
+    /// Charges the budget for the next send of a request, and gives back what it was charged for one that did
+    /// not happen: an arrival counts from when it is sent. Returns false if the budget is spent.
+    fn charge(&mut self, now: Now, request: &mut Admitted) -> bool {
+        if let Some(at) = request.charged_at.take() {
+            self.budget.give_back(now, &request.service, at);
+        }
+        let is_charged = self.budget.try_take(now, &request.service);
+        request.charged_at = is_charged.then_some(now);
+        is_charged
+    }
+
     /// Records whether a request may be sent to an upstream, as the accountant of its limit says; `None`
     /// if that host did not answer.
     pub fn permit_answered(
--- a/crates/core/src/gateway/state/mod.rs
+++ b/crates/core/src/gateway/state/mod.rs
@@ -204,7 +204,8 @@
             stalled: false,
             last_outcome: None,
             permit: None,
-            is_charged: false,
+            charged_at: None,
+            last_charge: None,
         })
     }
 
--- a/crates/core/src/gateway/state/request.rs
+++ b/crates/core/src/gateway/state/request.rs
@@ -67,8 +67,10 @@
     pub last_outcome: Option<Outcome>,
     /// Upstream with a limit that it may be sent to.
     pub(super) permit: Option<UpstreamId>,
-    /// Whether the budget of repeated sends was charged for the next send.
-    pub(super) is_charged: bool,
+    /// When the budget of repeated sends was charged for the next send, if it was.
+    pub(super) charged_at: Option<Now>,
+    /// The same for the last send.
+    pub(super) last_charge: Option<Now>,
 }
 
 /// Next step of a request.
@@ -181,10 +183,10 @@
     }
 
     /// Records that a send did not reach the upstream: it uses none of the route's attempts, and what the
-    /// budget was charged for it pays for the next one.
+    /// budget was charged for it is given back for the next one.
     fn record_unsent(&mut self, upstream: &str) {
         self.tried.remove(upstream);
-        self.is_charged = !self.tried.is_empty();
+        self.charged_at = self.last_charge.take();
     }
 }
 
