Test (fails): ends that hosts which reach only the store count apart

A machine is in touch if it has a path to the store, whether or not it hears other hosts. Ends are reported from host to host only; the store gets decisions. Hosts that do not hear each other therefore count each to three for themselves.

The test plays one repeated request at 2 to 4 such hosts, with the decision interval of 250 ms, the read interval of 1 s and a store that answers at once and loses nothing.

--- a/crates/core/src/gateway/tests/quarantine.rs
+++ b/crates/core/src/gateway/tests/quarantine.rs
@@ -594,3 +594,77 @@
         assert_eq!(quarantine.unsaved(now + ms(9_000)), None);
     }
 }
+
+/// Interval at which a host decides, and looks at what it has to save.
+const DECISION_INTERVAL_MS: u64 = 250;
+/// Interval at which a host that misses others reads the store.
+const READ_INTERVAL_MS: u64 = 1_000;
+
+/// Plays one request that is repeated at hosts which reach the store, but not each other. Returns the
+/// times at which it reached upstreams, and each of these ended.
+fn play_apart(seed: u64) -> Vec<Now> {
+    const STEP_MS: u64 = 50;
+    const DOWN_TIME: Duration = Duration::from_millis(3_500);
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut fleet = Fleet::new(rng.random_range(2..=4), 0.0, seed);
+    let mut service = PlainService {
+        back_at: vec![Now::ZERO; rng.random_range(3..=8)],
+        ends: Vec::new(),
+    };
+    let fatal = request_feature("bookings", 7);
+    let rate = rng.random_range(0.01..0.2);
+    let mut stored: Vec<(FeatureSet, Now, Now)> = Vec::new();
+    for step in 0..1_200 {
+        let now = ms(step * STEP_MS);
+        for (n, host) in (0..).zip(&mut fleet.hosts) {
+            let phase = step * STEP_MS + n * STEP_MS;
+            if phase.is_multiple_of(DECISION_INTERVAL_MS) {
+                host.decide(now);
+                if let Some(unsaved) = host.unsaved(now) {
+                    let ended_at = now.saturating_sub(unsaved.ended);
+                    stored.push((unsaved.features.clone(), ended_at, now + unsaved.left));
+                    host.save_ended(now, &unsaved.features, Some(0));
+                }
+            }
+            if phase.is_multiple_of(READ_INTERVAL_MS) {
+                for (set, ended_at, until) in &stored {
+                    host.restore(now, set.clone(), *ended_at, *until, 0);
+                }
+            }
+        }
+        if !rng.random_bool(rate) {
+            continue;
+        }
+        let host = rng.random_range(0..fleet.hosts.len());
+        if is_refused(&fleet.hosts[host], now, &[fatal]) {
+            continue;
+        }
+        if let Some(upstream) = service.upstream(now, &mut rng) {
+            service.back_at[upstream] = now + DOWN_TIME;
+            service.ends.push(now);
+            let name = format!("u-{upstream}");
+            fleet.hosts[host].record_end(now, now, &name, false, &[fatal]);
+        }
+    }
+    service.ends
+}
+
+// Guards against ends that each host counts for itself while it reaches the store but no other host.
+#[test]
+fn a_repeated_request_reaches_upstreams_in_no_more_than_three_retries_through_hosts_apart() {
+    const WINDOW: Duration = Duration::from_secs(3);
+    const SEEDS: u64 = 400;
+    let late = (0..SEEDS).map(|seed| {
+        let ends = play_apart(seed);
+        let third = ends.get(2).copied().unwrap_or(Now::MAX);
+        let is_late = |at: &&Now| **at > third.saturating_add(WINDOW);
+        (ends.iter().filter(is_late).count(), seed)
+    });
+    let late: Vec<(usize, u64)> = late.filter(|(late, _)| *late > 3).collect();
+    let worst = late.iter().max();
+    assert!(
+        late.is_empty(),
+        "{} of {SEEDS} plays, the worst (retries, seed): {worst:?}",
+        late.len()
+    );
+}
