Count ends at hosts together that reach only the store

Callers saw requests under which three servers had ended sent to servers again (BUDGET: three retries at most, sent later than 3 s after the third end), where hosts did not hear each other.

Cause: a machine is in touch if it has a path to the store, whether or not it hears other hosts. Ends were reported from host to host only, and the store got decisions, so that each such host counted to three for itself.

Change: a host that hears no other, or misses some and watches the store, writes the ends that it knows to an object of its own, with the answers that it knows for the same features, so that no request is refused for ends that an answer elsewhere has cleared. It writes at most each 0.5 s, when there is something new, and not while the hosts hear each other; the others read it with the decisions, which they read each second already. The time from an end to a decision elsewhere is at most 0.5 s to write, 1 s to read and the 1.2 s after which an end counts, of which the first two are a part, plus the steps of 0.25 s. Clocks of hosts differ: ends of one upstream less than 3 s apart count as one if they come from the store.

--- a/crates/core/src/gateway/quarantine/mod.rs
+++ b/crates/core/src/gateway/quarantine/mod.rs
@@ -17,9 +17,11 @@
 //! - An end that a refused feature explains counts for no other.
 //!
 //! Features that are refused also go to the platform's store, since all hosts may be restarted at the
-//! same time, and hosts that can't hear each other may still reach the store.
+//! same time, and hosts that can't hear each other may still reach the store. Such hosts write there what
+//! they know of ends and answers as well.
 
 mod report;
+mod stored;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -33,6 +35,7 @@
 use crate::types::Now;
 
 pub use report::Report;
+use stored::Stored;
 
 /// Hash of something that requests have in common.
 pub type FeatureId = u64;
@@ -199,6 +202,7 @@
     /// Latest known era of the store.
     era: Era,
     rng: SmallRng,
+    stored: Stored,
 }
 
 impl Quarantine {
@@ -215,6 +219,7 @@
             changes: Vec::new(),
             era: 0,
             rng: SmallRng::seed_from_u64(seed),
+            stored: Stored::default(),
         }
     }
 
@@ -426,6 +431,7 @@
             return;
         }
         self.era = era;
+        self.write_failed();
         for (set, entry) in &mut self.entries {
             let is_own = set.iter().any(|f| self.own_suspects.contains(f));
             entry.save_at = now + save_delay(&mut self.rng, is_own);
@@ -465,6 +471,7 @@
         let suspects = &self.suspects;
         self.own_suspects.retain(|f| suspects.contains_key(f));
         self.sound_at.retain(|_, at| now < *at + END_RETENTION);
+        self.stored.expire(now);
         let changes = &mut self.changes;
         self.entries.retain(|set, entry| {
             let applies = now < entry.until;
--- a/crates/core/src/gateway/quarantine/report.rs
+++ b/crates/core/src/gateway/quarantine/report.rs
@@ -8,6 +8,9 @@
 use crate::gateway::registry::UpstreamId;
 use crate::platform::Era;
 
+/// Age from which ends and answers are not read from the store any more: they are about to be dropped.
+pub(super) const MAX_STORED_AGE: Duration = Duration::from_secs(290);
+
 /// Report of a host to others.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -44,6 +47,15 @@
 }
 
 impl Report {
+    /// Whether another host that reads the report in the store still has a use for it.
+    #[must_use]
+    pub fn is_recent(&self) -> bool {
+        match self {
+            Self::End { age, .. } | Self::Sound { age, .. } => *age < MAX_STORED_AGE,
+            Self::Refused { left, .. } => !left.is_zero(),
+        }
+    }
+
     /// The report as it reads some time later.
     #[must_use]
     pub fn aged(mut self, by: Duration) -> Self {
--- a/crates/core/src/gateway/tests/quarantine.rs
+++ b/crates/core/src/gateway/tests/quarantine.rs
@@ -614,6 +614,7 @@
     let fatal = request_feature("bookings", 7);
     let rate = rng.random_range(0.01..0.2);
     let mut stored: Vec<(FeatureSet, Now, Now)> = Vec::new();
+    let mut written: Vec<(Now, Vec<Report>)> = vec![(Now::ZERO, Vec::new()); fleet.hosts.len()];
     for step in 0..1_200 {
         let now = ms(step * STEP_MS);
         for (n, host) in (0..).zip(&mut fleet.hosts) {
@@ -625,11 +626,18 @@
                     stored.push((unsaved.features.clone(), ended_at, now + unsaved.left));
                     host.save_ended(now, &unsaved.features, Some(0));
                 }
+                if let Some(reports) = host.unwritten(now) {
+                    written[n as usize] = (now, reports);
+                }
             }
             if phase.is_multiple_of(READ_INTERVAL_MS) {
                 for (set, ended_at, until) in &stored {
                     host.restore(now, set.clone(), *ended_at, *until, 0);
                 }
+                for (_, (at, reports)) in (0..).zip(&written).filter(|(by, _)| *by != n) {
+                    let reports = reports.iter().cloned().map(|r| r.aged(now.abs_diff(*at)));
+                    host.receive_stored(now, reports.collect());
+                }
             }
         }
         if !rng.random_bool(rate) {
@@ -668,3 +676,23 @@
         late.len()
     );
 }
+
+// Guards against a sound request that a host refuses since it does not hear those that answer it, and
+// against writes to the store without anything new.
+#[test]
+fn answers_at_hosts_apart_lift_refusals_and_nothing_is_written_twice() {
+    let shared = request_feature("bookings", 7);
+    let (mut first, mut second) = (Quarantine::new(1), Quarantine::new(2));
+    first.record_end(ms(0), ms(0), "u-1", false, &[shared]);
+    first.record_end(ms(2_000), ms(2_000), "u-2", false, &[shared]);
+    second.record_end(ms(4_000), ms(4_000), "u-3", false, &[shared]);
+    let written = first.unwritten(ms(4_100)).unwrap();
+    second.receive_stored(ms(4_100), written);
+    assert_eq!(first.unwritten(ms(9_000)), None);
+    second.decide(ms(5_300));
+    assert!(is_refused(&second, ms(5_300), &[shared]));
+    first.record_sound(ms(9_000), &[shared]);
+    let written = first.unwritten(ms(9_100)).unwrap();
+    second.receive_stored(ms(9_100), written);
+    assert!(!is_refused(&second, ms(9_100), &[shared]));
+}
--- a/crates/net/src/gateway/quarantine.rs
+++ b/crates/net/src/gateway/quarantine.rs
@@ -146,11 +146,19 @@
             let quarantine = &mut shared.core().quarantine;
             quarantine.save_ended(now, &unsaved.features, is_saved.then_some(era));
         }
+        if !misses_hosts(&shared) {
+            continue;
+        }
+        let unwritten = shared.core().quarantine.unwritten(shared.now());
+        if let Some(reports) = unwritten {
+            let value = format::encode_reports(SystemTime::now(), &reports);
+            if !put(&shared, format::reports_key(&shared.options.host), value).await {
+                shared.core().quarantine.write_failed();
+            }
+        }
         if shared.now() >= next_read {
             next_read = shared.now() + READ_INTERVAL;
-            if misses_hosts(&shared)
-                && let Err(reason) = restore(&shared).await
-            {
+            if let Err(reason) = restore(&shared).await {
                 log::info!("can't read which requests are refused: {reason}");
             }
         }
@@ -169,6 +177,12 @@
 async fn restore(shared: &Shared) -> Result<(), String> {
     let wall_clock = SystemTime::now();
     for object in list(shared).await? {
+        if let Some(host) = format::host_of_reports(&object) {
+            if host != shared.options.host {
+                receive_stored(shared, &object, wall_clock).await;
+            }
+            continue;
+        }
         let refused = match format::decode(&object) {
             Ok(refused) => refused,
             Err(error) => {
@@ -194,6 +208,22 @@
     Ok(())
 }
 
+/// Applies reports that another host wrote to the store, or deletes them if all are too old.
+async fn receive_stored(shared: &Shared, object: &StoredObject, wall_clock: SystemTime) {
+    match format::decode_reports(object, wall_clock) {
+        Ok(reports) if reports.iter().any(Report::is_recent) => {
+            let quarantine = &mut shared.core().quarantine;
+            quarantine.receive_stored(shared.now(), reports);
+        }
+        Ok(_) => {
+            let key = format!("{}/{}", format::QUARANTINE_KIND, object.name);
+            let version = object.version;
+            shared.platform.call(&Call::Delete { key, version }).await;
+        }
+        Err(error) => log::info!("object `{}` contains no reports: {error}", object.name),
+    }
+}
+
 async fn list(shared: &Shared) -> Result<Vec<StoredObject>, String> {
     let mut objects: Vec<StoredObject> = Vec::new();
     for _ in 0..MAX_PAGES {
@@ -225,12 +255,18 @@
         ended: wall_clock.checked_sub(unsaved.ended).unwrap_or(wall_clock),
         until: wall_clock + unsaved.left,
     };
+    let key = format::key(&refused.features);
+    put(shared, key, format::encode(&refused)).await
+}
+
+/// Writes an object, whether or not there is one; returns whether the store has it.
+async fn put(shared: &Shared, key: String, value: Vec<u8>) -> bool {
     let mut condition = Condition::Absent;
-    // An object of an earlier quarantine may still be there.
+    // An earlier one may still be there.
     for _ in 0..2 {
         let call = Call::Put {
-            key: format::key(&refused.features),
-            value: format::encode(&refused),
+            key: key.clone(),
+            value: value.clone(),
             condition,
         };
         match shared.platform.call(&call).await {
--- a/crates/standins/tests/gateway/crashes.rs
+++ b/crates/standins/tests/gateway/crashes.rs
@@ -101,6 +101,12 @@
     request("GET", "/safe/fatal?x=1", &format!("r-{n}"))
 }
 
+/// The same, but sent once only.
+fn fatal_unrepeated() -> String {
+    let n = NEXT_REQUEST.fetch_add(1, Ordering::Relaxed);
+    request("GET", "/unsafe/fatal", &format!("r-{n}"))
+}
+
 async fn cluster(gateways: usize, marker: &str) -> Cluster {
     let cluster = Cluster::start(4, gateways).await;
     for replica in &cluster.replicas {
@@ -312,3 +318,37 @@
     let late = second.fatal_arrivals("fatal") - arrivals;
     assert!(late <= MAX_LATE_ARRIVALS, "{late} arrivals");
 }
+
+// Guards against ends that each host counts for itself while it reaches the store but no other host.
+#[tokio::test]
+async fn ends_at_hosts_that_do_not_hear_each_other_are_counted_together() {
+    const CUT_OFF: usize = 3;
+    const REPETITIONS: usize = 12;
+    let mut cluster = plain_cluster(1).await;
+    for n in 0..CUT_OFF {
+        // Without seeds, a host knows the store and the replicas only.
+        let separate = cluster.restart_gateway(&format!("edge-cut-{n}")).await;
+        cluster.gateways.push(separate);
+    }
+    for n in 0..=CUT_OFF {
+        cluster
+            .wait_until(|| async { !cluster.resolved_addresses(n).await.is_empty() })
+            .await;
+    }
+    for gateway in cluster.gateways.iter().cycle().take(REPETITIONS) {
+        let (address, text) = (gateway.callers_address(), fatal_unrepeated());
+        tokio::spawn(async move { send(address, &text).await });
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    let ends = cluster.replicas.iter().flat_map(Replica::ends);
+    let mut ends: Vec<Instant> = ends.collect();
+    ends.sort_unstable();
+    assert!(ends.len() >= 3, "{} ends", ends.len());
+    let late = ends.iter().filter(|at| **at > ends[2] + SETTLE_TIME);
+    let late = late.count();
+    assert!(
+        late <= MAX_LATE_ARRIVALS,
+        "{late} late arrivals, {} ends",
+        ends.len()
+    );
+}
