--- a/crates/core/src/gateway/quarantine/mod.rs
+++ b/crates/core/src/gateway/quarantine/mod.rs
@@ -3,8 +3,9 @@
 //! Now and then a request ends each upstream that begins to answer it. It may be repeated by its
 //! caller, or it may be one of many that differ but have a part of their prompts in common, and such
 //! requests come at any host. What a request has in common with others is a [`FeatureId`]: one for
-//! each shared part of its prompt, and one for the request as a whole. Hosts report to one another the
-//! features of requests under which an upstream ended, so that all count the same ends.
+//! each shared part of its prompt, and two for the request as a whole, at its service and at any. Hosts
+//! report to one another the features of requests under which an upstream ended, so that all count the
+//! same ends.
 //!
 //! Most features of such a request are innocent, and so are most requests that an ending upstream had
 //! just begun to answer. Three rules keep them in use:
@@ -16,9 +17,11 @@
 //! - An end that a refused feature explains counts for no other.
 //!
 //! Features that are refused also go to the platform's store, since all hosts may be restarted at the
-//! same time, and hosts that can't hear each other may still reach the store.
+//! same time, and hosts that can't hear each other may still reach the store. Such hosts write there what
+//! they know of ends and answers as well.
 
 mod report;
+mod stored;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -32,8 +35,9 @@
 use crate::types::Now;
 
 pub use report::Report;
+use stored::Stored;
 
-/// Hash of something that requests to a service have in common.
+/// Hash of something that requests have in common.
 pub type FeatureId = u64;
 /// Features that only requests which have all of them are refused for.
 pub type FeatureSet = BTreeSet<FeatureId>;
@@ -65,7 +69,7 @@
 /// Time for which a feature is refused.
 const QUARANTINE_TIME: Duration = Duration::from_secs(600);
 /// Features whose ends are kept; the oldest are dropped.
-const MAX_SUSPECTS: usize = 1_024;
+const MAX_SUSPECTS: usize = 2_048;
 /// Features whose last answers are kept.
 const MAX_SOUND: usize = 4_096;
 /// Ends that refused features explain.
@@ -100,6 +104,17 @@
     rendezvous::weight(content, rendezvous::hash(service)) | REQUEST_BIT
 }
 
+/// Features of all repetitions of a request: at its service, and at any service of the host name that it
+/// names.
+///
+/// A route may be split between services, or move to another one. Ends count over all of them, but an
+/// answer of one service does not show that a request is sound at another.
+#[must_use]
+pub fn request_features(host: &str, service: &str, content: u64) -> [FeatureId; 2] {
+    let at_host = rendezvous::weight(rendezvous::hash(host), content) | REQUEST_BIT;
+    [request_feature(service, content), at_host]
+}
+
 /// Whether a feature is that of a request as a whole.
 fn is_request(feature: FeatureId) -> bool {
     feature & REQUEST_BIT != 0
@@ -187,6 +202,7 @@
     /// Latest known era of the store.
     era: Era,
     rng: SmallRng,
+    stored: Stored,
 }
 
 impl Quarantine {
@@ -203,6 +219,7 @@
             changes: Vec::new(),
             era: 0,
             rng: SmallRng::seed_from_u64(seed),
+            stored: Stored::default(),
         }
     }
 
@@ -414,6 +431,7 @@
             return;
         }
         self.era = era;
+        self.write_failed();
         for (set, entry) in &mut self.entries {
             let is_own = set.iter().any(|f| self.own_suspects.contains(f));
             entry.save_at = now + save_delay(&mut self.rng, is_own);
@@ -453,6 +471,7 @@
         let suspects = &self.suspects;
         self.own_suspects.retain(|f| suspects.contains_key(f));
         self.sound_at.retain(|_, at| now < *at + END_RETENTION);
+        self.stored.expire(now);
         let changes = &mut self.changes;
         self.entries.retain(|set, entry| {
             let applies = now < entry.until;
--- a/crates/core/src/gateway/tests/mod.rs
+++ b/crates/core/src/gateway/tests/mod.rs
@@ -16,6 +16,7 @@
 mod requests;
 mod silence;
 mod sources;
+mod split_routes;
 mod standstill;
 mod stopping;
 mod upstream_limits;
