Await the body of a request no longer than its caller waits

The time limit of a request begins with its head, but its body was awaited for 10 s whatever the limit. It is awaited until the limit, and answered then as a body that comes too slowly.

Evidence: `request_whose_body_does_not_arrive_is_answered_at_its_time_limit` failed before (no answer within 3.0 s at a limit of 2.5 s).

--- a/crates/net/src/gateway/intake.rs
+++ b/crates/net/src/gateway/intake.rs
@@ -35,7 +35,10 @@
         .table()
         .map_or(DEFAULT_MAX_BODY_BYTES, |t| t.limits.body_bytes);
     // Refused requests are read to the end too, so that the connection can be reused.
-    let body = collect(body, limit, BODY_TIMEOUT).await;
+    let time = admitted.as_ref().map_or(BODY_TIMEOUT, |a| {
+        a.deadline.saturating_sub(shared.now()).min(BODY_TIMEOUT)
+    });
+    let body = collect(body, limit, time).await;
     let admitted = body
         .map_err(|e| body_refusal(&e))
         .and_then(|b| Ok((admitted?, b)));
