Answer callers of streams whose upstream stands still in a refusal

The rest of an answer that is no stream was read until the deadline of 8 s, while the caller of a stream leaves after 2 s without an event. It is given up like the wait for the head; a refusal stays one.

--- a/crates/net/src/gateway/exchange.rs
+++ b/crates/net/src/gateway/exchange.rs
@@ -385,7 +385,16 @@
         } = answer;
         // An answer that is not a stream is buffered, so that a truncated one can be retried.
         let collecting = self.shared.answer_buffers.collect(body);
-        let body = match tokio::time::timeout_at(self.deadline, collecting).await {
+        let (upstream, sent_at) = (&in_flight.upstream.id, in_flight.sent_at);
+        let collected = tokio::select! {
+            collected = tokio::time::timeout_at(self.deadline, collecting) => collected,
+            outcome = self.shared.given_up(&self.admitted, upstream, sent_at, false) => {
+                self.record_dropped_answer(upstream, given_up_reason(outcome));
+                self.end(in_flight, rejection.unwrap_or(outcome));
+                return AnswerResult::Ended;
+            }
+        };
+        let body = match collected {
             Ok(Ok(body)) => body,
             Ok(Err(error)) => {
                 self.record_dropped_answer(
