Bound a call to the store as a whole

What hosts saw: an answer whose head came in time and whose body did not held the follower for 2 s more. The time limit of a call began anew with the body.

--- a/crates/net/src/platform/mod.rs
+++ b/crates/net/src/platform/mod.rs
@@ -15,10 +15,10 @@
 use bytes::Bytes;
 use eelgrasshold_core::fleet::platform_policy::{PlatformLimits, PlatformPolicy};
 use eelgrasshold_core::platform::{Call, KindCall, KindReply, MAX_VALUE_BYTES, Reply};
-use http::Response;
-use hyper::body::Incoming;
+use http::{Request, Response};
+use hyper_util::client::legacy;
 
-use crate::http::{Client, collect, full, plain_client};
+use crate::http::{Body, Client, collect, full, plain_client};
 use crate::runtime::Clock;
 
 /// Largest answer to a call about a kind, in bytes: a page or a batch of changes with objects of
@@ -123,11 +123,10 @@
             Ok(request) => request.map(full),
             Err(error) => return failed(format!("can't build the request: {error}")),
         };
-        match tokio::time::timeout(limit, self.client.request(request)).await {
-            Ok(Ok(response)) => match read_response(response, MAX_KIND_REPLY_BYTES).await {
-                Some(response) => (self.dialect.kind_reply)(call, &response),
-                None => failed("the answer is truncated or too large".to_owned()),
-            },
+        let calling = self.exchange(request, MAX_KIND_REPLY_BYTES);
+        match tokio::time::timeout(limit, calling).await {
+            Ok(Ok(Some(response))) => (self.dialect.kind_reply)(call, &response),
+            Ok(Ok(None)) => failed("the answer is truncated or too large".to_owned()),
             Ok(Err(error)) => failed(format!("no answer: {error}")),
             Err(_) => failed(format!("no answer within {limit:?}")),
         }
@@ -145,24 +144,28 @@
                 return Reply::Unavailable;
             }
         };
-        match tokio::time::timeout(limit, self.client.request(request)).await {
-            Ok(Ok(response)) => match read_response(response, MAX_VALUE_BYTES).await {
-                Some(response) => (self.dialect.object_reply)(call, &response),
-                None => Reply::Lost,
-            },
+        let calling = self.exchange(request, MAX_VALUE_BYTES);
+        match tokio::time::timeout(limit, calling).await {
+            Ok(Ok(Some(response))) => (self.dialect.object_reply)(call, &response),
             Ok(Err(error)) if error.is_connect() => Reply::Unavailable,
-            Ok(Err(_)) | Err(_) => Reply::Lost,
+            Ok(Ok(None) | Err(_)) | Err(_) => Reply::Lost,
         }
     }
 
+    /// Sends a request and reads the whole response; `None` if that is truncated or larger than
+    /// `max_bytes`. One time limit has to hold for both.
+    async fn exchange(
+        &self,
+        request: Request<Body>,
+        max_bytes: usize,
+    ) -> Result<Option<Response<Bytes>>, legacy::Error> {
+        let response = self.client.request(request).await?;
+        let (parts, body) = response.into_parts();
+        let body = collect(body, max_bytes, CALL_TIMEOUT).await.ok();
+        Ok(body.map(|b| Response::from_parts(parts, b)))
+    }
+
     fn lock_policy(&self) -> MutexGuard<'_, PlatformPolicy> {
         self.policy.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// Reads the body of a response; `None` if it is truncated, late or larger than `limit` bytes.
-async fn read_response(response: Response<Incoming>, limit: usize) -> Option<Response<Bytes>> {
-    let (parts, body) = response.into_parts();
-    let body = collect(body, limit, CALL_TIMEOUT).await.ok()?;
-    Some(Response::from_parts(parts, body))
-}
