Test requests to upstreams that are removed while a watch is lost

Callers' requests reach a replica more than drain_ms after its entry was removed (DRAIN). The watch is given up after 2.5 s, the list follows 45 ms later, and the missing entry counts as lapsed for LAPSE_GRACE from that list on, to be removed by the next check.

LAPSE_GRACE stands for the two seconds after the store's return in which entries come back. It is counted from this host's next answer instead, which may come 2.5 s after that return, and it is granted although the store itself was never away.

--- a/crates/core/src/gateway/tests/registry.rs
+++ b/crates/core/src/gateway/tests/registry.rs
@@ -1,8 +1,11 @@
+use std::time::Duration;
+
 use super::{ms, upstream};
+use crate::gateway::follow::{Follower, watch_wait};
 use crate::gateway::registry::{
     Change, LAPSE_GRACE, PRESUMED_TIME, Registry, RegistryCopy, Upstream,
 };
-use crate::platform::version;
+use crate::platform::{KindCall, KindReply, version};
 use crate::types::Now;
 
 fn usable(registry: &Registry) -> usize {
@@ -243,3 +246,43 @@
     assert!(after.apply_copy(ms(1_500), before).is_empty());
     assert_eq!(after.as_of(), version(2, 20));
 }
+
+/// Time after the end of a fault of the store, or of the path to it, after which a host is held to the
+/// limit on requests to upstreams that have left.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+/// Time after [`watch_wait`] after which a watch counts as lost.
+const WATCH_MARGIN: Duration = Duration::from_millis(700);
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
+
+// Guards against requests to an upstream that is removed from the registry while the answer to a watch is lost.
+#[test]
+fn an_upstream_that_is_removed_while_a_watch_is_lost_is_gone_after_the_settle_time() {
+    let wait = watch_wait(SETTLE_TIME);
+    let mut registry = Registry::default();
+    registry.replace(ms(0), vec![upstream(1), upstream(2)], 3);
+    registry.set_as_of(ms(0), 3);
+    let mut follower = Follower::new("servers", wait, 1);
+    let list = |revision| KindReply::Items {
+        items: Vec::new(),
+        more: false,
+        revision,
+    };
+    follower.handle_reply(ms(0), list(3));
+    let lost = KindReply::Failed {
+        reason: "no answer".into(),
+    };
+    follower.handle_reply(wait + WATCH_MARGIN, lost);
+    registry.store_failed();
+    let (listed_at, call) = follower.next();
+    assert!(matches!(call, KindCall::List { .. }));
+    follower.handle_reply(listed_at, list(4));
+    registry.store_answered(listed_at);
+    registry.set_as_of(listed_at, 4);
+    registry.replace(listed_at, vec![upstream(2)], 3);
+    let mut now = listed_at;
+    while usable(&registry) > 1 {
+        now += EXPIRY_INTERVAL;
+        registry.expire(now);
+    }
+    assert!(now <= SETTLE_TIME, "still used until {now:?}");
+}
