--- a/crates/standins/tests/gateway/cluster.rs
+++ b/crates/standins/tests/gateway/cluster.rs
@@ -58,8 +58,17 @@
 
     /// Starts a gateway with the cluster's store.
     pub async fn start_gateway(&self, host: &str, seeds: Vec<SocketAddr>) -> GatewayHost {
+        Self::start_gateway_at(host, self.store.address(), seeds).await
+    }
+
+    /// Starts a gateway that reaches the store at an address.
+    pub async fn start_gateway_at(
+        host: &str,
+        store: SocketAddr,
+        seeds: Vec<SocketAddr>,
+    ) -> GatewayHost {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let platform = format!("http://{}", self.store.address());
+        let platform = format!("http://{store}");
         let options = GatewayOptions::builder(host, &platform)
             .place("north", "north-1")
             .peers(any, seeds)
