Count the delay after a lost answer of the store from its call

A host whose call to the store is not answered learns of changes later than it could: it waits for the time limit of the call (1.2 s for a list) and then for a retry delay of up to 0.8 s that begins anew, although its purpose, calls that are spread and not too many, is met by the time limit already. By these constants up to 2 s pass between two looks at a store that does not answer.

The delay runs from the beginning of the failed call now, and is 25 to 50 ms at least. After a refused call it is as before.

--- a/crates/core/src/gateway/follow.rs
+++ b/crates/core/src/gateway/follow.rs
@@ -7,7 +7,8 @@
 //! A watch whose history is gone restarts with a list, and so does one that is answered after the store
 //! was restored from a copy: its revision may have been given out again, for another change. Failed calls are retried after a jittered
 //! delay that grows up to [`MAX_RETRY_DELAY`], which is short because the configuration must be in
-//! force everywhere two seconds after the store accepted it.
+//! force everywhere two seconds after the store accepted it. It runs from the beginning of the failed
+//! call, so that the time limit of a call does not add to it.
 //!
 //! The answer to a watch may be lost without a sign of it, so a watch waits only for a part of the
 //! time after a fault in which hosts must be up to date again; see [`watch_wait`].
@@ -86,6 +87,8 @@
     revision: Version,
     failures: u32,
     not_before: Now,
+    /// When the call began that is being made.
+    called_at: Option<Now>,
     watch_wait: Duration,
     watch_delay: Duration,
     changed_at: Option<Now>,
@@ -102,6 +105,7 @@
             revision: 0,
             failures: 0,
             not_before: Now::ZERO,
+            called_at: None,
             watch_wait,
             watch_delay: MIN_WATCH_DELAY,
             changed_at: None,
@@ -136,6 +140,11 @@
         (self.not_before, call)
     }
 
+    /// Records that the next call begins. Without it a call counts as failed at once.
+    pub fn record_call(&mut self, now: Now) {
+        self.called_at = Some(now);
+    }
+
     /// Processes the reply to the last call. Returns `None` while further pages of a list are to be
     /// read.
     pub fn handle_reply(&mut self, now: Now, reply: KindReply) -> Option<FollowUpdate> {
@@ -222,7 +231,11 @@
         self.failures = self.failures.saturating_add(1);
         let doublings = (self.failures - 1).min(16);
         let delay = (MIN_RETRY_DELAY * (1 << doublings)).min(MAX_RETRY_DELAY);
-        self.not_before = now + delay.mul_f64(self.rng.random_range(0.5..=1.0));
+        let jitter = self.rng.random_range(0.5..=1.0);
+        // A call whose answer was lost has taken the delay already.
+        let began = self.called_at.take().unwrap_or(now);
+        let soonest = now + MIN_RETRY_DELAY.mul_f64(jitter);
+        self.not_before = (began + delay.mul_f64(jitter)).max(soonest);
         FollowUpdate::Failed { reason }
     }
 }
--- a/crates/core/src/gateway/tests/follow.rs
+++ b/crates/core/src/gateway/tests/follow.rs
@@ -108,6 +108,22 @@
     assert!(longest > ms(300) && longest < ms(1_000), "{longest:?}");
 }
 
+// Guards against a host that is outdated for longer, since it waits after each call that was not answered
+// as if the call had taken no time.
+#[test]
+fn the_delay_after_a_lost_answer_runs_from_the_beginning_of_the_call() {
+    let mut follower = Follower::new("servers", ms(1_800), 1);
+    for n in 0..20 {
+        let began = ms(n * 5_000);
+        follower.record_call(began);
+        let failed_at = began + ms(1_200);
+        let reason = "no answer".to_owned();
+        follower.handle_reply(failed_at, KindReply::Failed { reason });
+        let delay = follower.next().0.saturating_sub(failed_at);
+        assert!(delay > ms(20) && delay < ms(100), "{delay:?}");
+    }
+}
+
 // Guards against one watch of every host per change of a series, and against a delay that makes a
 // change late.
 #[test]
--- a/crates/net/src/gateway/follow.rs
+++ b/crates/net/src/gateway/follow.rs
@@ -212,6 +212,7 @@
     let (at, call) = follower.next();
     tokio::time::sleep_until(shared.clock.instant(at)).await;
     let called_at = shared.now();
+    follower.record_call(called_at);
     let reply = shared.platform.call_kind(&call).await;
     let now = shared.now();
     let (name, result) = (call_name(&call), result_name(&reply));
