End the grace of lapsed entries within the settle time of a fault

Callers' requests reach a replica more than drain_ms after its entry was removed (DRAIN), at a host whose path to the store had a fault and has been well for 3 s.

Cause: an entry that is missing after a failed call stays usable for LAPSE_GRACE, counted from this host's next answer. That answer comes when the host notices that a watch was lost, up to 2.55 s after the fault, and the grace of 1.8 s begins anew then, plus 0.25 s until the next check. A promise that runs from end to end to one moment was kept by steps that each have a duration of their own.

The grace period ends at the earlier of that time and a limit now, which is one moment: the beginning of the last failed call, the settle time, less one interval of checks. A fault that a call met has not ended before the call began, so nothing lapsed is usable 3 s after the end of the fault, whenever the host notices it.

Protection of upstreams whose check-ins failed in an outage: a refused call ends at once, and is repeated within 0.8 s, so the grace is 1.8 s as before. After a list that was not answered it is at least 1.45 s. The limit is below the two seconds in which entries come back only after a lost watch; entries of live upstreams expire there only if the fault began with the watch, since three check-ins have to fail. A rule by the check-in interval (a failure of less than two intervals can't have expired a live entry) would drop the missing entry at once in that case; it needs a further setting, and leaves the long faults of a path as they were. A host that others answer for the store has no limit: they may have recovered seconds after the last call that it made itself.

Tests: store_failed has the limit as an argument. None, as in the tests of copies and restores, is what the code did before. The test of the grace period after an outage passes a limit.

--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -3,7 +3,9 @@
 //! An entry that disappears while the registry can be read belongs to an upstream that has left.
 //! During an outage of the registry's store, entries lapse although their upstreams are alive, and
 //! they reappear soon after the store does. Upstreams whose entries lapsed then stay usable for
-//! [`LAPSE_GRACE`] after the store's recovery.
+//! [`LAPSE_GRACE`] after the store's recovery, but not beyond the time after a fault in which a host
+//! has to be up to date again, see [`lapse_limit`]: the host may learn of the recovery late, and the
+//! fault may have been one of its own path to the store.
 //!
 //! Hosts copy the registry from one another. The revision of the last change does not tell which of two
 //! registries is newer: a list from the store shows no deletions, and the revision of its newest entry
@@ -37,6 +39,9 @@
 /// knows.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(1_800);
 
+/// Interval of the calls of [`Registry::expire`].
+pub const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Time after a restore of the store in which entries of upstreams that had left before are written
 /// again, or expire.
 pub const PRESUMED_TIME: Duration = Duration::from_secs(10);
@@ -44,6 +49,13 @@
 /// Upstreams that have left whose ids are kept; those of the oldest entries are dropped.
 const MAX_DEPARTED: usize = 4_096;
 
+/// When the grace period ends at the latest, if the last failed call to the store began at `called_at`.
+/// The fault can't have ended before, and no lapsed entry is usable `settle_time` after its end.
+#[must_use]
+pub fn lapse_limit(called_at: Now, settle_time: Duration) -> Now {
+    (called_at + settle_time).saturating_sub(EXPIRY_INTERVAL)
+}
+
 /// Registry entry of an upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -132,7 +144,9 @@
 enum Outage {
     #[default]
     None,
-    Down,
+    /// The last call failed; the grace period ends at this time at the latest.
+    Down(Option<Now>),
+    /// The grace period ends at this time.
     Recovering(Now),
 }
 
@@ -152,21 +166,32 @@
     /// Whether the most recent call to the store succeeded; true before the first call.
     #[must_use]
     pub fn store_answers(&self) -> bool {
-        self.outage != Outage::Down
+        !matches!(self.outage, Outage::Down(_))
     }
 
     /// Records a failed call to the store. Disappearing entries count as lapsed until the grace
-    /// period after its recovery.
-    pub fn store_failed(&mut self) {
-        self.outage = Outage::Down;
+    /// period after its recovery, which ends at `limit` at the latest, see [`lapse_limit`]. There is no
+    /// limit if other hosts failed to answer for the store.
+    pub fn store_failed(&mut self, limit: Option<Now>) {
+        self.outage = Outage::Down(limit);
     }
 
     /// Records a successful call to the store.
     pub fn store_answered(&mut self, now: Now) {
         self.last_answer_at = now;
-        if self.outage == Outage::Down {
-            self.outage = Outage::Recovering(now + LAPSE_GRACE);
+        if let Outage::Down(limit) = self.outage {
+            let end = now + LAPSE_GRACE;
+            self.outage = Outage::Recovering(limit.map_or(end, |limit| end.min(limit)));
+        }
+    }
+
+    /// Records that another host answered for the store. It may have recovered well after the last
+    /// failed call, so no limit from that call counts.
+    pub fn host_answered(&mut self, now: Now) {
+        if let Outage::Down(limit) = &mut self.outage {
+            *limit = None;
         }
+        self.store_answered(now);
     }
 
     /// Revision of the last known change; 0 before the first list.
@@ -316,7 +341,7 @@
         let entry = self.entries.get_mut(id)?;
         let in_doubt = match self.outage {
             Outage::None => false,
-            Outage::Down => true,
+            Outage::Down(_) => true,
             Outage::Recovering(at) => now < at,
         };
         if in_doubt && !entry.upstream.leaving {
--- a/crates/core/src/gateway/tests/registry.rs
+++ b/crates/core/src/gateway/tests/registry.rs
@@ -3,7 +3,7 @@
 use super::{ms, upstream};
 use crate::gateway::follow::{Follower, watch_wait};
 use crate::gateway::registry::{
-    Change, LAPSE_GRACE, PRESUMED_TIME, Registry, RegistryCopy, Upstream,
+    Change, LAPSE_GRACE, PRESUMED_TIME, Registry, RegistryCopy, Upstream, lapse_limit,
 };
 use crate::platform::{KindCall, KindReply, version};
 use crate::types::Now;
@@ -29,7 +29,7 @@
 fn lapsed_entries_stay_usable_until_the_grace_period_after_an_outage() {
     let mut registry = Registry::default();
     registry.replace(ms(0), vec![upstream(1), upstream(2)], 3);
-    registry.store_failed();
+    registry.store_failed(Some(lapse_limit(ms(8_200), SETTLE_TIME)));
     let back = ms(9_000);
     registry.store_answered(back);
     let changes = registry.replace(back, Vec::new(), 9);
@@ -52,7 +52,7 @@
     let mut leaving = upstream(1);
     leaving.leaving = true;
     registry.replace(ms(0), vec![leaving], 3);
-    registry.store_failed();
+    registry.store_failed(None);
     assert_eq!(
         registry.remove(ms(1), "u-1", 4),
         Some(Change::Gone("u-1".into()))
@@ -130,7 +130,7 @@
 fn a_copy_has_no_lapsed_entries_and_says_that_some_may_be_missing() {
     let mut cut = Registry::default();
     cut.replace(ms(0), vec![upstream(1), upstream(2)], 3);
-    cut.store_failed();
+    cut.store_failed(None);
     cut.remove(ms(1), "u-1", 4);
     let copy = cut.copy().unwrap();
     assert_eq!(copy.upstreams, [upstream(2)]);
@@ -144,7 +144,7 @@
     for (is_certain, left) in [(true, 1), (false, 2)] {
         let mut cut = Registry::default();
         cut.replace(ms(0), vec![upstream(1), upstream(2)], 3);
-        cut.store_failed();
+        cut.store_failed(None);
         cut.apply_copy(ms(1), copy(&[2], 9, 9, is_certain));
         assert_eq!(usable(&cut), left);
         assert!(!cut.store_answers());
@@ -236,7 +236,7 @@
 #[test]
 fn a_copy_from_after_a_restore_replaces_one_from_before() {
     let mut cut = before_restore();
-    cut.store_failed();
+    cut.store_failed(None);
     let mut after = before_restore();
     restore(&mut after, ms(1_000), 2, vec![of_era(1, 2, 10)]);
     let changes = cut.apply_copy(ms(1_500), after.copy().unwrap());
@@ -268,11 +268,12 @@
         revision,
     };
     follower.handle_reply(ms(0), list(3));
-    let lost = KindReply::Failed {
+    let unanswered = KindReply::Failed {
         reason: "no answer".into(),
     };
-    follower.handle_reply(wait + WATCH_MARGIN, lost);
-    registry.store_failed();
+    follower.handle_reply(wait + WATCH_MARGIN, unanswered);
+    // The watch began with the list.
+    registry.store_failed(Some(lapse_limit(ms(0), SETTLE_TIME)));
     let (listed_at, call) = follower.next();
     assert!(matches!(call, KindCall::List { .. }));
     follower.handle_reply(listed_at, list(4));
@@ -286,3 +287,41 @@
     }
     assert!(now <= SETTLE_TIME, "still used until {now:?}");
 }
+
+/// Time after which a list counts as lost.
+const LIST_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+// Guards against upstreams that are given up at the end of an outage, before they can have registered again.
+#[test]
+fn lapsed_entries_stay_usable_after_an_outage_in_which_answers_were_lost() {
+    let mut registry = Registry::default();
+    registry.replace(ms(0), vec![upstream(1), upstream(2)], 3);
+    let mut follower = Follower::new("servers", watch_wait(SETTLE_TIME), 1);
+    for _ in 0..10 {
+        let (called_at, _) = follower.next();
+        follower.record_call(called_at);
+        let reason = "no answer".to_owned();
+        follower.handle_reply(called_at + LIST_TIMEOUT, KindReply::Failed { reason });
+        registry.store_failed(Some(lapse_limit(called_at, SETTLE_TIME)));
+    }
+    let (back, _) = follower.next();
+    registry.store_answered(back);
+    registry.replace(back, Vec::new(), 9);
+    registry.expire(back + ms(1_450));
+    assert_eq!(usable(&registry), 2);
+}
+
+// Guards against upstreams that are given up by a host that others answer for the store: the last call of its
+// own may have failed long before.
+#[test]
+fn lapsed_entries_stay_usable_for_the_grace_period_after_the_answer_of_a_host() {
+    let mut registry = Registry::default();
+    registry.replace(ms(0), vec![upstream(1)], 2);
+    registry.store_failed(Some(lapse_limit(ms(1_000), SETTLE_TIME)));
+    let back = ms(4_500);
+    registry.host_answered(back);
+    registry.replace(back, Vec::new(), 9);
+    assert!(registry.expire(back + ms(1_700)).is_empty());
+    registry.expire(back + LAPSE_GRACE);
+    assert_eq!(usable(&registry), 0);
+}
--- a/crates/net/src/gateway/follow.rs
+++ b/crates/net/src/gateway/follow.rs
@@ -7,9 +7,10 @@
 
 use eelgrasshold_core::event::{Event, EventKind};
 use eelgrasshold_core::gateway::follow::{FollowUpdate, Follower, watch_wait};
-use eelgrasshold_core::gateway::registry::Upstream;
+use eelgrasshold_core::gateway::registry::{EXPIRY_INTERVAL, Registry, Upstream, lapse_limit};
 use eelgrasshold_core::gateway::sources::{Source, Sources};
 use eelgrasshold_core::platform::{Change, KindCall, KindReply, StoredObject, Version, era};
+use eelgrasshold_core::types::Now;
 use eelgrasshold_platform::store::{CONFIG_KIND, CONFIG_NAME, SERVERS_KIND};
 use eelgrasshold_platform::{route_table, servers};
 
@@ -17,14 +18,12 @@
 use super::quarantine;
 use super::shared::Shared;
 
-/// Interval of checks for lapsed upstreams, requests to refuse and idle connections.
-const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
 /// Longest time until a host without a source looks for one again.
 const SOURCE_POLL_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Watches the configuration and applies new versions; never returns.
 pub(super) async fn configuration(shared: Arc<Shared>) {
-    follow(&shared, CONFIG_KIND, |update| match update {
+    follow(&shared, CONFIG_KIND, |update, _| match update {
         FollowUpdate::All(objects, as_of) => {
             observe_era(&shared, as_of);
             for object in &objects {
@@ -96,8 +95,12 @@
 
 /// Watches the registry of upstreams and applies its changes; never returns.
 pub(super) async fn registry(shared: Arc<Shared>) {
-    follow(&shared, SERVERS_KIND, |update| {
+    follow(&shared, SERVERS_KIND, |update, called_at| {
         let now = shared.now();
+        let answered = |registry: &mut Registry| match called_at {
+            Some(_) => registry.store_answered(now),
+            None => registry.host_answered(now),
+        };
         let mut core = shared.core();
         let was_ready = core.is_ready();
         let changes = match update {
@@ -105,11 +108,11 @@
             FollowUpdate::All(_, as_of) | FollowUpdate::Changes(_, as_of)
                 if as_of < core.registry.as_of() =>
             {
-                core.registry.store_answered(now);
+                answered(&mut core.registry);
                 Vec::new()
             }
             FollowUpdate::All(objects, as_of) => {
-                core.registry.store_answered(now);
+                answered(&mut core.registry);
                 core.registry.set_as_of(now, as_of);
                 let list: Vec<Upstream> = objects
                     .iter()
@@ -119,7 +122,7 @@
                 core.registry.replace(now, list, revision)
             }
             FollowUpdate::Changes(changes, revision) => {
-                core.registry.store_answered(now);
+                answered(&mut core.registry);
                 core.registry.set_as_of(now, revision);
                 let registry = &mut core.registry;
                 let apply = |change| match change {
@@ -132,7 +135,9 @@
                 changes.into_iter().filter_map(apply).collect()
             }
             FollowUpdate::Failed { .. } => {
-                core.registry.store_failed();
+                let settle_time = shared.options.settle_time;
+                let limit = called_at.map(|at| lapse_limit(at, settle_time));
+                core.registry.store_failed(limit);
                 Vec::new()
             }
             FollowUpdate::HistoryGone => Vec::new(),
@@ -157,7 +162,12 @@
     }
 }
 
-async fn follow(shared: &Arc<Shared>, kind: &str, mut apply: impl FnMut(FollowUpdate)) {
+/// Passes each update to `apply`, with when the call began if the store itself was called.
+async fn follow(
+    shared: &Arc<Shared>,
+    kind: &str,
+    mut apply: impl FnMut(FollowUpdate, Option<Now>),
+) {
     let wait = watch_wait(shared.options.settle_time);
     let mut follower = Follower::new(kind, wait, rand::random());
     let first_start = shared.options.first_start;
@@ -170,9 +180,11 @@
             let peers = shared.peers();
             sources.choose(shared.now(), peers.local_record(), &peers.live_hosts())
         };
+        let mut called_at = None;
         let update = match source {
             Source::Store => {
-                let update = ask_store(shared, &mut follower).await;
+                let (at, update) = ask_store(shared, &mut follower).await;
+                called_at = Some(at);
                 match &update {
                     Some(FollowUpdate::Failed { .. }) => sources.failed(shared.now(), source),
                     _ => sources.answered(),
@@ -203,12 +215,13 @@
         let Some(update) = update else { continue };
         shared.copies.apply(kind, &update, source == Source::Store);
         record_store_state(shared, kind, &update, &mut failing);
-        apply(update);
+        apply(update, called_at);
     }
 }
 
-/// Makes the next call to the store. `None` while further pages of a list are to be read.
-async fn ask_store(shared: &Shared, follower: &mut Follower) -> Option<FollowUpdate> {
+/// Makes the next call to the store. Returns when it began, and no update while further pages of a list
+/// are to be read.
+async fn ask_store(shared: &Shared, follower: &mut Follower) -> (Now, Option<FollowUpdate>) {
     let (at, call) = follower.next();
     tokio::time::sleep_until(shared.clock.instant(at)).await;
     let called_at = shared.now();
@@ -218,7 +231,7 @@
     let (name, result) = (call_name(&call), result_name(&reply));
     let took = now.saturating_sub(called_at);
     shared.metrics.store_call_ended(name, result, took);
-    follower.handle_reply(now, reply)
+    (called_at, follower.handle_reply(now, reply))
 }
 
 /// Makes the next call to another host's copy. `None` if the host could not answer.
