Test requests to upstreams that leave after they were chosen

A request is chosen for an upstream, waits for its connection for up to 0.4 s, and is sent although the registry says by then that the upstream leaves or is gone: Notices::may_send, the last check before the request is written, knows only what upstreams say of themselves.

The wait alone is below drain_ms. It comes on top of the time that the news took.

--- a/crates/core/src/gateway/tests/requests.rs
+++ b/crates/core/src/gateway/tests/requests.rs
@@ -4,6 +4,7 @@
 
 use super::{ms, upstream};
 use crate::gateway::budget::RetryBound;
+use crate::gateway::registry::Upstream;
 use crate::gateway::routes::{CallerTeam, Route, RouteKind, RouteTable};
 use crate::gateway::upstream_limits::Permit;
 use crate::gateway::{Admitted, Gateway, GatewaySettings, Next, Outcome, RequestHead};
@@ -325,3 +326,29 @@
     let refusal = refused(&mut gateway, ms(3), &mut requests[1]);
     assert_eq!(refusal.kind, RefusalKind::Overloaded);
 }
+
+// Guards against a request that is sent to an upstream of which the host learned, while the connection was
+// opened, that it leaves or is gone.
+#[test]
+fn a_request_is_not_sent_to_an_upstream_that_left_after_it_was_chosen() {
+    for is_removed in [false, true] {
+        let mut gateway = gateway_of("edge-1", "north-1", 1);
+        gateway.registry.replace(ms(0), vec![upstream(1)], 1);
+        let mut request = admit(&mut gateway, ms(1), "/safe/x");
+        let Next::Send(chosen, _) = gateway.next(ms(1), &mut request) else {
+            panic!("an upstream is usable");
+        };
+        if is_removed {
+            gateway.registry.remove(ms(2), &chosen.id, 9);
+        } else {
+            let leaving = Upstream {
+                leaving: true,
+                version: 9,
+                ..chosen.clone()
+            };
+            gateway.registry.set(leaving);
+        }
+        assert_eq!(gateway.registry.usable("drafts").count(), 0);
+        assert!(!gateway.notices.may_send(ms(400), &chosen), "{is_removed}");
+    }
+}
