Ask the registry, too, before a request is sent

A request is chosen for an upstream, waits for its connection for up to 0.4 s, and is sent although the host has learned by then that the upstream leaves, is gone or has started anew. The wait adds to the time that the news took (DRAIN); a request to a new incarnation costs a retry.

Cause: the last check before the send knew only what upstreams say of themselves. It is one decision now, Gateway::may_send, that asks the registry as well: the upstream is listed or lapsed, does not leave, and is the incarnation that was chosen. A request that may not be sent is moved to another upstream, as before.

It has the restarted upstream as a third case now, checks that the request may be sent before, and calls the new decision; the simulation of notices calls it, too, as the exchange does. The removed and the restarted upstream were not run on the code before. A second test keeps requests to upstreams whose entries lapsed.

--- a/crates/core/src/gateway/notices/mod.rs
+++ b/crates/core/src/gateway/notices/mod.rs
@@ -225,7 +225,7 @@
         leaving.is_some_and(|l| l.born == upstream.born && l.counts(now))
     }
 
-    /// Whether a request may be sent to the upstream that was chosen for it.
+    /// Whether what the upstream has said permits that a request is sent to it that was chosen for it.
     #[must_use]
     pub fn may_send(&self, now: Now, upstream: &Upstream) -> bool {
         let pause = self.pauses.get(&upstream.id);
--- a/crates/core/src/gateway/state/outcomes.rs
+++ b/crates/core/src/gateway/state/outcomes.rs
@@ -34,6 +34,15 @@
         self.health.observe(now, upstream, outcome)
     }
 
+    /// Whether a request may still be sent to the upstream that was chosen for it: it may have left, or
+    /// started anew, while the connection was opened.
+    #[must_use]
+    pub fn may_send(&self, now: Now, upstream: &Upstream) -> bool {
+        let listed = self.registry.get(&upstream.id);
+        listed.is_some_and(|l| !l.leaving && l.born == upstream.born)
+            && self.notices.may_send(now, upstream)
+    }
+
     /// Records what the head of an answer says of its upstream, to which the request was sent at `sent_at`.
     pub fn record_notice(
         &mut self,
--- a/crates/core/src/gateway/tests/notices_simulation.rs
+++ b/crates/core/src/gateway/tests/notices_simulation.rs
@@ -341,7 +341,7 @@
         let n: usize = flight.upstream.id[2..].parse().unwrap();
         let host = &mut self.hosts[flight.host];
         let gateway = &mut host.gateway;
-        if !gateway.notices.may_send(now, &flight.upstream) {
+        if !gateway.may_send(now, &flight.upstream) {
             let (id, work) = (flight.upstream.id.clone(), flight.request.work);
             flight.request.record_outcome(&id, Outcome::Moved);
             gateway.attempt_ended(now, &id, work, Outcome::Moved);
--- a/crates/core/src/gateway/tests/requests.rs
+++ b/crates/core/src/gateway/tests/requests.rs
@@ -331,24 +331,51 @@
 // opened, that it leaves or is gone.
 #[test]
 fn a_request_is_not_sent_to_an_upstream_that_left_after_it_was_chosen() {
-    for is_removed in [false, true] {
-        let mut gateway = gateway_of("edge-1", "north-1", 1);
-        gateway.registry.replace(ms(0), vec![upstream(1)], 1);
-        let mut request = admit(&mut gateway, ms(1), "/safe/x");
-        let Next::Send(chosen, _) = gateway.next(ms(1), &mut request) else {
-            panic!("an upstream is usable");
-        };
-        if is_removed {
-            gateway.registry.remove(ms(2), &chosen.id, 9);
-        } else {
+    type Leave = fn(&mut Gateway, &Upstream);
+    let leaves: [(&str, Leave); 3] = [
+        ("leaving", |gateway, chosen| {
             let leaving = Upstream {
                 leaving: true,
                 version: 9,
                 ..chosen.clone()
             };
             gateway.registry.set(leaving);
-        }
-        assert_eq!(gateway.registry.usable("drafts").count(), 0);
-        assert!(!gateway.notices.may_send(ms(400), &chosen), "{is_removed}");
+        }),
+        ("removed", |gateway, chosen| {
+            gateway.registry.remove(ms(2), &chosen.id, 9);
+        }),
+        ("restarted", |gateway, chosen| {
+            let restarted = Upstream {
+                born: Some(7),
+                version: 9,
+                ..chosen.clone()
+            };
+            gateway.registry.set(restarted);
+        }),
+    ];
+    for (how, leave) in leaves {
+        let mut gateway = gateway_of("edge-1", "north-1", 1);
+        gateway.registry.replace(ms(0), vec![upstream(1)], 1);
+        let mut request = admit(&mut gateway, ms(1), "/safe/x");
+        let Next::Send(chosen, _) = gateway.next(ms(1), &mut request) else {
+            panic!("an upstream is usable");
+        };
+        assert!(gateway.may_send(ms(2), &chosen), "{how}");
+        leave(&mut gateway, &chosen);
+        assert!(!gateway.may_send(ms(400), &chosen), "{how}");
     }
 }
+
+// Guards against a request that is given up since the entry of its upstream lapsed.
+#[test]
+fn a_request_is_sent_to_an_upstream_whose_entry_lapsed_after_it_was_chosen() {
+    let mut gateway = gateway_of("edge-1", "north-1", 1);
+    gateway.registry.replace(ms(0), vec![upstream(1)], 1);
+    let mut request = admit(&mut gateway, ms(1), "/safe/x");
+    let Next::Send(chosen, _) = gateway.next(ms(1), &mut request) else {
+        panic!("an upstream is usable");
+    };
+    gateway.registry.store_failed(None);
+    gateway.registry.remove(ms(2), &chosen.id, 9);
+    assert!(gateway.may_send(ms(400), &chosen));
+}
--- a/crates/net/src/gateway/exchange.rs
+++ b/crates/net/src/gateway/exchange.rs
@@ -288,13 +288,8 @@
             self.record_dropped_answer(&upstream.id, &format!("can't connect: {error}"));
             Outcome::Unreachable
         })?;
-        if !self
-            .shared
-            .core()
-            .notices
-            .may_send(self.shared.now(), upstream)
-        {
-            let detail = "not sent: the upstream leaves or wants no requests";
+        if !self.shared.core().may_send(self.shared.now(), upstream) {
+            let detail = "not sent: the upstream has left, leaves or wants no requests";
             self.record_dropped_answer(&upstream.id, detail);
             self.shared.metrics.request_moved();
             return Err(Outcome::Moved);
