Test a change at the end of a watch of another host's copy

A host that follows another one's copy can miss a change for good, such as that a replica leaves (DRAIN) or a new configuration (CONFIG), until it lists again or the object changes once more. Copies::answer ends a watch without changes with the copy's revision of that moment. If a change is applied to the copy after the last look and before its revision is read, the answer has the revision of that change and not the change; the follower watches from there, and its registry counts as up to date, so that it pulls none from others either.

The test holds the copy's lock over the end of a watch and applies a change before it lets go. In operation the gap is short; it was not seen there.

--- a/crates/net/src/gateway/copies/tests.rs
+++ b/crates/net/src/gateway/copies/tests.rs
@@ -1,9 +1,10 @@
+use std::sync::Arc;
 use std::time::Duration;
 
 use eelgrasshold_core::gateway::follow::FollowUpdate;
 use eelgrasshold_core::platform::{Change, KindCall, KindReply, StoredObject};
 
-use super::{Copies, decode, encode};
+use super::{COPY_WAIT, Copies, decode, encode, lock};
 
 fn object(name: &str, version: u64) -> StoredObject {
     StoredObject {
@@ -79,3 +80,31 @@
     copies.mark_behind();
     assert!(refuses().await, "others know more");
 }
+
+/// Guards against a change that is left out of an answer and counts as told by its revision.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_change_at_the_end_of_a_watch_is_not_passed_over() {
+    let copies = Arc::new(Copies::default());
+    let listed = FollowUpdate::All(vec![object("a", 3)], 3);
+    copies.apply("servers", &listed, true);
+    let watcher = Arc::clone(&copies);
+    let watching = tokio::spawn(async move { watcher.answer(watch(3)).await });
+    tokio::time::sleep(COPY_WAIT - Duration::from_millis(100)).await;
+    let changed = Arc::clone(&copies);
+    let changing = tokio::task::spawn_blocking(move || {
+        // The watch ends while the change is being applied.
+        let mut mirror = lock(&changed.mirror);
+        std::thread::sleep(Duration::from_millis(200));
+        let change = FollowUpdate::Changes(vec![Change::Set(object("b", 5))], 5);
+        mirror.apply("servers", &change);
+    });
+    changing.await.unwrap();
+    let told = decode(&watching.await.unwrap()).unwrap();
+    let KindReply::Changes { changes, revision } = told else {
+        panic!("{told:?}");
+    };
+    assert!(
+        revision < 5 || !changes.is_empty(),
+        "revision {revision} without its change"
+    );
+}
