Answer the end of a watch from one look at a host's copy

A host that follows another one's copy can miss a change for good, until it lists again or the object changes once more: that a replica leaves (DRAIN), or a new configuration (CONFIG).

Cause: a watch of a copy that ends without changes was answered with the copy's revision of that moment, read after the last look for changes and under another lock. A change that was applied between them was left out of the answer and counted as told by its revision.

Changes and revision come from one look under one lock now. A change that arrives at the end of the watch is in the answer.

--- a/crates/net/src/gateway/copies/mod.rs
+++ b/crates/net/src/gateway/copies/mod.rs
@@ -87,11 +87,16 @@
                     KindCall::Watch { after, .. } => *after,
                     KindCall::List { .. } => 0,
                 };
-                let known = lock(&self.mirror).revision(kind).unwrap_or_default();
-                return encode(&KindReply::Changes {
-                    changes: Vec::new(),
-                    revision: known.max(after),
-                });
+                // A change since the last look belongs to its revision.
+                let reply = {
+                    let mirror = lock(&self.mirror);
+                    let known = mirror.revision(kind).unwrap_or_default();
+                    mirror.answer(&call).unwrap_or(KindReply::Changes {
+                        changes: Vec::new(),
+                        revision: known.max(after),
+                    })
+                };
+                return encode(&reply);
             }
         }
     }
--- a/crates/net/src/gateway/copies/tests.rs
+++ b/crates/net/src/gateway/copies/tests.rs
@@ -89,7 +89,7 @@
     copies.apply("servers", &listed, true);
     let watcher = Arc::clone(&copies);
     let watching = tokio::spawn(async move { watcher.answer(watch(3)).await });
-    tokio::time::sleep(COPY_WAIT - Duration::from_millis(100)).await;
+    tokio::time::sleep(COPY_WAIT.saturating_sub(Duration::from_millis(100))).await;
     let changed = Arc::clone(&copies);
     let changing = tokio::task::spawn_blocking(move || {
         // The watch ends while the change is being applied.
