--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -428,6 +428,12 @@
         self.entries.get(id).map(|l| &l.upstream)
     }
 
+    /// Whether the entry of an upstream disappeared during an outage, and it is still usable.
+    #[must_use]
+    pub fn is_lapsed(&self, id: &str) -> bool {
+        self.entries.get(id).is_some_and(|l| l.lapsed)
+    }
+
     /// All known upstreams, including leaving ones.
     pub fn all(&self) -> impl Iterator<Item = &Upstream> {
         self.entries.values().map(|l| &l.upstream)
--- a/crates/core/src/gateway/state/choosing.rs
+++ b/crates/core/src/gateway/state/choosing.rs
@@ -214,6 +214,7 @@
             in_flight: loads.requests(&chosen.id),
             registry: self.registry.revision(),
             registry_age: now.saturating_sub(self.registry.last_answer_at()),
+            lapsed: self.registry.is_lapsed(&chosen.id),
         };
         Some((chosen.clone(), reasons))
     }
--- a/crates/core/src/gateway/state/request.rs
+++ b/crates/core/src/gateway/state/request.rs
@@ -104,6 +104,8 @@
     pub registry: Version,
     /// Time since the store last confirmed the registry.
     pub registry_age: Duration,
+    /// Whether the entry of the chosen upstream disappeared while the store did not answer.
+    pub lapsed: bool,
 }
 
 /// How an attempt ended.
--- a/crates/net/src/gateway/exchange.rs
+++ b/crates/net/src/gateway/exchange.rs
@@ -253,6 +253,7 @@
             .with("own_in_flight", reasons.in_flight)
             .with("registry", reasons.registry)
             .with("registry_age_ms", reasons.registry_age)
+            .with("lapsed", u32::from(reasons.lapsed))
             .with("resume_after", resume_after.unwrap_or_default());
         self.shared.timeline.record(event);
     }
