Ask the store when watchers fall silent one after the other

A host that follows another one's copy can miss changes for as long as its watchers are silent, though the store answers (DRAIN, CONFIG). Each silent host takes 1.4 s to fail and is passed over for 3 s. The first of three or more is asked again before the others have failed, so that there always is one left to ask: the time without a source, after which the store is asked, counted only when there was none.

The time runs from the first failure to one moment now, at which the store is asked even if there are hosts left. It is drawn once, between 1.5 and 3 s; it was drawn anew at each look before, which made it shorter.

How long hosts in operation follow silent ones was not measured; a dead host leaves the list of watchers by itself.

--- a/crates/core/src/gateway/sources/mod.rs
+++ b/crates/core/src/gateway/sources/mod.rs
@@ -47,8 +47,8 @@
     /// The first list was read.
     begun: bool,
     avoided: BTreeMap<SocketAddr, Now>,
-    /// Since when no source has answered.
-    without_since: Option<Now>,
+    /// When the store is asked, as no source has answered since the last answer.
+    ask_store_at: Option<Now>,
     next_store_attempt: Now,
     rng: SmallRng,
 }
@@ -89,7 +89,7 @@
             first_start,
             begun: false,
             avoided: BTreeMap::new(),
-            without_since: None,
+            ask_store_at: None,
             next_store_attempt: now,
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -103,7 +103,7 @@
             return Source::NoneUntil(meets_until);
         }
         // A restarted host knows nothing of what left meanwhile. Only the store is sure to.
-        if !self.begun && !self.first_start && self.without_since.is_none() {
+        if !self.begun && !self.first_start && self.ask_store_at.is_none() {
             return Source::Store;
         }
         let watchers = watchers(local, members);
@@ -113,16 +113,19 @@
         let usable = watchers
             .iter()
             .find(|w| !self.avoided.contains_key(&w.peers));
-        if let Some(watcher) = usable {
-            return Source::Host(watcher.peers);
+        if usable.is_none() {
+            self.record_none(now);
         }
-        let since = *self.without_since.get_or_insert(now);
-        let wait = MAX_TIME_WITHOUT_SOURCE.mul_f64(self.rng.random_range(1.0..2.0));
-        let at = self.next_store_attempt.max(since + wait);
-        if now >= at {
+        // Hosts that are asked one after the other may take longer to fail than a host is passed over.
+        let at = self.ask_store_at.map(|at| at.max(self.next_store_attempt));
+        if at.is_some_and(|at| now >= at) {
             self.next_store_attempt = now + STORE_RETRY_INTERVAL;
             return Source::Store;
         }
+        if let Some(watcher) = usable {
+            return Source::Host(watcher.peers);
+        }
+        let at = at.unwrap_or(now);
         let soonest = self.avoided.values().min().copied().unwrap_or(at);
         Source::NoneUntil(soonest.min(at))
     }
@@ -130,18 +133,23 @@
     /// Whether sources were asked and none has answered since.
     #[must_use]
     pub fn is_without(&self) -> bool {
-        self.without_since.is_some()
+        self.ask_store_at.is_some()
     }
 
     /// Records an answer of a source.
     pub fn answered(&mut self) {
         self.begun = true;
-        self.without_since = None;
+        self.ask_store_at = None;
+    }
+
+    fn record_none(&mut self, now: Now) {
+        let wait = MAX_TIME_WITHOUT_SOURCE.mul_f64(self.rng.random_range(1.0..2.0));
+        self.ask_store_at.get_or_insert(now + wait);
     }
 
     /// Records that a source did not answer, or could not.
     pub fn failed(&mut self, now: Now, source: Source) {
-        self.without_since.get_or_insert(now);
+        self.record_none(now);
         if let Source::Host(address) = source {
             self.avoided.insert(address, now + AVOID_TIME);
         }
--- a/crates/core/src/gateway/tests/sources.rs
+++ b/crates/core/src/gateway/tests/sources.rs
@@ -118,6 +118,36 @@
     assert!(calls <= 5, "{calls} calls in 10 s");
 }
 
+/// Guards against a host that asks one silent host after the other and never the store.
+#[test]
+fn a_host_whose_watchers_fall_silent_one_after_the_other_asks_the_store() {
+    let hosts: Vec<PeerRecord> = (0..60).map(|n| host(n, 3)).collect();
+    let members: Vec<&PeerRecord> = hosts.iter().collect();
+    let order = watchers(&hosts[0], &members);
+    let local = hosts
+        .iter()
+        .find(|h| order.iter().all(|w| w.host != h.host))
+        .unwrap();
+    let time_limit = ms(1_400);
+    // The first host, the longest wait, and the host that is asked when it ends.
+    let limit = time_limit + ms(3_000) + time_limit;
+    for seed in 0..50 {
+        let mut sources = Sources::new(ms(0), true, seed);
+        let mut now = ms(5_000);
+        loop {
+            match sources.choose(now, local, &members) {
+                Source::Host(address) => {
+                    now += time_limit;
+                    sources.failed(now, Source::Host(address));
+                }
+                Source::NoneUntil(at) => now = at.max(now + ms(1)),
+                Source::Store => break,
+            }
+            assert!(now <= ms(5_000) + limit, "the store is not asked");
+        }
+    }
+}
+
 /// Guards against a server that left, or a key that was withdrawn, while a host was down: another
 /// host's copy may be older than the store.
 #[test]
