--- a/crates/net/src/gateway/exchange.rs
+++ b/crates/net/src/gateway/exchange.rs
@@ -255,6 +255,7 @@
             .with("own_in_flight", reasons.in_flight)
             .with("registry", reasons.registry)
             .with("registry_age_ms", reasons.registry_age)
+            .with("lapsed", u32::from(reasons.lapsed))
             .with("leaves_in_ms", self.time_to_departure())
             .with("resume_after", resume_after.unwrap_or_default());
         self.shared.timeline.record(event);
@@ -303,13 +304,8 @@
             );
             Outcome::Unreachable
         })?;
-        if !self
-            .shared
-            .core()
-            .notices
-            .may_send(self.shared.now(), upstream)
-        {
-            let detail = "not sent: the upstream leaves or wants no requests";
+        if !self.shared.core().may_send(self.shared.now(), upstream) {
+            let detail = "not sent: the upstream has left, leaves or wants no requests";
             self.record_dropped_answer(&upstream.id, detail);
             self.shared.metrics.request_moved();
             return Err(Outcome::Moved);
