--- a/crates/core/src/gateway/departure.rs
+++ b/crates/core/src/gateway/departure.rs
@@ -15,7 +15,7 @@
 /// Shortest time that an upstream needs to begin a stream.
 const MIN_BEGIN_TIME: Duration = Duration::from_millis(100);
 
-/// The time for which the caller of a stream waits.
+/// Time for which a caller waits for the next event of a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Departure {
     /// Time without an event after which the caller leaves; `None` for answers that are no stream.
@@ -55,7 +55,7 @@
         self.has_event
     }
 
-    /// When the caller leaves unless it gets an event before; `None` if that makes no difference to it.
+    /// When the caller leaves unless it gets an event before; `None` for answers that are no stream.
     #[must_use]
     pub fn at(&self) -> Option<Now> {
         self.patience.map(|p| self.served_at + p)
--- a/crates/core/src/gateway/silence.rs
+++ b/crates/core/src/gateway/silence.rs
@@ -28,10 +28,10 @@
 const BEGUN_SHARE_OF_PATIENCE: f64 = 0.5;
 /// The same for a stream without an event, from the time at which it was sent.
 const NEW_SHARE_OF_PATIENCE: f64 = 0.5;
-/// Share of a caller's patience that another upstream needs to begin its stream.
-const MOVE_SHARE_OF_PATIENCE: f64 = 0.4;
 /// The same at an upstream that has not been heard of since it stood still.
 const TRIAL_SHARE_OF_PATIENCE: f64 = 0.25;
+/// Share of a caller's patience that another upstream needs to begin its stream.
+const MOVE_SHARE_OF_PATIENCE: f64 = 0.4;
 /// Time without a sign after which an upstream gets no new requests.
 const SUSPECT_TIME: Duration = Duration::from_millis(300);
 /// Multiple of an upstream's usual time between signs after which it is silent, if that is longer.
