--- a/crates/core/src/platform/pages.rs
+++ b/crates/core/src/platform/pages.rs
@@ -1,3 +1,5 @@
+//! Lists of objects that are read page by page.
+
 use std::collections::BTreeMap;
 
 use super::StoredObject;
--- a/crates/net/src/wire/sse.rs
+++ b/crates/net/src/wire/sse.rs
@@ -45,8 +45,8 @@
         Some(parse(raw))
     }
 
-    /// Whether more than an event may have is buffered. If [`Self::next_event`] has just returned `None`, the
-    /// stream is then malformed.
+    /// Whether more is buffered than one event may have. If [`Self::next_event`] has just returned `None`,
+    /// the stream is then malformed.
     #[must_use]
     pub fn is_oversized(&self) -> bool {
         self.buf.len() > MAX_EVENT_BYTES
--- a/crates/standins/tests/gateway/crowded_ends.rs
+++ b/crates/standins/tests/gateway/crowded_ends.rs
@@ -21,8 +21,8 @@
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 /// Times that it may reach replicas after that.
 const MAX_LATE_ARRIVALS: usize = 3;
-/// Checks for ended replicas that a gateway runs at the same time.
-const MAX_CHECKED: usize = 32;
+/// Requests in flight at a replica from which on it counts as crowded.
+const CROWD: usize = 32;
 const LENGTH: Duration = Duration::from_secs(20);
 
 /// When replicas ended, with the number of other requests that each had in flight.
@@ -99,7 +99,7 @@
     let late = late.count();
     let in_flight: Vec<usize> = ends.iter().map(|(_, held)| *held).collect();
     assert!(
-        in_flight[..3].iter().all(|n| *n > MAX_CHECKED),
+        in_flight[..3].iter().all(|n| *n > CROWD),
         "requests in flight: {in_flight:?}"
     );
     assert!(
