review: a request that crashes replicas after a few events is never refused

Cause: a request counts as sound from its third event on, and whether its upstream ended is only looked at for requests with fewer.

--- a/review/standins/src/gateway.rs
+++ b/review/standins/src/gateway.rs
@@ -1,5 +1,6 @@
 //! Settings, configuration and readiness of gateways, and a plain service behind them.
 
+use std::io::Write;
 use std::net::{IpAddr, SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -162,6 +163,9 @@
             key: request.header("x-tenant").to_owned(),
             at: Instant::now(),
         });
+        if let Some(shape) = request.path.strip_prefix("/draft/") {
+            return self.stream(writer, request, &echo, shape);
+        }
         std::thread::sleep(work);
         let length = request
             .path
@@ -174,6 +178,31 @@
         http::respond(writer, 200, &extra, &body)
     }
 
+    /// Answers with a stream; `shape` is the number of its events and the milliseconds before each.
+    fn stream(
+        &self,
+        writer: &mut std::net::TcpStream,
+        request: &Request,
+        echo: &str,
+        shape: &str,
+    ) -> std::io::Result<()> {
+        let (events, pause_ms) = shape.split_once('/').unwrap_or((shape, "30"));
+        let (events, pause_ms) = (events.parse().unwrap_or(10), pause_ms.parse().unwrap_or(30));
+        write!(
+            writer,
+            "HTTP/1.1 200 OK\r\n{echo}X-Signature: {}.{events}\r\nContent-Type: text/event-stream\r\n\
+             Transfer-Encoding: chunked\r\n\r\n",
+            self.id
+        )?;
+        let after: u64 = request.header("last-event-id").parse().unwrap_or(0);
+        for event in after + 1..=events {
+            std::thread::sleep(Duration::from_millis(pause_ms));
+            let text = format!("id: {event}\ndata: piece {event}\n\n");
+            write!(writer, "{:x}\r\n{text}\r\n", text.len())?;
+        }
+        writer.write_all(b"0\r\n\r\n")
+    }
+
     /// Entry in the platform's store.
     pub fn entry(&self, state: &str, cold_left_ms: u64) -> Value {
         json!({
