--- a/review/standins/src/bin/silent.rs
+++ b/review/standins/src/bin/silent.rs
@@ -14,7 +14,7 @@
 use eelgrasshold_review::http::{Reader, parse_head};
 use eelgrasshold_review::proxy::Proxy;
 use eelgrasshold_review::store::Store;
-use eelgrasshold_review::{loopback, not_run, record, trouble};
+use eelgrasshold_review::{loopback, not_run, record, trouble, unix_ms};
 
 const REPLICAS: usize = 8;
 const CALLERS: usize = 6;
@@ -121,16 +121,19 @@
         }
         new
     });
-    // In the middle of the release, just after a watch was answered.
+    // In the middle of the release, just after a watch was answered; with ANY_MOMENT at a moment that has
+    // nothing to do with it.
     thread::sleep(Duration::from_millis(3_200));
     let from = Instant::now();
-    while !proxies[0].answered_at().is_some_and(|at| at > from) {
+    let any_moment = std::env::var("ANY_MOMENT").is_ok();
+    while !any_moment && !proxies[0].answered_at().is_some_and(|at| at > from) {
         if from.elapsed() > Duration::from_secs(10) {
             not_run("no watch is answered");
         }
         thread::sleep(Duration::from_millis(2));
     }
-    thread::sleep(Duration::from_millis(20));
+    let pause = if any_moment { unix_ms() % 600 } else { 20 };
+    thread::sleep(Duration::from_millis(pause));
     let silent_at = Instant::now();
     if trouble() {
         proxies.iter().for_each(Proxy::silence);
--- a/review/standins/src/bin/uploads.rs
+++ b/review/standins/src/bin/uploads.rs
@@ -1,5 +1,5 @@
-//! Callers send bodies of 4 MB, which is within `max_body_bytes` of the sheet, to two gateways. In a burst
-//! there are 1.7 times as many callers for 3 s. The platform kills a process whose memory is over
+//! Callers ask two gateways for streams with bodies of 4 MB, which is within `max_body_bytes` of the sheet.
+//! In a burst there are 1.7 times as many callers for 3 s. The platform kills a process whose memory is over
 //! `memory_mb`, and starts it again. Judges whether that happens three times at both machines.
 
 use std::io::{Read, Write};
@@ -14,6 +14,7 @@
 use eelgrasshold_review::http::parse_head;
 use eelgrasshold_review::store::Store;
 use eelgrasshold_review::{loopback, not_run, record, trouble};
+use serde_json::json;
 
 const BODY: usize = 4_000_000;
 const MEMORY_MB: u64 = 260;
@@ -28,36 +29,58 @@
 const CHUNK: usize = 64 << 10;
 
 /// The link of a gateway, which its callers share.
-struct Link(Mutex<Instant>);
+struct Link {
+    free_at: Mutex<Instant>,
+    /// The longest time for which a packet waited there.
+    longest: Mutex<Duration>,
+}
 
 impl Link {
+    fn new() -> Self {
+        Self {
+            free_at: Mutex::new(Instant::now()),
+            longest: Mutex::default(),
+        }
+    }
+
+    /// Passes bytes; returns when they have passed.
     fn pass(&self, bytes: usize) {
+        let now = Instant::now();
         let until = {
-            let mut free_at = self.0.lock().unwrap();
-            *free_at =
-                (*free_at).max(Instant::now()) + Duration::from_secs_f64(bytes as f64 / LINK);
+            let mut free_at = self.free_at.lock().unwrap();
+            *free_at = (*free_at).max(now) + Duration::from_secs_f64(bytes as f64 / LINK);
             *free_at
         };
+        let mut longest = self.longest.lock().unwrap();
+        *longest = (*longest).max(until - now);
+        drop(longest);
         thread::sleep(until.saturating_duration_since(Instant::now()));
     }
 }
 
-fn upload(front: SocketAddr, link: &Link, id: &str, body: &[u8]) -> std::io::Result<u16> {
+/// Sends a request and reads its answer; returns the status and whether the answer is whole.
+fn upload(front: SocketAddr, link: &Link, id: &str, body: &[u8]) -> std::io::Result<(u16, bool)> {
     let mut stream = TcpStream::connect(front)?;
-    stream.set_read_timeout(Some(Duration::from_secs(6)))?;
-    stream.set_write_timeout(Some(Duration::from_secs(6)))?;
+    stream.set_read_timeout(Some(Duration::from_secs(9)))?;
+    stream.set_write_timeout(Some(Duration::from_secs(9)))?;
     let head = format!(
-        "POST /ledger/lot/800 HTTP/1.1\r\nHost: fair.example\r\nX-Request-Id: {id}\r\n\
-         X-Deadline-Ms: 5000\r\nApi-Key: key-1\r\nContent-Length: {BODY}\r\n\r\n"
+        "POST /draft/10/30 HTTP/1.1\r\nHost: fair.example\r\nX-Request-Id: {id}\r\n\
+         X-Deadline-Ms: 8000\r\nApi-Key: key-1\r\nContent-Length: {BODY}\r\n\r\n"
     );
     stream.write_all(head.as_bytes())?;
     for chunk in body.chunks(CHUNK) {
-        stream.write_all(chunk)?;
         link.pass(chunk.len());
+        stream.write_all(chunk)?;
+    }
+    let (mut answer, mut chunk) = (Vec::new(), [0; 4_096]);
+    loop {
+        let read = stream.read(&mut chunk)?;
+        answer.extend_from_slice(&chunk[..read]);
+        let whole = answer.ends_with(b"\r\n0\r\n\r\n");
+        if whole || read == 0 || !answer.starts_with(b"HTTP/1.1 200") {
+            return Ok((parse_head(&String::from_utf8_lossy(&answer)).0, whole));
+        }
     }
-    let mut answer = [0; 4_096];
-    let read = stream.read(&mut answer)?;
-    Ok(parse_head(&String::from_utf8_lossy(&answer[..read])).0)
 }
 
 fn main() {
@@ -69,11 +92,11 @@
     let ips = [loopback(10), loopback(11)];
     let all = listen_on(&ips);
     let store = Store::start();
-    store.put(
-        "config",
-        "main",
-        config(3, &[route("/ledger/", "unsafe", 5_000)], &["key-1"]),
-    );
+    let mut drafts = route("/draft/", "stream", 8_000);
+    drafts["resumable"] = json!(true);
+    drafts["target_latency_ms"] = json!(400);
+    drafts["gap_target_ms"] = json!(120);
+    store.put("config", "main", config(3, &[drafts], &["key-1"]));
     for n in 0..6 {
         let replica = Replica::start(&format!("i-{n}"), Duration::from_millis(30));
         store.put("servers", &replica.id, replica.entry("ready", 0));
@@ -91,8 +114,10 @@
     let counts: Arc<Mutex<[u64; 3]>> = Arc::default();
     let body: Arc<Vec<u8>> = Arc::new((0..BODY).map(|n| b'a' + (n % 26) as u8).collect());
     let most = (CALLERS as f64 * BURST) as usize;
+    let mut links = Vec::new();
     for gateway in 0..2 {
-        let link = Arc::new(Link(Mutex::new(Instant::now())));
+        let link = Arc::new(Link::new());
+        links.push(Arc::clone(&link));
         for caller in 0..most {
             let (link, ends, body) = (Arc::clone(&link), Arc::clone(&ends), Arc::clone(&body));
             let (allowed, counts) = (Arc::clone(&allowed), Arc::clone(&counts));
@@ -112,8 +137,8 @@
                     let status = upload(front, &link, &id, &body);
                     record::line(&format!("caller gets {status:?} for {id}"));
                     let kind = match status {
-                        Ok(200) => 0,
-                        Ok(status) if status > 0 => 1,
+                        Ok((200, true)) => 0,
+                        Ok((status, _)) if status > 0 && status != 200 => 1,
                         _ => 2,
                     };
                     counts.lock().unwrap()[kind] += 1;
@@ -168,6 +193,19 @@
     record::say(&format!(
         "peaks of memory {peaks:?} MB, killed {kills:?} times"
     ));
+    let longest = links
+        .iter()
+        .map(|l| *l.longest.lock().unwrap())
+        .max()
+        .unwrap_or_default();
+    record::say(&format!(
+        "longest wait of a packet at a link {:.3} s",
+        longest.as_secs_f64()
+    ));
+    // Machines at whose links packets wait for over half a second count as slowed.
+    if longest > Duration::from_millis(500) {
+        not_run("the links were choked");
+    }
     if served == 0 {
         not_run("nothing was served");
     }
