Hold a request open until its answer is written to its caller

Cause: a request was open until its response was built. The shutdown then waited 0.8 s for connections.

Change: the body of each response carries the mark of its open request, and hands it to its connection at its end; hyper flushes the connection when its own buffers are empty, and the mark ends there. The shutdown waits for it, up to `drain_limit_s`.

A test with a whole gateway and a caller at 0.5 MB/s was tried and not kept: the system's own buffers take an answer of 3.3 MB, so it also passes on.

--- a/crates/net/src/gateway/callers.rs
+++ b/crates/net/src/gateway/callers.rs
@@ -14,8 +14,9 @@
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::CancellationToken;
 
+use super::delivery::{FollowedStream, Unwritten};
 use super::intake;
-use super::shared::Shared;
+use super::shared::{OpenRequest, Shared};
 use crate::connect::{ACCEPT_RETRY_DELAY, SharedStream, close_listener, detect_dead_peer, may_end};
 
 /// Smallest connection buffer that hyper accepts, in bytes.
@@ -104,10 +105,13 @@
         request_began: Notify::new(),
         last_request_end: Mutex::new(shared.now()),
     });
+    let unwritten = Unwritten::new();
     let service = {
         let (shared, activity) = (Arc::clone(&shared), Arc::clone(&activity));
+        let unwritten = unwritten.clone();
         service_fn(move |request| {
             let (shared, activity) = (Arc::clone(&shared), Arc::clone(&activity));
+            let (unwritten, open_request) = (unwritten.clone(), OpenRequest::new(&shared));
             activity.in_flight.fetch_add(1, Ordering::Relaxed);
             activity.request_began.notify_one();
             async move {
@@ -119,7 +123,7 @@
                 }
                 activity.in_flight.fetch_sub(1, Ordering::Relaxed);
                 activity.record_request_end(shared.now());
-                Ok::<_, Infallible>(response)
+                Ok::<_, Infallible>(unwritten.follow(response, open_request))
             }
         })
     };
@@ -129,7 +133,8 @@
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
         .header_read_timeout(limits.header_timeout + limits.idle_timeout);
     let stream = SharedStream::new(stream);
-    let connection = builder.serve_connection(TokioIo::new(stream.clone()), service);
+    let written = FollowedStream::new(stream.clone(), unwritten);
+    let connection = builder.serve_connection(TokioIo::new(written), service);
     tokio::pin!(connection);
     let caller_gone = stream.ended();
     tokio::pin!(caller_gone);
--- a/crates/net/src/gateway/exchange.rs
+++ b/crates/net/src/gateway/exchange.rs
@@ -20,7 +20,7 @@
 use super::intake::refuse;
 use super::pool::idle_limit;
 use super::relay::Relay;
-use super::shared::{OpenRequest, Shared};
+use super::shared::Shared;
 use super::{notices, permits};
 use crate::http::{Body, Sender, full};
 use crate::wire::headers::{remove_hop_by_hop, text, value};
@@ -71,7 +71,6 @@
     body: Bytes,
     /// The end of the request was recorded.
     settled: bool,
-    _open_request: OpenRequest,
 }
 
 impl Exchange {
@@ -80,7 +79,6 @@
         admitted: Admitted,
         parts: request::Parts,
         body: Bytes,
-        open_request: OpenRequest,
     ) -> Self {
         let mut headers = parts.headers;
         remove_hop_by_hop(&mut headers);
@@ -101,7 +99,6 @@
             headers,
             body,
             settled: false,
-            _open_request: open_request,
         }
     }
 
--- a/crates/net/src/gateway/intake.rs
+++ b/crates/net/src/gateway/intake.rs
@@ -12,7 +12,7 @@
 use hyper::body::Incoming;
 
 use super::exchange::Exchange;
-use super::shared::{OpenRequest, Shared};
+use super::shared::Shared;
 use crate::http::{Body, BodyError, collect, full};
 use crate::wire::headers::{parsed, text, value};
 use crate::wire::problem_response;
@@ -26,7 +26,6 @@
 
 /// Serves a request of a caller, up to the response or the refusal.
 pub(super) async fn serve(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
-    let open_request = OpenRequest::new(&shared);
     let (parts, body) = request.into_parts();
     let id = text(&parts.headers, &names::REQUEST_ID).unwrap_or_default();
     let admitted = admit(&shared, id, &parts.uri, &parts.headers);
@@ -45,9 +44,7 @@
     match admitted {
         Ok((mut admitted, body)) => {
             admitted.set_content(content_of(&parts, &body));
-            Exchange::new(shared, admitted, parts, body, open_request)
-                .run()
-                .await
+            Exchange::new(shared, admitted, parts, body).run().await
         }
         Err(refusal) => refuse(&shared, &refusal, id),
     }
--- a/crates/net/src/gateway/mod.rs
+++ b/crates/net/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod buffer;
 mod callers;
 mod copies;
+mod delivery;
 mod directory;
 mod ends;
 mod exchange;
--- a/crates/net/src/gateway/shared.rs
+++ b/crates/net/src/gateway/shared.rs
@@ -57,7 +57,7 @@
     pub(super) draining: AtomicBool,
     /// The graceful shutdown, once it has begun.
     pub(super) shutdown: OnceLock<Shutdown>,
-    /// Number of requests that are being served.
+    /// Number of requests whose answers are not written to the end.
     pub(super) open_requests: AtomicUsize,
     /// Notified when the number of open requests drops to 0.
     pub(super) requests_ended: Notify,
@@ -186,7 +186,7 @@
     }
 }
 
-/// Counts a request as open until dropped.
+/// Counts a request as open until dropped, which is when its answer is written.
 pub(super) struct OpenRequest(Arc<Shared>);
 
 impl OpenRequest {
