Take a request for sound only when it was answered whole

What callers saw: a request that crashes each replica after its first few events was never refused.

Cause: progress counted as proof. From the third event on, a request was reported as sound, which also dropped what was counted against it, and an end of the upstream was looked for only before. The same holds for other signs that show less than was read into them: the rest of a stream that another upstream supplies, and a whole answer after which the upstream ends.

Change: each attempt that breaks off is checked. An end in the midst of an answer counts, but less than one at its beginning: three for a request, four for a part. A whole answer shows parts to be sound, and the request as a whole if the upstream lives on for 0.75 s; the rest of a resumed stream does if it is longer than what broke off before. An upstream that refuses a connection, or closes idle ones and refuses the next, has also ended under the requests that have just left it. Ruled out: a higher number of events, as any number may be reached; to count whole requests by completion only, as their answers tell nothing if the upstream ends right after.

Tried and dropped: to hold parts back for 0.75 s too.

--- a/crates/core/src/gateway/quarantine/mod.rs
+++ b/crates/core/src/gateway/quarantine/mod.rs
@@ -8,9 +8,12 @@
 //! same ends.
 //!
 //! Most features of such a request are innocent, and so are most requests that an ending upstream had
-//! just begun to answer. Three rules keep them in use:
+//! just begun to answer. Some rules keep them in use:
 //!
-//! - A feature is sound if a request with it was answered shortly before the end or at any time after.
+//! - A feature is sound if a request with it was answered whole shortly before the end or at any time after,
+//!   and the upstream lived on. That it went on for a while, or that another upstream did the rest, shows nothing.
+//! - Most requests at an upstream that ends have been there for a while. Such ends count less than those of
+//!   upstreams that had just begun an answer.
 //! - If several parts are the only ones that explain the same ends, requests are refused that have
 //!   all of them. Any further end under other features, or an answer, tells them apart.
 //! - A request that explains the ends itself is refused alone, and its parts are not.
@@ -20,6 +23,7 @@
 //! same time, and hosts that can't hear each other may still reach the store. Such hosts write there what
 //! they know of ends and answers as well.
 
+mod recent;
 mod report;
 mod stored;
 
@@ -34,6 +38,7 @@
 use crate::rendezvous;
 use crate::types::Now;
 
+use recent::Recent;
 pub use report::Report;
 use stored::Stored;
 
@@ -44,7 +49,7 @@
 
 /// Distance between two ends that are no single incident, such as the loss of a rack.
 const INCIDENT_GAP: Duration = Duration::from_secs(1);
-/// Incidents after which a feature is refused, of upstreams that had sent the head of an answer.
+/// Incidents after which a feature is refused, of upstreams that had just begun an answer.
 const MIN_INCIDENTS: usize = 2;
 /// Ends after which a part is refused in any case.
 const MIN_ENDS: usize = 4;
@@ -133,8 +138,8 @@
 struct End {
     upstream: UpstreamId,
     at: Now,
-    /// Whether the upstream had sent the head of its answer.
-    has_head: bool,
+    /// Whether the upstream had begun to answer just before.
+    at_begin: bool,
 }
 
 impl End {
@@ -203,6 +208,7 @@
     era: Era,
     rng: SmallRng,
     stored: Stored,
+    recent: Recent,
 }
 
 impl Quarantine {
@@ -220,6 +226,7 @@
             era: 0,
             rng: SmallRng::seed_from_u64(seed),
             stored: Stored::default(),
+            recent: Recent::default(),
         }
     }
 
@@ -245,13 +252,14 @@
         self.entries.is_empty()
     }
 
-    /// Records that an upstream ended under a request of this host.
+    /// Records that an upstream ended under a request of this host. `at_begin` tells that it had begun to
+    /// answer it just before.
     pub fn record_end(
         &mut self,
         now: Now,
         at: Now,
         upstream: &str,
-        has_head: bool,
+        at_begin: bool,
         features: &[FeatureId],
     ) {
         let doubtful = features.iter().copied().filter(|f| !self.is_sound(*f, at));
@@ -260,7 +268,7 @@
         let end = End {
             upstream: upstream.to_owned(),
             at,
-            has_head,
+            at_begin,
         };
         self.count_end(&end, &features);
         self.announce(
@@ -268,13 +276,13 @@
             Report::End {
                 upstream: end.upstream,
                 age: now.saturating_sub(at),
-                has_head,
+                at_begin,
                 features,
             },
         );
     }
 
-    /// Records that an upstream went on with a request of this host, or answered it.
+    /// Records that an upstream answered a request of this host, and lives.
     pub fn record_sound(&mut self, now: Now, features: &[FeatureId]) {
         let doubted: Vec<FeatureId> = features
             .iter()
@@ -301,7 +309,7 @@
                 Report::End {
                     upstream,
                     age,
-                    has_head,
+                    at_begin,
                     features,
                 } => {
                     let at = now.saturating_sub(age);
@@ -309,7 +317,7 @@
                     let end = End {
                         upstream,
                         at,
-                        has_head,
+                        at_begin,
                     };
                     self.count_end(&end, &features);
                 }
@@ -342,6 +350,7 @@
 
     /// Decides which features are refused, from the ends that are old enough.
     pub fn decide(&mut self, now: Now) {
+        self.judge_recent(now);
         self.judge_requests(now);
         let several =
             |(f, ends): &(&FeatureId, &Vec<End>)| !is_request(**f) && ends.len() >= MIN_INCIDENTS;
@@ -397,7 +406,7 @@
             due.map(|end| Report::End {
                 upstream: end.upstream.clone(),
                 age: now.saturating_sub(end.at),
-                has_head: end.has_head,
+                at_begin: end.at_begin,
                 // Features of different requests would read as those of one.
                 features: vec![*feature],
             })
@@ -556,7 +565,7 @@
             }
             let ends = self.suspects.entry(*feature).or_default();
             match ends.iter_mut().find(|e| e.is_same(&end.upstream, end.at)) {
-                Some(known) => known.has_head |= end.has_head,
+                Some(known) => known.at_begin |= end.at_begin,
                 None => ends.push(end.clone()),
             }
         }
@@ -595,7 +604,7 @@
     }
 
     /// The settled ends that are enough to refuse a feature, and whether only those count whose
-    /// upstream had sent the head of an answer; `None` if they are not enough.
+    /// upstream had just begun an answer; `None` if they are not enough.
     fn counted_ends(
         &self,
         now: Now,
@@ -605,9 +614,9 @@
         let known = self.suspects.get(&feature).into_iter().flatten();
         let settled = known.filter(|e| now >= e.at + SETTLE_TIME);
         let known: Vec<End> = settled.cloned().collect();
-        let begun: Vec<End> = known.iter().filter(|e| e.has_head).cloned().collect();
-        let needs_head = incidents(&begun) >= MIN_INCIDENTS;
-        match (needs_head, known.len() >= min_ends) {
+        let begun: Vec<End> = known.iter().filter(|e| e.at_begin).cloned().collect();
+        let needs_begin = incidents(&begun) >= MIN_INCIDENTS;
+        match (needs_begin, known.len() >= min_ends) {
             (true, _) => Some((begun, true)),
             (false, true) => Some((known, false)),
             (false, false) => None,
@@ -616,13 +625,13 @@
 
     /// Refuses a part if enough ends speak against it, with all others that explain them as well.
     fn judge(&mut self, now: Now, feature: FeatureId) {
-        let Some((ends, needs_head)) = self.counted_ends(now, feature, MIN_ENDS) else {
+        let Some((ends, needs_begin)) = self.counted_ends(now, feature, MIN_ENDS) else {
             return;
         };
         let explains = |known: &[End]| {
             let has = |end: &End| {
                 let mut same = known.iter().filter(|e| e.is_same(&end.upstream, end.at));
-                same.any(|e| e.has_head || !needs_head)
+                same.any(|e| e.at_begin || !needs_begin)
             };
             ends.iter().all(has)
         };
--- a/crates/core/src/gateway/quarantine/report.rs
+++ b/crates/core/src/gateway/quarantine/report.rs
@@ -21,8 +21,8 @@
         upstream: UpstreamId,
         /// Time since it ended.
         age: Duration,
-        /// Whether it had sent the head of its answer.
-        has_head: bool,
+        /// Whether it had begun to answer just before.
+        at_begin: bool,
         /// Features of the request.
         features: Vec<FeatureId>,
     },
--- a/crates/core/src/gateway/quarantine/stored.rs
+++ b/crates/core/src/gateway/quarantine/stored.rs
@@ -59,7 +59,7 @@
                 reports.push(Report::End {
                     upstream: end.upstream.clone(),
                     age: now.saturating_sub(end.at),
-                    has_head: end.has_head,
+                    at_begin: end.at_begin,
                     features: vec![feature],
                 });
             }
@@ -94,14 +94,14 @@
                 Report::End {
                     upstream,
                     age,
-                    has_head,
+                    at_begin,
                     features,
                 } if age < MAX_STORED_AGE => {
                     let at = now.saturating_sub(age);
                     let end = End {
                         upstream,
                         at,
-                        has_head,
+                        at_begin,
                     };
                     let new = features.iter().copied().filter(|f| !self.knows(*f, &end));
                     let new: Vec<FeatureId> = new.collect();
--- a/crates/core/src/gateway/state/mod.rs
+++ b/crates/core/src/gateway/state/mod.rs
@@ -211,6 +211,7 @@
             failed_connections: 0,
             stalled: false,
             last_outcome: None,
+            broken_after: None,
             permit: None,
             charged_at: None,
             last_charge: None,
--- a/crates/core/src/gateway/state/request.rs
+++ b/crates/core/src/gateway/state/request.rs
@@ -74,6 +74,8 @@
     pub stalled: bool,
     /// How the last attempt ended.
     pub last_outcome: Option<Outcome>,
+    /// Largest number of events of an attempt that broke off; `None` if none did.
+    pub broken_after: Option<u32>,
     /// Upstream with a limit that it may be sent to.
     pub(super) permit: Option<UpstreamId>,
     /// When the budget of repeated sends was charged for the next send, if it was.
@@ -209,6 +211,19 @@
         }
     }
 
+    /// Records that an attempt broke off after this number of events.
+    pub fn record_break(&mut self, events: u32) {
+        self.broken_after = self.broken_after.max(Some(events));
+    }
+
+    /// Whether an attempt with this number of events that was answered shows that the request is sound. If
+    /// another upstream may have ended under it, the rest of its stream shows that only if it is longer than
+    /// what that upstream had supplied.
+    #[must_use]
+    pub fn is_shown_sound(&self, events: u32) -> bool {
+        !self.route.kind.is_stream() || self.broken_after.is_none_or(|broken| events > broken)
+    }
+
     /// Records that a send did not reach the upstream: it uses none of the route's attempts, and what the
     /// budget was charged for it is given back for the next one.
     fn record_unsent(&mut self, upstream: &str) {
@@ -218,6 +233,20 @@
 }
 
 impl Outcome {
+    /// Whether the upstream may have run the request.
+    #[must_use]
+    pub fn may_have_run(self) -> bool {
+        !matches!(
+            self,
+            Self::Full
+                | Self::Declined
+                | Self::Moved
+                | Self::Stalled
+                | Self::Misdirected
+                | Self::Unreachable
+        )
+    }
+
     /// Name, for logs and metrics.
     #[must_use]
     pub fn name(self) -> &'static str {
--- a/crates/core/src/gateway/tests/quarantine.rs
+++ b/crates/core/src/gateway/tests/quarantine.rs
@@ -443,7 +443,7 @@
                 Report::End {
                     upstream: "u-2".to_owned(),
                     age: time,
-                    has_head: true,
+                    at_begin: true,
                     features: features.clone(),
                 },
                 Report::Sound {
@@ -696,3 +696,60 @@
     second.receive_stored(ms(9_100), written);
     assert!(!is_refused(&second, ms(9_100), &[shared]));
 }
+
+/// Ends upstreams under a request a while after they began to answer it, and decides.
+fn ended_late(quarantine: &mut Quarantine, ends: &[(u64, &str)], request: FeatureId) {
+    for (at, upstream) in ends {
+        quarantine.record_end(ms(*at), ms(*at), upstream, false, &[request]);
+        quarantine.decide(ms(*at) + SETTLED);
+    }
+}
+
+// Guards against a request that upstreams go on with for a while before they end under it.
+#[test]
+fn a_request_is_refused_after_three_ends_in_the_midst_of_answers() {
+    let fatal = request_feature("drafts", 7);
+    let mut quarantine = Quarantine::new(1);
+    ended_late(&mut quarantine, &[(0, "u-1"), (2_000, "u-2")], fatal);
+    assert!(!is_refused(&quarantine, ms(3_300), &[fatal]));
+    ended_late(&mut quarantine, &[(4_000, "u-3")], fatal);
+    assert!(is_refused(&quarantine, ms(5_300), &[fatal]));
+}
+
+// Guards against a request that counts as sound since it was answered, although the upstream ended right
+// after, and against one that does not although its upstream lives on.
+#[test]
+fn an_answer_shows_a_request_to_be_sound_if_the_upstream_outlives_it() {
+    let request = request_feature("drafts", 7);
+    let mut quarantine = Quarantine::new(1);
+    for n in 0..3 {
+        let (at, upstream) = (ms(3_000 * n), format!("u-{n}"));
+        quarantine.record_left(at, &upstream, &[request], true);
+        let end = at + ms(200);
+        assert!(quarantine.has_left_recently(end, &upstream));
+        quarantine.record_upstream_end(end, end, &upstream);
+        quarantine.decide(end + SETTLED);
+    }
+    assert!(is_refused(&quarantine, ms(7_500), &[request]));
+    quarantine.record_left(ms(8_000), "u-4", &[request], true);
+    quarantine.record_upstream_end(ms(8_100), ms(8_100), "u-5");
+    quarantine.decide(ms(8_200));
+    assert!(is_refused(&quarantine, ms(8_200), &[request]));
+    quarantine.decide(ms(9_000));
+    assert!(!is_refused(&quarantine, ms(9_000), &[request]));
+}
+
+// Guards against attempts that were given up just before their upstreams ended and count for nothing, or for
+// sound.
+#[test]
+fn an_upstream_ends_under_requests_that_were_given_up_just_before() {
+    let request = request_feature("drafts", 7);
+    let mut quarantine = Quarantine::new(1);
+    for n in 0..3 {
+        let (at, upstream) = (ms(3_000 * n), format!("u-{n}"));
+        quarantine.record_left(at, &upstream, &[request], false);
+        quarantine.record_upstream_end(at + ms(300), at + ms(300), &upstream);
+        quarantine.decide(at + ms(300) + SETTLED);
+    }
+    assert!(is_refused(&quarantine, ms(8_000), &[request]));
+}
--- a/crates/core/src/gateway/tests/requests.rs
+++ b/crates/core/src/gateway/tests/requests.rs
@@ -380,3 +380,18 @@
     gateway.registry.remove(ms(2), &chosen.id, 9);
     assert!(gateway.may_send(ms(400), &chosen));
 }
+
+// Guards against a request that counts as sound since a second upstream supplied the short rest of a stream
+// under which the first one ended.
+#[test]
+fn the_rest_of_a_stream_shows_a_request_to_be_sound_only_if_it_is_the_longer_part() {
+    let mut gateway = gateway(2);
+    let mut stream = admit(&mut gateway, ms(0), "/s/x");
+    assert!(stream.is_shown_sound(1));
+    stream.record_break(4);
+    assert!(!stream.is_shown_sound(4));
+    assert!(stream.is_shown_sound(5));
+    let mut plain = admit(&mut gateway, ms(0), "/safe/x");
+    plain.record_break(0);
+    assert!(plain.is_shown_sound(0), "an answer in one piece is whole");
+}
--- a/crates/net/src/gateway/ends.rs
+++ b/crates/net/src/gateway/ends.rs
@@ -1,7 +1,8 @@
 //! Finds out whether an upstream has ended under a request.
 //!
 //! An answer that breaks off does not tell: an upstream that lives may have cut it. One that has ended
-//! refuses connections until it is started again, which takes seconds.
+//! refuses connections until it is started again, which takes seconds. It may also end right after its answer,
+//! or when the attempt was given up: then its idle connections close, or it refuses the next one.
 //!
 //! The answers of all requests at an upstream break off when it ends, so they share its check.
 
@@ -11,6 +12,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use eelgrasshold_core::event::{Event, EventKind};
+use eelgrasshold_core::gateway::Gateway;
 use eelgrasshold_core::gateway::quarantine::FeatureId;
 use eelgrasshold_core::gateway::registry::{Born, Upstream, UpstreamId};
 use eelgrasshold_core::types::Now;
@@ -22,15 +24,15 @@
 /// Attempts to connect after which an upstream that does not respond counts as not checked.
 const MAX_ATTEMPTS: u32 = 2;
 
-/// A request whose answer broke off before or soon after its first event.
+/// A request whose answer broke off, or none if an upstream closed idle connections.
 #[derive(Debug)]
 pub(super) struct Ended {
     pub(super) upstream: Upstream,
     pub(super) request: String,
-    /// When the answer broke off.
+    /// When the answer broke off, or the connections were found closed.
     pub(super) at: Now,
-    /// Whether the head of the answer had arrived.
-    pub(super) has_head: bool,
+    /// Whether the upstream had just begun to answer.
+    pub(super) at_begin: bool,
     pub(super) features: Vec<FeatureId>,
 }
 
@@ -113,17 +115,18 @@
     }
 
     fn record(&self, shared: &Shared) {
+        let (now, upstream) = (shared.now(), &self.upstream.id);
         let event = Event::new(EventKind::SuspectNoted, "")
             .about_request(self.request.as_str())
             .with("upstream", self.upstream.id.as_str())
-            .with("head", u32::from(self.has_head))
+            .with("at_begin", u32::from(self.at_begin))
             .with("features", quarantine::feature_list(&self.features));
-        shared.timeline.record(event);
-        let (now, upstream) = (shared.now(), &self.upstream.id);
-        shared
-            .core()
-            .quarantine
-            .record_end(now, self.at, upstream, self.has_head, &self.features);
+        if !self.features.is_empty() {
+            shared.timeline.record(event);
+        }
+        let quarantine = &mut shared.core().quarantine;
+        quarantine.record_upstream_end(now, self.at, upstream);
+        quarantine.record_end(now, self.at, upstream, self.at_begin, &self.features);
     }
 
     fn record_unchecked(&self, shared: &Shared, error: &io::Error) {
@@ -146,7 +149,7 @@
         }
         match Pool::open(upstream.address).await {
             Ok(sender) => {
-                shared.keep_connection(&upstream.id, sender, None);
+                shared.keep_connection(&upstream, sender, None);
                 checks.drop_before(&target, count);
             }
             Err(error) if is_refusal(&error) => {
@@ -166,6 +169,44 @@
     }
 }
 
+/// Checks an upstream that has closed idle connections, if requests have just left it.
+pub(super) fn check_closed(shared: &Arc<Shared>, upstream: Upstream) {
+    let now = shared.now();
+    let is_due = {
+        let core = shared.core();
+        is_listed(&core, &upstream) && core.quarantine.has_left_recently(now, &upstream.id)
+    };
+    if is_due {
+        let ended = Ended {
+            upstream,
+            request: String::new(),
+            at: now,
+            at_begin: false,
+            features: Vec::new(),
+        };
+        ended.check(shared);
+    }
+}
+
+/// Records that an upstream has ended if it refused a connection.
+pub(super) fn record_refusal(shared: &Shared, upstream: &Upstream, error: &io::Error) {
+    if error.kind() != io::ErrorKind::ConnectionRefused {
+        return;
+    }
+    let now = shared.now();
+    let mut core = shared.core();
+    if is_listed(&core, upstream) {
+        let quarantine = &mut core.quarantine;
+        quarantine.record_upstream_end(now, now, &upstream.id);
+    }
+}
+
+/// Whether an upstream is listed and does not leave.
+fn is_listed(core: &Gateway, upstream: &Upstream) -> bool {
+    let listed = core.registry.get(&upstream.id);
+    listed.is_some_and(|l| !l.leaving && l.born == upstream.born)
+}
+
 fn is_refusal(error: &io::Error) -> bool {
     let kind = error.kind();
     kind == io::ErrorKind::ConnectionRefused || kind == io::ErrorKind::ConnectionReset
--- a/crates/net/src/gateway/exchange.rs
+++ b/crates/net/src/gateway/exchange.rs
@@ -21,7 +21,7 @@
 use super::pool::idle_limit;
 use super::relay::Relay;
 use super::shared::Shared;
-use super::{notices, permits};
+use super::{ends, notices, permits};
 use crate::http::{Body, Sender, full};
 use crate::wire::headers::{remove_hop_by_hop, text, value};
 
@@ -286,9 +286,13 @@
     }
 
     pub(super) fn end(&mut self, in_flight: InFlight, outcome: Outcome) {
+        let is_sound = self.admitted.is_shown_sound(in_flight.events);
+        if outcome == Outcome::Broken {
+            self.admitted.record_break(in_flight.events);
+        }
         self.admitted
             .record_outcome(&in_flight.upstream.id, outcome);
-        in_flight.end(outcome);
+        in_flight.end(outcome, is_sound);
     }
 
     /// Records that an upstream sent no answer, or one that is not used.
@@ -306,6 +310,7 @@
     ) -> Result<(response::Parts, Incoming, Sender), Outcome> {
         let connection = self.shared.connection(upstream).await;
         let mut sender = connection.map_err(|error| {
+            ends::record_refusal(&self.shared, upstream, &error);
             self.record_dropped_answer(&upstream.id, &format!("can't connect: {error}"));
             Outcome::Unreachable
         })?;
@@ -419,7 +424,7 @@
             }
         };
         self.shared
-            .keep_connection(&in_flight.upstream.id, sender, idle_limit(&parts.headers));
+            .keep_connection(&in_flight.upstream, sender, idle_limit(&parts.headers));
         if let Some(rejection) = rejection {
             self.end(in_flight, rejection);
             return AnswerResult::Ended;
--- a/crates/net/src/gateway/follow.rs
+++ b/crates/net/src/gateway/follow.rs
@@ -15,8 +15,8 @@
 use eelgrasshold_platform::{route_table, servers};
 
 use super::copies::CopyLink;
-use super::quarantine;
 use super::shared::Shared;
+use super::{ends, quarantine};
 
 /// Longest time until a host without a source looks for one again.
 const SOURCE_POLL_INTERVAL: Duration = Duration::from_millis(200);
@@ -292,7 +292,12 @@
         let changes = shared.core().expire(now);
         shared.record_registry_changes(changes);
         quarantine::record_changes(&shared);
-        let core = shared.core();
-        shared.pool.sweep(now, |id| core.registry.get(id).is_some());
+        let closed = {
+            let core = shared.core();
+            shared.pool.sweep(now, |id| core.registry.get(id).is_some())
+        };
+        for upstream in closed.into_values() {
+            ends::check_closed(&shared, upstream);
+        }
     }
 }
--- a/crates/net/src/gateway/in_flight.rs
+++ b/crates/net/src/gateway/in_flight.rs
@@ -10,11 +10,10 @@
 use eelgrasshold_core::types::Now;
 
 use super::ends::Ended;
-use super::quarantine;
 use super::shared::Shared;
 
-/// Events after which a request is not the one that makes its upstream end.
-const MIN_EVENTS_OF_SOUND_REQUEST: u32 = 3;
+/// Events from which on an upstream has not just begun to answer.
+const BEGUN_EVENTS: u32 = 3;
 
 /// An attempt in flight. Dropping it without an outcome reports [`Outcome::GivenUp`].
 pub(super) struct InFlight {
@@ -23,8 +22,6 @@
     pub(super) upstream: Upstream,
     work: Work,
     features: Vec<FeatureId>,
-    /// Whether the answer is a stream.
-    is_stream: bool,
     pub(super) sent_at: Now,
     /// When bytes of the answer last arrived; [`Self::sent_at`] before the first.
     heard_at: Now,
@@ -48,7 +45,6 @@
             upstream: upstream.clone(),
             work: admitted.work,
             features: admitted.features.clone(),
-            is_stream: admitted.route.kind.is_stream(),
             sent_at: now,
             heard_at: now,
             has_head: false,
@@ -78,26 +74,15 @@
             let mut core = self.shared.core();
             core.stream_begun(now, &upstream.service, &upstream.id, &self.request);
         }
-        if self.events == MIN_EVENTS_OF_SOUND_REQUEST {
-            self.record_sound();
-        }
-    }
-
-    /// Records that the upstream goes on with the request, or has answered it.
-    fn record_sound(&self) {
-        let now = self.shared.now();
-        self.shared
-            .core()
-            .quarantine
-            .record_sound(now, &self.features);
-        quarantine::record_changes(&self.shared);
     }
 
-    pub(super) fn end(mut self, outcome: Outcome) {
-        self.report(outcome);
+    /// Ends the attempt. `is_sound` tells that an answer shows the request to be sound if the upstream lives
+    /// on.
+    pub(super) fn end(mut self, outcome: Outcome, is_sound: bool) {
+        self.report(outcome, is_sound);
     }
 
-    fn report(&mut self, outcome: Outcome) {
+    fn report(&mut self, outcome: Outcome, is_sound: bool) {
         if self.ended {
             return;
         }
@@ -121,21 +106,21 @@
             .with("events", self.events)
             .with("silent_ms", now.saturating_sub(self.heard_at));
         shared.timeline.record(event);
-        if outcome == Outcome::Broken && self.events < MIN_EVENTS_OF_SOUND_REQUEST {
+        if outcome == Outcome::Broken {
             let ended = Ended {
                 upstream: self.upstream.clone(),
                 request: self.request.clone(),
                 at: now,
-                has_head: self.has_head,
+                at_begin: self.has_head && self.events < BEGUN_EVENTS,
                 features: self.features.clone(),
             };
             ended.check(shared);
+        } else if outcome.may_have_run() {
+            let is_answered = outcome == Outcome::Answered && is_sound;
+            let (id, features) = (&self.upstream.id, &self.features);
+            let quarantine = &mut shared.core().quarantine;
+            quarantine.record_left(now, id, features, is_answered);
         }
-        let is_short = !self.is_stream || self.events < MIN_EVENTS_OF_SOUND_REQUEST;
-        if outcome == Outcome::Answered && is_short && (!self.is_stream || self.events > 0) {
-            self.record_sound();
-        }
-        quarantine::record_changes(shared);
         if ejected {
             let event = Event::new(EventKind::UpstreamEjected, "left out for a while")
                 .about_request(self.request.as_str())
@@ -148,6 +133,6 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.report(Outcome::GivenUp);
+        self.report(Outcome::GivenUp, false);
     }
 }
--- a/crates/net/src/gateway/pool.rs
+++ b/crates/net/src/gateway/pool.rs
@@ -11,9 +11,9 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use eelgrasshold_core::gateway::registry::UpstreamId;
+use eelgrasshold_core::gateway::registry::{Upstream, UpstreamId};
 use eelgrasshold_core::types::Now;
-use http::HeaderMap;
+use http::{HeaderMap, HeaderValue, header};
 
 use crate::connect::{connect, reset_on_close};
 use crate::http::{Sender, handshake};
@@ -30,6 +30,7 @@
 
 #[derive(Debug)]
 struct IdleConnection {
+    upstream: Upstream,
     sender: Sender,
     usable_until: Now,
 }
@@ -53,31 +54,48 @@
     }
 
     /// Adds a connection after a complete answer. `limit` is the idle timeout that the upstream
-    /// announced.
-    pub(super) fn keep(&self, now: Now, upstream: &str, sender: Sender, limit: Option<Duration>) {
-        if sender.is_closed() {
-            return;
-        }
+    /// announced; zero if it closes the connection.
+    pub(super) fn keep(
+        &self,
+        now: Now,
+        upstream: &Upstream,
+        sender: Sender,
+        limit: Option<Duration>,
+    ) {
         let limit = limit.map_or(DEFAULT_IDLE_TIMEOUT, |l| {
             l.mul_f64(IDLE_TIMEOUT_SHARE).min(MAX_IDLE_TIMEOUT)
         });
+        if limit.is_zero() {
+            return;
+        }
         let mut idle = self.lock();
-        let connections = idle.entry(upstream.to_owned()).or_default();
+        let connections = idle.entry(upstream.id.clone()).or_default();
         if connections.len() >= MAX_IDLE_PER_UPSTREAM {
             connections.remove(0);
         }
         connections.push(IdleConnection {
+            upstream: upstream.clone(),
             sender,
             usable_until: now + limit,
         });
     }
 
-    /// Closes connections past their idle timeout and those to upstreams that are not `known`.
-    pub(super) fn sweep(&self, now: Now, known: impl Fn(&str) -> bool) {
-        self.lock().retain(|upstream, connections| {
-            connections.retain(|i| now < i.usable_until && !i.sender.is_closed());
-            !connections.is_empty() && known(upstream)
+    /// Closes connections past their idle timeout and those to upstreams that are not `known`. Returns the
+    /// upstreams that closed connections before that, by id.
+    pub(super) fn sweep(
+        &self,
+        now: Now,
+        known: impl Fn(&str) -> bool,
+    ) -> BTreeMap<UpstreamId, Upstream> {
+        let mut closed = BTreeMap::new();
+        self.lock().retain(|id, connections| {
+            connections.retain(|i| now < i.usable_until);
+            for idle in connections.extract_if(.., |i| i.sender.is_closed()) {
+                closed.insert(id.clone(), idle.upstream);
+            }
+            !connections.is_empty() && known(id)
         });
+        closed
     }
 
     /// Takes a usable idle connection to an upstream, if there is one.
@@ -98,8 +116,14 @@
     }
 }
 
-/// Timeout in the `keep-alive` header of an answer, if any.
+/// Timeout in the `keep-alive` header of an answer, if any; zero if the answer says that the connection is
+/// closed.
 pub(super) fn idle_limit(headers: &HeaderMap) -> Option<Duration> {
+    let mut options = headers.get_all(header::CONNECTION).iter();
+    let closes = |o: &HeaderValue| o.as_bytes().eq_ignore_ascii_case(b"close");
+    if options.any(closes) {
+        return Some(Duration::ZERO);
+    }
     let keep_alive = headers.get("keep-alive")?.to_str().ok()?;
     let timeout = keep_alive
         .split(',')
--- a/crates/net/src/gateway/relay.rs
+++ b/crates/net/src/gateway/relay.rs
@@ -235,7 +235,7 @@
     fn finish(&mut self) {
         if let Some(source) = self.source.take() {
             let limit = idle_limit(&source.headers);
-            let upstream = &source.in_flight.upstream.id;
+            let upstream = &source.in_flight.upstream;
             self.exchange
                 .shared
                 .keep_connection(upstream, source.sender, limit);
--- a/crates/net/src/gateway/shared.rs
+++ b/crates/net/src/gateway/shared.rs
@@ -120,7 +120,12 @@
     }
 
     /// Returns a connection to the pool after a complete answer.
-    pub(super) fn keep_connection(&self, upstream: &str, sender: Sender, limit: Option<Duration>) {
+    pub(super) fn keep_connection(
+        &self,
+        upstream: &Upstream,
+        sender: Sender,
+        limit: Option<Duration>,
+    ) {
         self.pool.keep(self.now(), upstream, sender, limit);
     }
 
--- a/crates/standins/src/users/mod.rs
+++ b/crates/standins/src/users/mod.rs
@@ -8,5 +8,5 @@
 
 pub use caller::{Answer, config, read_answer, request};
 pub use group::RankGroup;
-pub use replica::{Arrival, Replica, Reply};
+pub use replica::{Arrival, BeforeEnd, Replica, Reply};
 pub use store::{AccessMode, ObjectStore, StoreCopy};
--- a/crates/standins/src/users/replica.rs
+++ b/crates/standins/src/users/replica.rs
@@ -121,8 +121,21 @@
     marker: String,
     /// Time until the process has started again.
     down_time: Duration,
-    /// Whether the head of the answer is sent before the end.
-    sends_head: bool,
+    /// What is sent of the answer before the end.
+    sends: BeforeEnd,
+}
+
+/// What a process sends of an answer before it ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BeforeEnd {
+    /// Nothing.
+    Nothing,
+    /// The head.
+    Head,
+    /// The head and this many events, or the whole answer if there are no more.
+    Events(u64),
+    /// The whole answer; the process ends this time after it.
+    Whole(Duration),
 }
 
 impl Fatal {
@@ -204,19 +217,21 @@
     /// Makes the process end when it has sent the head of its answer to a request with `marker` in its
     /// path or as a part of its prompt. It starts again after `down_time`, under the same id.
     pub fn end_at(&self, marker: &str, down_time: Duration) {
-        self.set_fatal(marker, down_time, true);
+        self.end_after(marker, down_time, BeforeEnd::Head);
     }
 
     /// The same without the head of an answer, as a service ends that answers in one piece.
     pub fn end_before_head_at(&self, marker: &str, down_time: Duration) {
-        self.set_fatal(marker, down_time, false);
+        self.end_after(marker, down_time, BeforeEnd::Nothing);
     }
 
-    fn set_fatal(&self, marker: &str, down_time: Duration, sends_head: bool) {
+    /// The same after the given part of the answer. A process that has sent all events of a stream, or of the
+    /// rest of a resumed one, does not end if it was to end after some.
+    pub fn end_after(&self, marker: &str, down_time: Duration, sends: BeforeEnd) {
         lock(&self.state).fatal = Some(Fatal {
             marker: marker.to_owned(),
             down_time,
-            sends_head,
+            sends,
         });
     }
 
@@ -348,12 +363,9 @@
             fatal.filter(|_| state.arrivals[index].ran)
         };
         if let Some(fatal) = fatal {
-            if fatal.sends_head {
-                let head = from.headers("digest");
-                // The process ends whether the head can be written or not.
-                let _ = write_head(&mut stream, &arrival, 200, &head, None).await;
+            if write_before_end(&mut stream, &arrival, &from, fatal.sends).await {
+                continue;
             }
-            tokio::time::sleep(EVENT_INTERVAL).await;
             lock(&state).ends.push(Instant::now());
             process.ended.notify_one();
             return;
@@ -370,6 +382,42 @@
     }
 }
 
+/// Writes what a process sends of an answer before it ends; returns whether it lives on. It ends whether that
+/// can be written or not.
+async fn write_before_end(
+    stream: &mut TcpStream,
+    arrival: &Arrival,
+    from: &Answerer,
+    sends: BeforeEnd,
+) -> bool {
+    let written = match sends {
+        BeforeEnd::Nothing => Ok(()),
+        BeforeEnd::Head => write_head(stream, arrival, 200, &from.headers("digest"), None).await,
+        BeforeEnd::Events(events) => {
+            let after: u64 = arrival.header("last-event-id").parse().unwrap_or(0);
+            if after + events >= STREAM_EVENTS {
+                let whole = write_normal(stream, arrival, from, Ending::Whole, EVENT_INTERVAL);
+                return whole.await.is_ok();
+            }
+            let ending = Ending::CutAfter(events);
+            write_normal(stream, arrival, from, ending, EVENT_INTERVAL).await
+        }
+        BeforeEnd::Whole(time) => {
+            let whole = write_normal(stream, arrival, from, Ending::Whole, EVENT_INTERVAL);
+            let written = whole.await;
+            tokio::time::sleep(time).await;
+            written
+        }
+    };
+    if let Err(error) = written {
+        log::debug!("can't write an answer before the end: {error}");
+    }
+    if !matches!(sends, BeforeEnd::Whole(_)) {
+        tokio::time::sleep(EVENT_INTERVAL).await;
+    }
+    false
+}
+
 /// Records a request and selects its reply; returns its index in the record, the reply and the
 /// current id.
 fn record_arrival(state: &Mutex<State>, mut arrival: Arrival) -> (usize, Reply, String) {
--- a/crates/standins/tests/gateway/main.rs
+++ b/crates/standins/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod endless;
 mod faulty;
 mod hosts;
+mod late_ends;
 mod limits;
 mod notices;
 mod ranks;
