Probe an upstream that may have ended for longer than a connect

Cause: an answer that breaks off is checked by a connect. A process that ends resets its connections and its listener one after the other, so the system still accepts the connect, and the upstream was taken for alive.

Change: a connection shows that an upstream lives only if it is still open after 0.15 s; otherwise it is tried once more, as after a time-out.

Result, x86_64: `a_request_is_refused_whose_replicas_accept_connections_as_they_end` fails without this (11 late retries, 26 ends) and passes; `late_ends`, `crashes` and `crowded_ends` pass.

--- a/crates/net/src/gateway/ends.rs
+++ b/crates/net/src/gateway/ends.rs
@@ -10,6 +10,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use eelgrasshold_core::event::{Event, EventKind};
 use eelgrasshold_core::gateway::Gateway;
@@ -20,9 +21,13 @@
 use super::pool::Pool;
 use super::quarantine;
 use super::shared::Shared;
+use crate::http::Sender;
 
 /// Attempts to connect after which an upstream that does not respond counts as not checked.
 const MAX_ATTEMPTS: u32 = 2;
+/// Time after which an upstream lives that has not closed a connection. The system still accepts connections
+/// for a process while it ends, and resets them then.
+const PROBE_TIME: Duration = Duration::from_millis(150);
 
 /// A request whose answer broke off, or none if an upstream closed idle connections.
 #[derive(Debug)]
@@ -147,7 +152,7 @@
         if count == 0 {
             return;
         }
-        match Pool::open(upstream.address).await {
+        match probe(upstream.address).await {
             Ok(sender) => {
                 shared.keep_connection(&upstream, sender, None);
                 checks.drop_before(&target, count);
@@ -169,6 +174,23 @@
     }
 }
 
+/// Opens a connection and waits until it shows that the upstream lives.
+///
+/// # Errors
+///
+/// If no connection can be opened, or it is closed meanwhile.
+async fn probe(address: SocketAddr) -> io::Result<Sender> {
+    let sender = Pool::open(address).await?;
+    tokio::time::sleep(PROBE_TIME).await;
+    if sender.is_closed() {
+        return Err(io::Error::new(
+            io::ErrorKind::ConnectionAborted,
+            "the connection was closed at once",
+        ));
+    }
+    Ok(sender)
+}
+
 /// Checks an upstream that has closed idle connections, if requests have just left it.
 pub(super) fn check_closed(shared: &Arc<Shared>, upstream: Upstream) {
     let now = shared.now();
--- a/crates/standins/src/users/replica.rs
+++ b/crates/standins/src/users/replica.rs
@@ -104,6 +104,8 @@
     arrivals: Vec<Arrival>,
     rank: Option<(usize, Arc<RankGroup>)>,
     fatal: Option<Fatal>,
+    /// Time for which the system accepts connections for a process that has ended, and resets them then.
+    accepts_after_end: Duration,
     /// Requests a second that answers name as the limit.
     limit: Option<f64>,
     /// Whether answers say that the replica leaves.
@@ -184,6 +186,7 @@
             arrivals: Vec::new(),
             rank: None,
             fatal: None,
+            accepts_after_end: Duration::ZERO,
             limit: None,
             leaving: false,
             paused_until: None,
@@ -235,6 +238,11 @@
         });
     }
 
+    /// Lets the system accept connections for a time after the process has ended, and reset them then.
+    pub fn accept_after_end(&self, time: Duration) {
+        lock(&self.state).accepts_after_end = time;
+    }
+
     /// Sets the limit of requests a second that all further answers name.
     pub fn set_limit(&self, limit: Option<f64>) {
         lock(&self.state).limit = limit;
@@ -316,6 +324,11 @@
                 () = &mut ended => break,
             }
         }
+        let accepts_after_end = lock(&state).accepts_after_end;
+        if !accepts_after_end.is_zero() {
+            connections.shutdown().await;
+            tokio::time::sleep(accepts_after_end).await;
+        }
         drop(listener);
         connections.shutdown().await;
         let down_time = lock(&state).fatal.as_ref().map(|f| f.down_time);
--- a/crates/standins/tests/gateway/late_ends.rs
+++ b/crates/standins/tests/gateway/late_ends.rs
@@ -131,3 +131,14 @@
         check("/safe/fatal", ends_after(5)),
     );
 }
+
+// Guards against an upstream that is taken for alive since the system still accepted a connection for it as
+// it ended.
+#[tokio::test]
+async fn a_request_is_refused_whose_replicas_accept_connections_as_they_end() {
+    let play = Play::start("/stream/fatal", BeforeEnd::Head).await;
+    for replica in &play.cluster.replicas {
+        replica.accept_after_end(Duration::from_millis(30));
+    }
+    play.check().await;
+}
