Count ends of upstreams for requests that were given up there

Replicas that stand still after two events and end 2.3 s after they began, when their callers have been answered, ended again and again: 6 late retries, 18 ends.

Cause: an attempt that was given up counted for 0.75 s only, like an answer, and only at the host that noticed the end: another host with an idle connection to the upstream told nobody of it if no request of its own had just left.

A host that notices an end reports it also without features, and each host counts it for what has just left the upstream there.

--- a/crates/core/src/gateway/quarantine/mod.rs
+++ b/crates/core/src/gateway/quarantine/mod.rs
@@ -320,6 +320,7 @@
                         at_begin,
                     };
                     self.count_end(&end, &features);
+                    self.count_recent(now, at, &end.upstream);
                 }
                 Report::Sound { features, age } => {
                     let own = features.iter().filter(|f| self.own_suspects.contains(f));
--- a/crates/core/src/gateway/tests/quarantine.rs
+++ b/crates/core/src/gateway/tests/quarantine.rs
@@ -739,17 +739,18 @@
     assert!(!is_refused(&quarantine, ms(9_000), &[request]));
 }
 
-// Guards against attempts that were given up just before their upstreams ended and count for nothing, or for
-// sound.
+// Guards against attempts that were given up some time before their upstreams ended and count for nothing, or
+// for sound.
 #[test]
-fn an_upstream_ends_under_requests_that_were_given_up_just_before() {
+fn an_upstream_ends_under_requests_that_were_given_up_before() {
     let request = request_feature("drafts", 7);
     let mut quarantine = Quarantine::new(1);
     for n in 0..3 {
         let (at, upstream) = (ms(3_000 * n), format!("u-{n}"));
         quarantine.record_left(at, &upstream, &[request], false);
-        quarantine.record_upstream_end(at + ms(300), at + ms(300), &upstream);
-        quarantine.decide(at + ms(300) + SETTLED);
+        quarantine.decide(at + ms(1_000));
+        quarantine.record_upstream_end(at + ms(3_000), at + ms(3_000), &upstream);
+        quarantine.decide(at + ms(3_000) + SETTLED);
     }
-    assert!(is_refused(&quarantine, ms(8_000), &[request]));
+    assert!(is_refused(&quarantine, ms(10_300), &[request]));
 }
--- a/crates/standins/src/users/replica.rs
+++ b/crates/standins/src/users/replica.rs
@@ -138,6 +138,8 @@
     Events(u64),
     /// The whole answer; the process ends this time after it.
     Whole(Duration),
+    /// The head and this many events; the process is silent for this time before it ends.
+    Silence(u64, Duration),
 }
 
 impl Fatal {
@@ -421,6 +423,12 @@
             tokio::time::sleep(time).await;
             written
         }
+        BeforeEnd::Silence(events, time) => {
+            let ending = Ending::SilentAfter(events);
+            let written = write_normal(stream, arrival, from, ending, EVENT_INTERVAL).await;
+            tokio::time::sleep(time).await;
+            written
+        }
     };
     if let Err(error) = written {
         log::debug!("can't write an answer before the end: {error}");
--- a/crates/standins/tests/gateway/late_ends.rs
+++ b/crates/standins/tests/gateway/late_ends.rs
@@ -15,8 +15,10 @@
 const MAX_LATE_RETRIES: usize = 3;
 /// Time for which a replica is down after its end.
 const DOWN_TIME: Duration = Duration::from_secs(1);
-/// Time between two sends of the request.
+/// Time between two sends of the request, and of others at each gateway.
 const INTERVAL: Duration = Duration::from_millis(400);
+/// Sends until the request has ended enough replicas and has to be refused, and some more.
+const SENDS: u32 = 20;
 /// Events of a stream of the stand-ins.
 const STREAM_EVENTS: u64 = 6;
 
@@ -25,6 +27,8 @@
     cluster: Cluster,
     path: &'static str,
     sends: BeforeEnd,
+    /// Time between two sends of the fatal request.
+    interval: Duration,
     /// Sound requests that were not answered whole.
     lost: usize,
     sound: usize,
@@ -40,6 +44,7 @@
             cluster,
             path,
             sends,
+            interval: INTERVAL,
             lost: 0,
             sound: 0,
         }
@@ -52,20 +57,27 @@
         ends
     }
 
-    /// Sends the fatal request, and some sound ones, at intervals.
+    /// Sends the fatal request, and sound ones at least as often, at intervals.
     async fn run(&mut self, time: Duration) {
         let until = Instant::now() + time;
+        let sends_per_fatal = self.interval.div_duration_f64(INTERVAL).round() as usize;
         let mut sound = Vec::new();
         for n in 0.. {
             if Instant::now() >= until {
                 break;
             }
-            let address = self.cluster.gateways[n % 2].callers_address();
-            let fatal = request("POST", self.path, &format!("fatal-{}-{n}", self.sound));
-            tokio::spawn(async move { send(address, &fatal).await });
-            let path = format!("/stream/sound-{}-{n}", self.sound);
-            let text = request("POST", &path, &format!("s-{}-{n}", self.sound));
-            sound.push(tokio::spawn(async move { send(address, &text).await }));
+            if n % sends_per_fatal == 0 {
+                let gateway = &self.cluster.gateways[n / sends_per_fatal % 2];
+                let address = gateway.callers_address();
+                let fatal = request("POST", self.path, &format!("fatal-{}-{n}", self.sound));
+                tokio::spawn(async move { send(address, &fatal).await });
+            }
+            for gateway in &self.cluster.gateways {
+                let address = gateway.callers_address();
+                let id = format!("s-{}-{}", self.sound, sound.len());
+                let text = request("POST", &format!("/stream/{id}"), &id);
+                sound.push(tokio::spawn(async move { send(address, &text).await }));
+            }
             tokio::time::sleep(INTERVAL).await;
         }
         self.sound += sound.len();
@@ -83,9 +95,9 @@
     }
 
     /// Plays until the fatal request has to be refused, and checks that it is, and that others are served.
-    async fn check(mut self) {
+    async fn check(mut self, sends_until_refused: u32) {
         let sends = self.sends;
-        self.run(Duration::from_secs(8)).await;
+        self.run(self.interval * sends_until_refused).await;
         let ends = self.ends();
         assert!(ends.len() >= MAX_ENDS, "{sends:?}: {} ends", ends.len());
         let late = self.arrivals_after(ends[MAX_ENDS - 1] + SETTLE_TIME);
@@ -103,7 +115,7 @@
 
 /// Plays a request that ends replicas after a part of its answer, and checks that it is refused.
 async fn check(path: &'static str, sends: BeforeEnd) {
-    Play::start(path, sends).await.check().await;
+    Play::start(path, sends).await.check(SENDS).await;
 }
 
 // Guards against a request that counts as sound since an upstream went on with it for a few events, and ends
@@ -132,6 +144,16 @@
     );
 }
 
+// Guards against a request that is given up at silent upstreams, which end under it seconds later.
+#[tokio::test]
+async fn a_request_that_ends_replicas_long_after_it_was_given_up_is_refused_when_it_comes_again() {
+    let silence = Duration::from_millis(2_300);
+    let mut play = Play::start("/stream/fatal", BeforeEnd::Silence(2, silence)).await;
+    // No other attempt is in flight at its end.
+    play.interval = Duration::from_millis(2_400);
+    play.check(10).await;
+}
+
 // Guards against an upstream that is taken for alive since the system still accepted a connection for it as
 // it ended.
 #[tokio::test]
@@ -140,5 +162,5 @@
     for replica in &play.cluster.replicas {
         replica.accept_after_end(Duration::from_millis(30));
     }
-    play.check().await;
+    play.check(SENDS).await;
 }
