Check drafts of terminated processes in one place

Cause: three tests in processes.rs had the same loop; the header of the quarantine said of parts what holds for whole requests only.

--- a/crates/core/src/gateway/quarantine/mod.rs
+++ b/crates/core/src/gateway/quarantine/mod.rs
@@ -10,8 +10,9 @@
 //! Most features of such a request are innocent, and so are most requests that an ending upstream had
 //! just begun to answer. Some rules keep them in use:
 //!
-//! - A feature is sound if a request with it was answered whole shortly before the end or at any time after,
-//!   and the upstream lived on. That it went on for a while, or that another upstream did the rest, shows nothing.
+//! - A feature is sound if a request with it was answered whole shortly before the end or at any time after. For
+//!   a request as a whole, the upstream must also outlive the answer. That an upstream went on with it for a
+//!   while shows nothing.
 //! - Most requests at an upstream that ends have been there for a while. Such ends count less than those of
 //!   upstreams that had just begun an answer.
 //! - If several parts are the only ones that explain the same ends, requests are refused that have
--- a/crates/daemon/tests/processes.rs
+++ b/crates/daemon/tests/processes.rs
@@ -63,13 +63,8 @@
         .collect()
 }
 
-// Guards against a graceful shutdown of an entry host that cuts off open streams.
-#[tokio::test(flavor = "multi_thread")]
-async fn terminated_entry_host_cuts_no_stream() {
-    let mut processes = Processes::start().await;
-    let caller = caller(&processes, "entry-term");
-    let drafts = open_streams(&processes, &caller).await;
-    processes.entries[1].signal("TERM").unwrap();
+/// Waits for drafts and checks that each is whole and was not resumed.
+async fn check_whole(drafts: Vec<tokio::task::JoinHandle<Report>>) {
     for report in join_reports(drafts).await {
         assert_eq!(
             (&report.outcome, report.resumes),
@@ -77,6 +72,16 @@
             "{report:?}"
         );
     }
+}
+
+// Guards against a graceful shutdown of an entry host that cuts off open streams.
+#[tokio::test(flavor = "multi_thread")]
+async fn terminated_entry_host_cuts_no_stream() {
+    let mut processes = Processes::start().await;
+    let caller = caller(&processes, "entry-term");
+    let drafts = open_streams(&processes, &caller).await;
+    processes.entries[1].signal("TERM").unwrap();
+    check_whole(drafts).await;
     assert!(processes.entries[1].wait().await.unwrap().success());
 }
 
@@ -89,13 +94,7 @@
     processes.entries[1].signal("TERM").unwrap();
     tokio::time::sleep(Duration::from_millis(50)).await;
     processes.entries[1].signal("TERM").unwrap();
-    for report in join_reports(drafts).await {
-        assert_eq!(
-            (&report.outcome, report.resumes),
-            (&Outcome::Whole, 0),
-            "{report:?}"
-        );
-    }
+    check_whole(drafts).await;
     assert!(processes.entries[1].wait().await.unwrap().success());
 }
 
@@ -106,13 +105,7 @@
     let caller = caller(&processes, "upstream-term");
     let drafts = open_streams(&processes, &caller).await;
     processes.upstreams[0].signal("TERM").unwrap();
-    for report in join_reports(drafts).await {
-        assert_eq!(
-            (&report.outcome, report.resumes),
-            (&Outcome::Whole, 0),
-            "{report:?}"
-        );
-    }
+    check_whole(drafts).await;
     assert!(processes.upstreams[0].wait().await.unwrap().success());
 }
 
