Show routes that are in force late after silent channels to the store

What callers see: a 404 for a route that was acknowledged seconds before (CONFIG). The open channels of all gateways to the store fall silent soon after a series of changes, and a route is added 0.5 s later.

--- a/crates/standins/tests/gateway/main.rs
+++ b/crates/standins/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod notices;
 mod ranks;
 mod restored;
+mod silent_channels;
 mod stalls;
 mod stopping;
 mod store;
