Log how long a configuration was unconfirmed and where a host asks for it

Without these, the log of a late route shows nothing and then the version: a long watch, followers that pass over each host that watches the store, and a second silent channel look the same.

--- a/crates/core/src/event/catalogue.rs
+++ b/crates/core/src/event/catalogue.rs
@@ -156,4 +156,5 @@
     HistoryGone = 7003, "the store forgot its history and is read anew";
     PeerAsked = 7004, "another host was asked for what the store does not tell this one";
     StoreRestored = 7005, "the store was restored from a copy, and its revisions have gone back";
+    StoreSourceChanged = 7006, "the host asks elsewhere for what the store says";
 }
--- a/crates/net/src/gateway/follow.rs
+++ b/crates/net/src/gateway/follow.rs
@@ -29,6 +29,7 @@
             for object in &objects {
                 apply_object(&shared, object);
             }
+            shared.confirm_table();
         }
         FollowUpdate::Changes(changes, as_of) => {
             observe_era(&shared, as_of);
@@ -37,6 +38,7 @@
                     apply_object(&shared, object);
                 }
             }
+            shared.confirm_table();
         }
         FollowUpdate::Failed { .. } | FollowUpdate::HistoryGone => {}
     })
@@ -84,10 +86,12 @@
         return;
     }
     shared.store_document(document);
+    let unconfirmed = shared.now().saturating_sub(shared.table_confirmed_at());
     let event = Event::new(EventKind::ConfigApplied, "")
         .with("table", version)
         .with("before", before)
         .with("routes", routes)
+        .with("unconfirmed_ms", unconfirmed)
         .with("source", source);
     shared.timeline.record(event);
     shared.record_readiness(was_ready);
@@ -175,11 +179,13 @@
     let mut link = CopyLink::default();
     let mut times_behind = 0;
     let mut failing = false;
+    let mut last_source = Source::Store;
     loop {
         let source = {
             let peers = shared.peers();
             sources.choose(shared.now(), peers.local_record(), &peers.live_hosts())
         };
+        record_source(shared, kind, &mut last_source, source);
         let mut called_at = None;
         let update = match source {
             Source::Store => {
@@ -251,6 +257,24 @@
     None
 }
 
+/// Records a change of the source, or that there is none. `last` holds the last one between calls.
+fn record_source(shared: &Shared, kind: &str, last: &mut Source, source: Source) {
+    let name = |source: &Source| match source {
+        Source::Store => "store".to_owned(),
+        Source::Host(address) => address.to_string(),
+        Source::NoneUntil(_) => "none".to_owned(),
+    };
+    let (before, after) = (name(last), name(&source));
+    *last = source;
+    if before != after {
+        let event = Event::new(EventKind::StoreSourceChanged, "")
+            .with("kind", kind)
+            .with("before", before)
+            .with("source", after);
+        shared.timeline.record(event);
+    }
+}
+
 /// Records when the store becomes unavailable, recovers, or no longer has the history since the
 /// last reply. `failing` holds the state between calls.
 fn record_store_state(shared: &Shared, kind: &str, update: &FollowUpdate, failing: &mut bool) {
--- a/crates/net/src/gateway/host.rs
+++ b/crates/net/src/gateway/host.rs
@@ -265,6 +265,7 @@
         quarantine_news: Notify::new(),
         quarantine_changed: Notify::new(),
         document: Mutex::new(Bytes::new()),
+        table_confirmed_at: Mutex::new(Now::ZERO),
         draining: AtomicBool::new(false),
         shutdown: OnceLock::new(),
         open_requests: AtomicUsize::new(0),
@@ -296,6 +297,11 @@
         "Time since the configuration came into force",
         gauge(|s| age_ms(s, s.core().table_since())),
     );
+    metrics.register_gauge(
+        "eelgrasshold_table_unconfirmed_ms",
+        "Time since the store, or a host for it, last confirmed the configuration",
+        gauge(|s| age_ms(s, s.table_confirmed_at())),
+    );
     metrics.register_gauge(
         "eelgrasshold_registry_age_ms",
         "Time since the store last told about the registry",
--- a/crates/net/src/gateway/shared.rs
+++ b/crates/net/src/gateway/shared.rs
@@ -53,6 +53,8 @@
     pub(super) quarantine_changed: Notify,
     /// Document of the configuration in force, for pulls of other hosts; empty until there is one.
     pub(super) document: Mutex<Bytes>,
+    /// When the store, or a host for it, last confirmed the configuration.
+    pub(super) table_confirmed_at: Mutex<Now>,
     /// A graceful shutdown has begun; the host is no longer ready for new callers.
     pub(super) draining: AtomicBool,
     /// The graceful shutdown, once it has begun.
@@ -105,6 +107,18 @@
         *stored = Bytes::copy_from_slice(document);
     }
 
+    /// Records that the store, or a host for it, has confirmed the configuration.
+    pub(super) fn confirm_table(&self) {
+        let confirmed_at = &self.table_confirmed_at;
+        *confirmed_at.lock().unwrap_or_else(PoisonError::into_inner) = self.now();
+    }
+
+    /// When the store, or a host for it, last confirmed the configuration; 0 before the first time.
+    pub(super) fn table_confirmed_at(&self) -> Now {
+        let confirmed_at = &self.table_confirmed_at;
+        *confirmed_at.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Takes an idle connection to an upstream from the pool or opens a new one.
     ///
     /// # Errors
