Hold the calls of followers while one failed call is repeated

What callers see: 404 for a route 4.9 to 5.4 s after the channels to the store fell silent, 4 s allowed, at 14 of 24 gateways.

A host that watches the store refused its followers from the first call that failed, though the next one, on a new connection, is answered 50 ms later.

One failed call leaves the host in doubt: it holds the calls of its followers, for the second for which it holds a watch anyway, and answers with the changes that the next call brings. Only when that fails too does it refuse. A store that refuses calls at once makes it do so within 0.1 s.

--- a/crates/core/src/gateway/mirror/mod.rs
+++ b/crates/core/src/gateway/mirror/mod.rs
@@ -4,6 +4,10 @@
 //! holds the changes of the last [`MAX_BATCHES`] updates; a follower that is further behind lists
 //! again. Revisions are the store's, so that a follower may go on at another copy or at the store.
 
+mod reach;
+
+pub use reach::Reach;
+
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::gateway::follow::FollowUpdate;
--- a/crates/net/src/gateway/copies/mod.rs
+++ b/crates/net/src/gateway/copies/mod.rs
@@ -10,7 +10,7 @@
 
 use bincode::Options;
 use eelgrasshold_core::gateway::follow::FollowUpdate;
-use eelgrasshold_core::gateway::mirror::Mirror;
+use eelgrasshold_core::gateway::mirror::{Mirror, Reach};
 use eelgrasshold_core::platform::{KindCall, KindReply, Version};
 use flate2::Compression;
 use flate2::read::{DeflateDecoder, DeflateEncoder};
@@ -37,8 +37,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Copies {
     mirror: Mutex<Mirror>,
-    /// Kinds that this host follows at the store itself, and whose last call succeeded.
-    direct: Mutex<BTreeMap<String, bool>>,
+    /// How this host reaches the store, by kind.
+    reach: Mutex<BTreeMap<String, Reach>>,
     changed: Notify,
     encoded: Mutex<VecDeque<Encoded>>,
     /// Counts the times that this host was found to be behind others.
@@ -49,8 +49,8 @@
     /// Applies an update. `direct` tells whether the store itself gave it.
     pub(super) fn apply(&self, kind: &str, update: &FollowUpdate, direct: bool) {
         lock(&self.mirror).apply(kind, update);
-        let failed = matches!(update, FollowUpdate::Failed { .. });
-        lock(&self.direct).insert(kind.to_owned(), direct && !failed);
+        let after = self.reach(kind).after(update, direct);
+        lock(&self.reach).insert(kind.to_owned(), after);
         self.changed.notify_waiters();
     }
 
@@ -58,7 +58,7 @@
     /// follows is not up to date, and those that follow this one go elsewhere.
     pub(super) fn mark_behind(&self) {
         self.behind.fetch_add(1, Ordering::Relaxed);
-        lock(&self.direct).clear();
+        lock(&self.reach).clear();
         self.changed.notify_waiters();
     }
 
@@ -67,6 +67,10 @@
         self.behind.load(Ordering::Relaxed)
     }
 
+    fn reach(&self, kind: &str) -> Reach {
+        lock(&self.reach).get(kind).copied().unwrap_or_default()
+    }
+
     /// Answers a call of another host; a watch waits for a change for [`COPY_WAIT`] at most.
     pub(super) async fn answer(&self, call: KindCall) -> Vec<u8> {
         let deadline = Instant::now() + COPY_WAIT;
@@ -75,14 +79,19 @@
             let changed = self.changed.notified();
             tokio::pin!(changed);
             changed.as_mut().enable();
-            if !lock(&self.direct).get(kind).copied().unwrap_or_default() {
-                let reason = "this host does not reach the store".to_owned();
-                return encode(&KindReply::Failed { reason });
+            let reach = self.reach(kind);
+            if reach == Reach::Lost {
+                return unreachable_store();
             }
-            if let Some(answer) = self.encoded_answer(&call) {
+            if reach == Reach::Direct
+                && let Some(answer) = self.encoded_answer(&call)
+            {
                 return answer;
             }
             if tokio::time::timeout_at(deadline, changed).await.is_err() {
+                if self.reach(kind) != Reach::Direct {
+                    return unreachable_store();
+                }
                 let after = match &call {
                     KindCall::Watch { after, .. } => *after,
                     KindCall::List { .. } => 0,
@@ -120,6 +129,11 @@
     }
 }
 
+fn unreachable_store() -> Vec<u8> {
+    let reason = "this host does not reach the store".to_owned();
+    encode(&KindReply::Failed { reason })
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
