Count the time of a watch, and of lapsed entries, from the last answer

What callers see: 404 for a route that has to be in force (CONFIG), and requests at a replica that was removed (DRAIN), after the open channels to the store fell silent soon after a series of changes.

A connection may have been silent since its last answer. The watch after a series is delayed by up to 0.6 s and then had its whole time, so that the loss was noticed 3.1 s after the silence with a settle time of 3 s; 0.6 of that and 0.7 s were meant. The grace of lapsed entries ran from the beginning of the call that failed, which is up to 0.6 s later still.

Both run from the last answer now: a watch waits for the less, the longer ago that was, and the fault behind the first failed call counts as ended then. Calls after it are made on new connections, for which the old reasoning holds.

--- a/crates/core/src/gateway/follow.rs
+++ b/crates/core/src/gateway/follow.rs
@@ -11,7 +11,8 @@
 //! call, so that the time limit of a call does not add to it.
 //!
 //! The answer to a watch may be lost without a sign of it, so a watch waits only for a part of the
-//! time after a fault in which hosts must be up to date again; see [`watch_wait`].
+//! time after a fault in which hosts must be up to date again; see [`watch_wait`]. That time runs from
+//! the last answer: the connection may have been silent since then, also while the watch was delayed.
 
 use std::time::Duration;
 
@@ -87,6 +88,8 @@
     not_before: Now,
     /// When the call began that is being made.
     called_at: Option<Now>,
+    answered_at: Option<Now>,
+    fault_ended_after: Now,
     watch_wait: Duration,
     watch_delay: Duration,
     changed_at: Option<Now>,
@@ -104,6 +107,8 @@
             failures: 0,
             not_before: Now::ZERO,
             called_at: None,
+            answered_at: None,
+            fault_ended_after: Now::ZERO,
             watch_wait,
             watch_delay: MIN_WATCH_DELAY,
             changed_at: None,
@@ -118,7 +123,8 @@
         }
     }
 
-    /// Returns the next call and the earliest time to make it.
+    /// Returns the next call and the earliest time to make it. After [`Self::record_call`] it is the call
+    /// as it has to be made then: a watch waits for the less, the longer ago the last answer was.
     #[must_use]
     pub fn next(&self) -> (Now, KindCall) {
         let kind = self.kind.clone();
@@ -131,12 +137,26 @@
             Phase::Watch(after) => KindCall::Watch {
                 kind,
                 after: *after,
-                wait: self.watch_wait,
+                wait: self.watch_wait.saturating_sub(self.time_since_answer()),
             },
         };
         (self.not_before, call)
     }
 
+    /// Time from the last answer to the next call.
+    fn time_since_answer(&self) -> Duration {
+        let begins = self.called_at.unwrap_or(self.not_before);
+        begins.saturating_sub(self.answered_at.unwrap_or(begins))
+    }
+
+    /// Earliest time at which the fault can have ended that made the last failed call fail. The first
+    /// call that fails may have been made on a connection that was silent since the last answer; the
+    /// calls after it are made on new ones.
+    #[must_use]
+    pub fn fault_ended_after(&self) -> Now {
+        self.fault_ended_after
+    }
+
     /// Records that the next call begins. Without it a call counts as failed at once.
     pub fn record_call(&mut self, now: Now) {
         self.called_at = Some(now);
@@ -145,6 +165,10 @@
     /// Processes the reply to the last call. Returns `None` while further pages of a list are to be
     /// read.
     pub fn handle_reply(&mut self, now: Now, reply: KindReply) -> Option<FollowUpdate> {
+        if !matches!(reply, KindReply::Failed { .. }) {
+            self.answered_at = Some(now);
+            self.called_at = None;
+        }
         match (&mut self.phase, reply) {
             (
                 Phase::List {
@@ -230,6 +254,10 @@
         let jitter = self.rng.random_range(0.5..=1.0);
         // A call whose answer was lost has taken the delay already.
         let began = self.called_at.take().unwrap_or(now);
+        self.fault_ended_after = match self.answered_at {
+            Some(at) if self.failures == 1 => at,
+            _ => began,
+        };
         let soonest = now + MIN_RETRY_DELAY.mul_f64(jitter);
         self.not_before = (began + delay.mul_f64(jitter)).max(soonest);
         FollowUpdate::Failed { reason }
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -49,11 +49,11 @@
 /// Upstreams that have left whose ids are kept; those of the oldest entries are dropped.
 const MAX_DEPARTED: usize = 4_096;
 
-/// When the grace period ends at the latest, if the last failed call to the store began at `called_at`.
-/// The fault can't have ended before, and no lapsed entry is usable `settle_time` after its end.
+/// When the grace period ends at the latest, if the fault of the store or of the path to it may have
+/// ended as early as `fault_ended_after`. No lapsed entry is usable `settle_time` after its end.
 #[must_use]
-pub fn lapse_limit(called_at: Now, settle_time: Duration) -> Now {
-    (called_at + settle_time).saturating_sub(EXPIRY_INTERVAL)
+pub fn lapse_limit(fault_ended_after: Now, settle_time: Duration) -> Now {
+    (fault_ended_after + settle_time).saturating_sub(EXPIRY_INTERVAL)
 }
 
 /// Registry entry of an upstream.
--- a/crates/core/src/gateway/tests/follow.rs
+++ b/crates/core/src/gateway/tests/follow.rs
@@ -167,6 +167,50 @@
     }
 }
 
+// Guards against a watch that is made late on a connection which is silent since the last answer, and has
+// its whole time there.
+#[test]
+fn the_time_of_a_watch_runs_from_the_last_answer() {
+    let mut follower = Follower::new("config", ms(1_800), 1);
+    follower.handle_reply(ms(0), page(&[], false, 1));
+    let mut now = ms(0);
+    for revision in 2..12 {
+        now = now.max(follower.next().0) + ms(20);
+        let changes = vec![Change::Deleted("a".into())];
+        follower.handle_reply(now, KindReply::Changes { changes, revision });
+    }
+    let (at, _) = follower.next();
+    assert!(at > now + ms(500), "the watch is delayed");
+    for begins in [at, now + ms(1_500), now + ms(5_000)] {
+        follower.record_call(begins);
+        let KindCall::Watch { wait, .. } = follower.next().1 else {
+            panic!("a watch follows");
+        };
+        let latest = now + ms(1_800);
+        assert!(
+            begins + wait <= latest.max(begins),
+            "{wait:?} from {begins:?}"
+        );
+    }
+}
+
+// Guards against requests to upstreams that left: on a silent connection a fault may have ended before the
+// call that failed, and as early as the last answer.
+#[test]
+fn the_first_call_that_fails_may_have_been_made_long_after_the_end_of_the_fault() {
+    let failed = || KindReply::Failed {
+        reason: "no answer".into(),
+    };
+    let mut follower = Follower::new("servers", ms(1_800), 1);
+    follower.handle_reply(ms(1_000), page(&[], false, 1));
+    follower.record_call(ms(1_600));
+    follower.handle_reply(ms(3_500), failed());
+    assert_eq!(follower.fault_ended_after(), ms(1_000));
+    follower.record_call(ms(3_550));
+    follower.handle_reply(ms(4_750), failed());
+    assert_eq!(follower.fault_ended_after(), ms(3_550));
+}
+
 // Guards against one watch of every host per change of a series, and against a delay that makes a
 // change late.
 #[test]
--- a/crates/net/src/gateway/follow.rs
+++ b/crates/net/src/gateway/follow.rs
@@ -99,11 +99,11 @@
 
 /// Watches the registry of upstreams and applies its changes; never returns.
 pub(super) async fn registry(shared: Arc<Shared>) {
-    follow(&shared, SERVERS_KIND, |update, called_at| {
+    follow(&shared, SERVERS_KIND, |update, asked| {
         let now = shared.now();
-        let answered = |registry: &mut Registry| match called_at {
-            Some(_) => registry.store_answered(now),
-            None => registry.host_answered(now),
+        let answered = |registry: &mut Registry| match asked {
+            Asked::Store { .. } => registry.store_answered(now),
+            Asked::Hosts => registry.host_answered(now),
         };
         let mut core = shared.core();
         let was_ready = core.is_ready();
@@ -139,8 +139,12 @@
                 changes.into_iter().filter_map(apply).collect()
             }
             FollowUpdate::Failed { .. } => {
-                let settle_time = shared.options.settle_time;
-                let limit = called_at.map(|at| lapse_limit(at, settle_time));
+                let limit = match asked {
+                    Asked::Store { fault_ended_after } => {
+                        Some(lapse_limit(fault_ended_after, shared.options.settle_time))
+                    }
+                    Asked::Hosts => None,
+                };
                 core.registry.store_failed(limit);
                 Vec::new()
             }
@@ -166,12 +170,18 @@
     }
 }
 
-/// Passes each update to `apply`, with when the call began if the store itself was called.
-async fn follow(
-    shared: &Arc<Shared>,
-    kind: &str,
-    mut apply: impl FnMut(FollowUpdate, Option<Now>),
-) {
+/// Who was asked for an update.
+#[derive(Clone, Copy, Debug)]
+enum Asked {
+    /// The store; if it did not answer, the fault ended at this time at the earliest.
+    Store {
+        fault_ended_after: Now,
+    },
+    Hosts,
+}
+
+/// Passes each update to `apply`, with who was asked for it.
+async fn follow(shared: &Arc<Shared>, kind: &str, mut apply: impl FnMut(FollowUpdate, Asked)) {
     let wait = watch_wait(shared.options.settle_time);
     let mut follower = Follower::new(kind, wait, rand::random());
     let first_start = shared.options.first_start;
@@ -186,11 +196,13 @@
             sources.choose(shared.now(), peers.local_record(), &peers.live_hosts())
         };
         record_source(shared, kind, &mut last_source, source);
-        let mut called_at = None;
+        let mut asked = Asked::Hosts;
         let update = match source {
             Source::Store => {
-                let (at, update) = ask_store(shared, &mut follower).await;
-                called_at = Some(at);
+                let update = ask_store(shared, &mut follower).await;
+                asked = Asked::Store {
+                    fault_ended_after: follower.fault_ended_after(),
+                };
                 match &update {
                     Some(FollowUpdate::Failed { .. }) => sources.failed(shared.now(), source),
                     _ => sources.answered(),
@@ -221,23 +233,23 @@
         let Some(update) = update else { continue };
         shared.copies.apply(kind, &update, source == Source::Store);
         record_store_state(shared, kind, &update, &mut failing);
-        apply(update, called_at);
+        apply(update, asked);
     }
 }
 
-/// Makes the next call to the store. Returns when it began, and no update while further pages of a list
-/// are to be read.
-async fn ask_store(shared: &Shared, follower: &mut Follower) -> (Now, Option<FollowUpdate>) {
-    let (at, call) = follower.next();
+/// Makes the next call to the store. Returns no update while further pages of a list are to be read.
+async fn ask_store(shared: &Shared, follower: &mut Follower) -> Option<FollowUpdate> {
+    let (at, _) = follower.next();
     tokio::time::sleep_until(shared.clock.instant(at)).await;
     let called_at = shared.now();
     follower.record_call(called_at);
+    let (_, call) = follower.next();
     let reply = shared.platform.call_kind(&call).await;
     let now = shared.now();
     let (name, result) = (call_name(&call), result_name(&reply));
     let took = now.saturating_sub(called_at);
     shared.metrics.store_call_ended(name, result, took);
-    (called_at, follower.handle_reply(now, reply))
+    follower.handle_reply(now, reply)
 }
 
 /// Makes the next call to another host's copy. `None` if the host could not answer.
--- a/crates/standins/tests/gateway/draining.rs
+++ b/crates/standins/tests/gateway/draining.rs
@@ -12,6 +12,11 @@
 /// Gateways whose path to the store has a fault.
 const DISTURBED: usize = 3;
 const OBSERVED_TIME: Duration = Duration::from_secs(3);
+/// Changes of the registry before the channels fall silent, and the time between two of them.
+const RELEASE_CHANGES: usize = 8;
+const RELEASE_INTERVAL: Duration = Duration::from_millis(150);
+/// Time from the beginning of the silence to the removal.
+const REMOVAL_DELAY: Duration = Duration::from_millis(500);
 
 impl Cluster {
     /// Starts gateways with a path of their own to the store each, and waits until they serve.
@@ -79,3 +84,24 @@
     let late = cluster.late_arrivals(0, left, STABLE_WINDOW);
     assert!(late.is_empty(), "{}", describe(&late));
 }
+
+// Guards against a watch of the registry that begins late on a silent channel, and a grace of lapsed
+// entries that runs from there.
+#[tokio::test]
+async fn replica_that_is_removed_while_channels_are_silent_in_a_release_gets_no_late_requests() {
+    let mut cluster = Cluster::start(6, 0).await;
+    let paths = cluster.start_behind_paths(DISTURBED).await;
+    for n in 0..RELEASE_CHANGES {
+        let leaving = n % 2 == 0;
+        let entry = cluster.replicas[5].registry_entry("drafts", leaving);
+        cluster.store.put("servers", "i-5", entry);
+        tokio::time::sleep(RELEASE_INTERVAL).await;
+    }
+    paths.iter().for_each(StorePath::lose_answers);
+    let silent_at = Instant::now();
+    tokio::time::sleep(REMOVAL_DELAY).await;
+    cluster.store.delete("servers", "i-0");
+    cluster.call_for(STABLE_WINDOW).await;
+    let late = cluster.late_arrivals(0, silent_at, STABLE_WINDOW);
+    assert!(late.is_empty(), "{}", describe(&late));
+}
