Use no connection that may have fallen silent while it was idle

A host keeps idle connections to the store for 30 s, and a link to the host that it followed while it asks the store. After the channels fell silent, the call that follows a lost answer could be made on another connection that was as silent: 1.2 s more for a list, 1.4 s for a call to a host.

A call without an answer makes all later calls to the store open new connections, idle ones are closed after a second, and the link to a host is dropped when the store is asked.

The test fails without the change: the second call takes 1.2 s as the first did.

--- a/crates/net/src/gateway/follow.rs
+++ b/crates/net/src/gateway/follow.rs
@@ -199,6 +199,8 @@
         let mut asked = Asked::Hosts;
         let update = match source {
             Source::Store => {
+                // A link that is not in use may fall silent unnoticed.
+                link = CopyLink::default();
                 let update = ask_store(shared, &mut follower).await;
                 asked = Asked::Store {
                     fault_ended_after: follower.fault_ended_after(),
--- a/crates/net/src/http/client.rs
+++ b/crates/net/src/http/client.rs
@@ -28,6 +28,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time after which idle connections are closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// The same for connections to the platform's store, which may have fallen silent meanwhile.
+const STORE_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time without an answer to an HTTP/2 ping after which a connection is closed.
 const PING_TIMEOUT: Duration = Duration::from_secs(2);
 /// Interval of HTTP/2 pings on connections with open streams.
@@ -117,12 +119,19 @@
     }
 }
 
-/// Creates a client for engines, plain services and the platform: HTTP/1.1 over plain TCP.
+/// Creates a client for engines and plain services: HTTP/1.1 over plain TCP.
 #[must_use]
 pub fn plain_client() -> Client {
     http1_client(None)
 }
 
+/// Creates a client for the platform's store: HTTP/1.1 over plain TCP, on connections that were in use
+/// a moment ago or are new.
+#[must_use]
+pub fn store_client() -> Client {
+    pooled_http1_client(None, STORE_IDLE_TIMEOUT)
+}
+
 /// Creates a client that opens a connection for each request: HTTP/1.1 over plain TCP.
 #[must_use]
 pub fn single_use_client() -> Client {
@@ -136,9 +145,13 @@
 /// Creates a client for admin addresses: HTTP/1.1, with mutual TLS if there is an identity.
 #[must_use]
 pub fn http1_client(identity: Option<Identity>) -> Client {
+    pooled_http1_client(identity, IDLE_TIMEOUT)
+}
+
+fn pooled_http1_client(identity: Option<Identity>, idle_timeout: Duration) -> Client {
     legacy::Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
-        .pool_idle_timeout(IDLE_TIMEOUT)
+        .pool_idle_timeout(idle_timeout)
         .http1_max_buf_size(READ_BUFFER_BYTES)
         .retry_canceled_requests(false)
         .build(Connector::new(identity))
--- a/crates/net/src/http/mod.rs
+++ b/crates/net/src/http/mod.rs
@@ -5,7 +5,9 @@
 mod server;
 
 pub use body::{Body, BodyError, BodySender, channel_body, collect, empty, full};
-pub use client::{Client, http1_client, plain_client, prior_knowledge_client, single_use_client};
+pub use client::{
+    Client, http1_client, plain_client, prior_knowledge_client, single_use_client, store_client,
+};
 pub(crate) use client::{Sender, handshake};
 pub use server::{Limits, LimitsBuilder, Server};
 
--- a/crates/net/src/platform/mod.rs
+++ b/crates/net/src/platform/mod.rs
@@ -18,7 +18,7 @@
 use http::{Request, Response};
 use hyper_util::client::legacy;
 
-use crate::http::{Body, Client, collect, full, plain_client};
+use crate::http::{Body, Client, collect, full, store_client};
 use crate::runtime::Clock;
 
 /// Largest answer to a call about a kind, in bytes: a page or a batch of changes with objects of
@@ -40,7 +40,7 @@
 #[derive(Clone, Debug)]
 pub struct Platform {
     base: String,
-    client: Client,
+    client: Arc<Mutex<Client>>,
     clock: Clock,
     policy: Arc<Mutex<PlatformPolicy>>,
     calls: Arc<AtomicU64>,
@@ -53,7 +53,7 @@
     pub fn new(base: &str, clock: Clock, limits: PlatformLimits, seed: u64) -> Self {
         Self {
             base: base.trim_end_matches('/').to_owned(),
-            client: plain_client(),
+            client: Arc::new(Mutex::new(store_client())),
             clock,
             policy: Arc::new(Mutex::new(PlatformPolicy::new(limits, seed))),
             calls: Arc::default(),
@@ -128,10 +128,19 @@
             Ok(Ok(Some(response))) => (self.dialect.kind_reply)(call, &response),
             Ok(Ok(None)) => failed("the answer is truncated or too large".to_owned()),
             Ok(Err(error)) => failed(format!("no answer: {error}")),
-            Err(_) => failed(format!("no answer within {limit:?}")),
+            Err(_) => {
+                self.drop_idle_connections();
+                failed(format!("no answer within {limit:?}"))
+            }
         }
     }
 
+    /// Makes later calls open new connections. Where one is silent, the others that were open then
+    /// may be, too.
+    fn drop_idle_connections(&self) {
+        *self.lock_client() = store_client();
+    }
+
     async fn send(&self, call: &Call) -> Reply {
         let limit = match call {
             Call::Watch { .. } => WATCH_TIMEOUT + CALL_TIMEOUT,
@@ -148,7 +157,11 @@
         match tokio::time::timeout(limit, calling).await {
             Ok(Ok(Some(response))) => (self.dialect.object_reply)(call, &response),
             Ok(Err(error)) if error.is_connect() => Reply::Unavailable,
-            Ok(Ok(None) | Err(_)) | Err(_) => Reply::Lost,
+            Ok(Ok(None) | Err(_)) => Reply::Lost,
+            Err(_) => {
+                self.drop_idle_connections();
+                Reply::Lost
+            }
         }
     }
 
@@ -159,12 +172,17 @@
         request: Request<Body>,
         max_bytes: usize,
     ) -> Result<Option<Response<Bytes>>, legacy::Error> {
-        let response = self.client.request(request).await?;
+        let client = self.lock_client().clone();
+        let response = client.request(request).await?;
         let (parts, body) = response.into_parts();
         let body = collect(body, max_bytes, CALL_TIMEOUT).await.ok();
         Ok(body.map(|b| Response::from_parts(parts, b)))
     }
 
+    fn lock_client(&self) -> MutexGuard<'_, Client> {
+        self.client.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock_policy(&self) -> MutexGuard<'_, PlatformPolicy> {
         self.policy.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/standins/tests/gateway/silent_channels.rs
+++ b/crates/standins/tests/gateway/silent_channels.rs
@@ -2,7 +2,12 @@
 
 use std::time::{Duration, Instant};
 
+use eelgrasshold_core::fleet::platform_policy::PlatformLimits;
+use eelgrasshold_core::platform::KindCall;
 use eelgrasshold_net::gateway::{GatewayHost, GatewayOptions};
+use eelgrasshold_net::platform::Platform;
+use eelgrasshold_net::runtime::Clock;
+use eelgrasshold_standins::users::ObjectStore;
 use futures::future::join_all;
 
 use super::cluster::{Cluster, with_route};
@@ -96,3 +101,33 @@
     let settle_time = Duration::from_secs(3);
     assert_served_within(&play(7, settle_time).await, settle_time);
 }
+
+// Guards against a host that waits for one silent connection of its pool after the other.
+#[tokio::test]
+async fn call_after_a_lost_answer_is_made_on_a_new_connection() {
+    let store = ObjectStore::start().unwrap();
+    let path = StorePath::open(store.address()).await;
+    let limits = PlatformLimits {
+        failures_to_open: u32::MAX,
+        ..PlatformLimits::default()
+    };
+    let base = format!("http://{}", path.address());
+    let platform = Platform::new(&base, Clock::start(), limits, 1);
+    let call = KindCall::List {
+        kind: "servers".into(),
+        after: None,
+        stale: false,
+    };
+    // The answers say that there is no such path, which does as well.
+    let calls = (0..3).map(|_| platform.call_kind(&call));
+    join_all(calls).await;
+    path.lose_answers();
+    let mut times = Vec::new();
+    for _ in 0..2 {
+        let began = Instant::now();
+        platform.call_kind(&call).await;
+        times.push(began.elapsed());
+    }
+    assert!(times[0] > Duration::from_millis(900), "{times:?}");
+    assert!(times[1] < Duration::from_millis(500), "{times:?}");
+}
