Take the times of a host without a source from the settle time

A host that no watching host answered passed each over for 3 s, asked the store after 1.5 to 3 s and then every 2 s, whatever the settle time was. Each is within 3 s, but a fault that ends in between leaves it outdated for their sum, with the call that was being made, on top.

The times are shares of the settle time now, and a host that is passed over is asked again if there is no other, every sixth of the settle time, the one that failed first before the others.

--- a/crates/core/src/gateway/sources/mod.rs
+++ b/crates/core/src/gateway/sources/mod.rs
@@ -2,11 +2,16 @@
 //!
 //! Each watch of the store costs the platform a call per change, so only a few hosts of each data
 //! centre watch it: those that come first in an order that all hosts compute from the members they
-//! know. The others follow one of these, in their own data centre if they can. A host that finds
-//! none of them able to answer for [`MAX_TIME_WITHOUT_SOURCE`] asks the store itself.
+//! know. The others follow one of these, in their own data centre if they can.
+//!
+//! A host that none of them answers asks the store itself. It is up to date again within the settle time
+//! after the end of any fault, whatever it was doing then: the times here are shares of the settle time,
+//! and their sum, with a call that was begun before the end and a list after it, is less than 1. So a
+//! host that was passed over is asked again before that, too, if there is no other.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
@@ -18,13 +23,19 @@
 
 /// Number of hosts of all data centres that watch the store.
 const WATCHERS: usize = 10;
-/// Time for which a host that could not answer is passed over.
+/// Time for which a host that could not answer is passed over, if there are others.
 const AVOID_TIME: Duration = Duration::from_secs(3);
-/// Time without an answer of any watcher after which a host asks the store, up to twice as long by
-/// chance, so that not all hosts do so at once.
-const MAX_TIME_WITHOUT_SOURCE: Duration = Duration::from_millis(1_500);
-/// Time between two attempts of such a host.
-const STORE_RETRY_INTERVAL: Duration = Duration::from_secs(2);
+/// Share of the settle time without an answer of any watcher after which a host asks the store, drawn
+/// so that not all hosts do so at once.
+const SHARE_WITHOUT_SOURCE: Range<f64> = 0.25..0.45;
+/// Share of the settle time between two attempts of such a host.
+const STORE_RETRY_SHARE: f64 = 2.0 / 3.0;
+/// Longest time between two attempts of such a host.
+const MAX_STORE_RETRY_INTERVAL: Duration = Duration::from_secs(2);
+/// Share of the settle time between two calls to hosts that are passed over, if there are no others.
+const HOST_RETRY_SHARE: f64 = 1.0 / 6.0;
+/// Settle time unless another one is set.
+const DEFAULT_SETTLE_TIME: Duration = Duration::from_secs(3);
 /// Time after the first start of a fleet in which hosts find each other before any asks the store.
 const MEETING_TIME: Duration = Duration::from_millis(1_800);
 
@@ -50,6 +61,9 @@
     /// When the store is asked, as no source has answered since the last answer.
     ask_store_at: Option<Now>,
     next_store_attempt: Now,
+    /// When a host that is passed over may be asked, if there is no other.
+    next_host_retry: Now,
+    settle_time: Duration,
     rng: SmallRng,
 }
 
@@ -91,10 +105,21 @@
             avoided: BTreeMap::new(),
             ask_store_at: None,
             next_store_attempt: now,
+            next_host_retry: now,
+            settle_time: DEFAULT_SETTLE_TIME,
             rng: SmallRng::seed_from_u64(seed),
         }
     }
 
+    /// Sets the time after a fault within which the host must be up to date again; 3 s by default.
+    #[must_use]
+    pub fn with_settle_time(self, settle_time: Duration) -> Self {
+        Self {
+            settle_time,
+            ..self
+        }
+    }
+
     /// Chooses the source of the next call. `members` are the live hosts with the local one.
     pub fn choose(&mut self, now: Now, local: &PeerRecord, members: &[&PeerRecord]) -> Source {
         self.avoided.retain(|_, until| now < *until);
@@ -119,15 +144,26 @@
         // Hosts that are asked one after the other may take longer to fail than a host is passed over.
         let at = self.ask_store_at.map(|at| at.max(self.next_store_attempt));
         if at.is_some_and(|at| now >= at) {
-            self.next_store_attempt = now + STORE_RETRY_INTERVAL;
+            self.next_store_attempt = now + self.store_retry_interval();
             return Source::Store;
         }
         if let Some(watcher) = usable {
             return Source::Host(watcher.peers);
         }
+        if now >= self.next_host_retry {
+            self.next_host_retry = now + self.settle_time.mul_f64(HOST_RETRY_SHARE);
+            let failed_first = watchers.iter().min_by_key(|w| self.avoided.get(&w.peers));
+            if let Some(watcher) = failed_first {
+                return Source::Host(watcher.peers);
+            }
+        }
         let at = at.unwrap_or(now);
-        let soonest = self.avoided.values().min().copied().unwrap_or(at);
-        Source::NoneUntil(soonest.min(at))
+        Source::NoneUntil(self.next_host_retry.min(at))
+    }
+
+    fn store_retry_interval(&self) -> Duration {
+        let interval = self.settle_time.mul_f64(STORE_RETRY_SHARE);
+        interval.min(MAX_STORE_RETRY_INTERVAL)
     }
 
     /// Whether sources were asked and none has answered since.
@@ -143,7 +179,8 @@
     }
 
     fn record_none(&mut self, now: Now) {
-        let wait = MAX_TIME_WITHOUT_SOURCE.mul_f64(self.rng.random_range(1.0..2.0));
+        let share = self.rng.random_range(SHARE_WITHOUT_SOURCE);
+        let wait = self.settle_time.mul_f64(share);
         self.ask_store_at.get_or_insert(now + wait);
     }
 
--- a/crates/net/src/gateway/follow.rs
+++ b/crates/net/src/gateway/follow.rs
@@ -185,7 +185,8 @@
     let wait = watch_wait(shared.options.settle_time);
     let mut follower = Follower::new(kind, wait, rand::random());
     let first_start = shared.options.first_start;
-    let mut sources = Sources::new(shared.now(), first_start, rand::random());
+    let mut sources = Sources::new(shared.now(), first_start, rand::random())
+        .with_settle_time(shared.options.settle_time);
     let mut link = CopyLink::default();
     let mut times_behind = 0;
     let mut failing = false;
