Tell a few hosts of a new version at once, and pull when it is due

A host whose own source is cut off from the store learns of a change by gossip only: the watching host that it follows needs up to 0.6 of the settle time and 0.7 s to notice. The steps were a round (0.5 s, more if nobody chose the host), the host's own next round (0.5 s), 0.9 s rounded up to rounds, and a pull from the one host that all hosts choose.

A host sends its versions to three others when they change, at most once a round beside the rounds; the 0.9 s run from the datagram that told of the version and end in time; the pull goes to any of the newest hosts.

--- a/crates/core/src/gateway/peers.rs
+++ b/crates/core/src/gateway/peers.rs
@@ -213,6 +213,8 @@
     /// Since when another host has had a newer list of upstreams.
     registry_behind_since: Option<Now>,
     last_round: Option<Now>,
+    /// When datagrams with new versions were last sent between rounds.
+    spread_at: Option<Now>,
     rng: SmallRng,
 }
 
@@ -231,6 +233,7 @@
             table_behind_since: None,
             registry_behind_since: None,
             last_round: None,
+            spread_at: None,
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -320,6 +323,18 @@
         live.map(|p| (p.record.peers, gossip.clone())).collect()
     }
 
+    /// Returns datagrams that tell a few hosts of new versions at once, so that hosts whose own source
+    /// is late hear of them. There are none if some were sent less than [`ROUND_INTERVAL`] ago.
+    pub fn spread(&mut self, now: Now, store_versions: StoreVersions) -> Vec<(SocketAddr, Gossip)> {
+        if self.spread_at.is_some_and(|at| now < at + ROUND_INTERVAL) {
+            return Vec::new();
+        }
+        self.spread_at = Some(now);
+        let gossip = self.gossip(now, store_versions, false, 0);
+        let targets = self.gossip_targets();
+        targets.into_iter().map(|t| (t, gossip.clone())).collect()
+    }
+
     /// Processes a datagram. Returns the reply, if one is due, and what changed.
     pub fn receive(
         &mut self,
@@ -339,6 +354,7 @@
         if let Some(peer) = self.others.get_mut(&sender) {
             peer.store_versions = gossip.store_versions;
         }
+        self.note_versions(now, gossip.store_versions, store_versions);
         for record in &gossip.records {
             self.merge_record(now, record, 0, &mut changes);
         }
@@ -421,17 +437,37 @@
         hosts
     }
 
+    /// Notes since when a host that sent its versions is ahead.
+    fn note_versions(&mut self, now: Now, sent: StoreVersions, own: StoreVersions) {
+        if sent.table > own.table {
+            self.table_behind_since.get_or_insert(now);
+        }
+        if sent.registry > own.registry {
+            self.registry_behind_since.get_or_insert(now);
+        }
+    }
+
+    /// When a pull may be due; `None` while no other host is ahead.
+    #[must_use]
+    pub fn next_pull_at(&self) -> Option<Now> {
+        let since = [self.table_behind_since, self.registry_behind_since];
+        since.into_iter().flatten().min().map(|at| at + PULL_DELAY)
+    }
+
     /// Returns what to pull from a host that has been ahead of the local one for [`PULL_DELAY`].
     /// Each host follows the store on its own and cannot detect by itself that it has fallen
     /// behind. `own` has the revisions up to which the local host holds all changes.
     pub fn pull(&mut self, now: Now, own: StoreVersions) -> Option<Pull> {
-        let live = || self.others.values().filter(|p| !p.unresponsive);
-        let newest_table = live().max_by_key(|p| p.store_versions.table);
-        let table = newest_table.filter(|p| p.store_versions.table > own.table);
-        let newest_registry = live().max_by_key(|p| p.store_versions.registry);
-        let registry = newest_registry.filter(|p| p.store_versions.registry > own.registry);
-        let table = table.map(|p| Pull::Table(p.record.peers));
-        let registry = registry.map(|p| Pull::Registry(p.record.peers));
+        // Any of the newest hosts may have fallen silent since.
+        let mut newest = |version: fn(&StoreVersions) -> u64| {
+            let live = self.others.values().filter(|p| !p.unresponsive);
+            let max = live.clone().map(|p| version(&p.store_versions)).max()?;
+            let ahead = live.filter(|p| max > version(&own) && version(&p.store_versions) == max);
+            let ahead: Vec<SocketAddr> = ahead.map(|p| p.record.peers).collect();
+            ahead.choose(&mut self.rng).copied()
+        };
+        let table = newest(|v| v.table).map(Pull::Table);
+        let registry = newest(|v| v.registry).map(Pull::Registry);
         let has_none = own.table == 0 || own.registry == 0;
         if pull_is_due(&mut self.table_behind_since, now, table.is_some(), has_none) {
             return table;
--- a/crates/net/src/gateway/follow.rs
+++ b/crates/net/src/gateway/follow.rs
@@ -86,6 +86,7 @@
         return;
     }
     shared.store_document(document);
+    shared.versions_changed.notify_one();
     let unconfirmed = shared.now().saturating_sub(shared.table_confirmed_at());
     let event = Event::new(EventKind::ConfigApplied, "")
         .with("table", version)
--- a/crates/net/src/gateway/gossip.rs
+++ b/crates/net/src/gateway/gossip.rs
@@ -29,8 +29,18 @@
     rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     loop {
+        let pull_at = shared.peers().next_pull_at();
+        let pull_at = pull_at.map(|at| shared.clock.instant(at));
+        let pull_due = async {
+            match pull_at {
+                Some(at) => tokio::time::sleep_until(at).await,
+                None => std::future::pending().await,
+            }
+        };
         tokio::select! {
             _ = rounds.tick() => round(&shared, &socket),
+            () = pull_due => pull(&shared),
+            () = shared.versions_changed.notified() => spread(&shared, &socket),
             () = shared.state_changed.notified() => announce(&shared, &socket),
             () = shared.quarantine_news.notified() => quarantine::send_news(&shared, &socket),
             received = socket.recv_from(&mut buf) => match received {
@@ -54,21 +64,13 @@
 fn round(shared: &Arc<Shared>, socket: &UdpSocket) {
     update_state(shared);
     let store_versions = shared.store_versions();
-    let known = StoreVersions {
-        registry: shared.core().registry.as_of(),
-        ..store_versions
-    };
     let mut peers = shared.peers();
     let (sends, changes) = peers.round(shared.now(), store_versions);
     let hosts = peers.count();
     let live: BTreeSet<HostId> = peers.live_hosts().iter().map(|p| p.host.clone()).collect();
     let absent = peers.absent();
-    let pull = peers.pull(shared.now(), known);
     drop(peers);
-    if let Some(pull) = pull {
-        shared.copies.mark_behind();
-        tokio::spawn(pulls::pull(Arc::clone(shared), pull));
-    }
+    pull(shared);
     {
         let mut core = shared.core();
         core.limits.set_hosts(&live, absent);
@@ -86,6 +88,27 @@
     drop(notices::repeat_news(shared));
 }
 
+/// Pulls from a host that has been ahead for a while.
+fn pull(shared: &Arc<Shared>) {
+    let known = StoreVersions {
+        registry: shared.core().registry.as_of(),
+        ..shared.store_versions()
+    };
+    let pull = shared.peers().pull(shared.now(), known);
+    if let Some(pull) = pull {
+        shared.copies.mark_behind();
+        tokio::spawn(pulls::pull(Arc::clone(shared), pull));
+    }
+}
+
+fn spread(shared: &Shared, socket: &UdpSocket) {
+    let store_versions = shared.store_versions();
+    let sends = shared.peers().spread(shared.now(), store_versions);
+    for (to, gossip) in sends {
+        send(socket, to, &gossip);
+    }
+}
+
 fn announce(shared: &Shared, socket: &UdpSocket) {
     update_state(shared);
     let store_versions = shared.store_versions();
--- a/crates/net/src/gateway/host.rs
+++ b/crates/net/src/gateway/host.rs
@@ -271,6 +271,7 @@
         open_requests: AtomicUsize::new(0),
         requests_ended: Notify::new(),
         state_changed: Notify::new(),
+        versions_changed: Notify::new(),
         clock,
         options,
     }
--- a/crates/net/src/gateway/shared.rs
+++ b/crates/net/src/gateway/shared.rs
@@ -65,6 +65,8 @@
     pub(super) requests_ended: Notify,
     /// Notified when the lifecycle state changed, so that the gossip task announces it.
     pub(super) state_changed: Notify,
+    /// Notified when the configuration or the registry changed, so that the gossip task tells others.
+    pub(super) versions_changed: Notify,
 }
 
 impl Shared {
@@ -172,6 +174,9 @@
 
     /// Records changes of the registry in the event timeline.
     pub(super) fn record_registry_changes(&self, changes: Vec<Change>) {
+        if !changes.is_empty() {
+            self.versions_changed.notify_one();
+        }
         for change in changes {
             let (kind, upstream) = match change {
                 Change::Joined(id) => (EventKind::UpstreamListed, id),
