Answer the first watch on a link between hosts at once

A host that follows another one waits for 1.4 s at each that is silent: that is one second more than it takes to see whether a host is there. On a new link the first watch is answered at once and has 0.7 s.

--- a/crates/net/src/gateway/copies/mod.rs
+++ b/crates/net/src/gateway/copies/mod.rs
@@ -25,6 +25,9 @@
 const COPY_WAIT: Duration = Duration::from_secs(1);
 /// Time limit of a call to another host, beyond [`COPY_WAIT`].
 const CALL_MARGIN: Duration = Duration::from_millis(400);
+/// Time limit of a watch that a host answers at once. It is the first one on a new link, so that one
+/// silent host after the other costs less time.
+const FIRST_WATCH_TIMEOUT: Duration = Duration::from_millis(700);
 /// Largest answer after decompression, in bytes: all objects of a kind.
 const MAX_ANSWER_BYTES: u64 = 16 << 20;
 /// Encoded answers that are kept; hosts that follow this one mostly ask for the same.
@@ -71,9 +74,14 @@
         lock(&self.reach).get(kind).copied().unwrap_or_default()
     }
 
-    /// Answers a call of another host; a watch waits for a change for [`COPY_WAIT`] at most.
+    /// Answers a call of another host; a watch waits for a change for [`COPY_WAIT`] at most, and any call
+    /// while this host is in doubt whether it reaches the store.
     pub(super) async fn answer(&self, call: KindCall) -> Vec<u8> {
-        let deadline = Instant::now() + COPY_WAIT;
+        let began = Instant::now();
+        let wait = match &call {
+            KindCall::Watch { wait, .. } => COPY_WAIT.min(*wait),
+            KindCall::List { .. } => COPY_WAIT,
+        };
         let (KindCall::List { kind, .. } | KindCall::Watch { kind, .. }) = &call;
         loop {
             let changed = self.changed.notified();
@@ -88,7 +96,15 @@
             {
                 return answer;
             }
-            if tokio::time::timeout_at(deadline, changed).await.is_err() {
+            let wait = if reach == Reach::InDoubt {
+                COPY_WAIT
+            } else {
+                wait
+            };
+            if tokio::time::timeout_at(began + wait, changed)
+                .await
+                .is_err()
+            {
                 if self.reach(kind) != Reach::Direct {
                     return unreachable_store();
                 }
@@ -129,6 +145,17 @@
     }
 }
 
+/// The call to make on a new link in place of `call`, with its time limit.
+fn first_call(call: KindCall) -> (KindCall, Duration) {
+    match call {
+        KindCall::Watch { kind, after, .. } => {
+            let wait = Duration::ZERO;
+            (KindCall::Watch { kind, after, wait }, FIRST_WATCH_TIMEOUT)
+        }
+        list @ KindCall::List { .. } => (list, COPY_WAIT + CALL_MARGIN),
+    }
+}
+
 fn unreachable_store() -> Vec<u8> {
     let reason = "this host does not reach the store".to_owned();
     encode(&KindReply::Failed { reason })
@@ -181,14 +208,17 @@
         address: SocketAddr,
         call: KindCall,
     ) -> Result<KindReply, String> {
-        let client = match self.0.take() {
-            Some((linked, client)) if linked == address => client,
-            _ => {
+        let linked = self.0.take().filter(|(linked, _)| *linked == address);
+        let (client, call, limit) = match linked {
+            Some((_, client)) => (client, call, COPY_WAIT + CALL_MARGIN),
+            None => {
                 let link = rpc::open(address).await.map_err(|e| e.to_string())?;
-                StoreCopyClient::new(tarpc::client::Config::default(), link).spawn()
+                let client = StoreCopyClient::new(tarpc::client::Config::default(), link).spawn();
+                let (call, limit) = first_call(call);
+                (client, call, limit)
             }
         };
-        let cx = rpc::context_with_timeout(COPY_WAIT + CALL_MARGIN);
+        let cx = rpc::context_with_timeout(limit);
         let answer = client.follow(cx, call).await.map_err(|e| e.to_string())?;
         // A link whose call failed is dropped, so that a late answer can't delay the next call.
         self.0 = Some((address, client));
--- a/crates/net/src/gateway/copies/tests.rs
+++ b/crates/net/src/gateway/copies/tests.rs
@@ -4,7 +4,7 @@
 use eelgrasshold_core::gateway::follow::FollowUpdate;
 use eelgrasshold_core::platform::{Change, KindCall, KindReply, StoredObject};
 
-use super::{COPY_WAIT, Copies, decode, encode, lock};
+use super::{COPY_WAIT, Copies, decode, encode, first_call, lock};
 
 fn object(name: &str, version: u64) -> StoredObject {
     StoredObject {
@@ -81,6 +81,60 @@
     assert!(refuses().await, "others know more");
 }
 
+/// Guards against hosts that leave one whose next call to the store succeeds.
+#[tokio::test(start_paused = true)]
+async fn a_host_whose_call_failed_once_answers_after_the_next_one() {
+    let copies = Copies::default();
+    let listed = FollowUpdate::All(vec![object("a", 3)], 3);
+    copies.apply("servers", &listed, true);
+    let failed = FollowUpdate::Failed {
+        reason: "no answer".into(),
+    };
+    copies.apply("servers", &failed, true);
+    let first = KindCall::Watch {
+        kind: "servers".into(),
+        after: 3,
+        wait: Duration::ZERO,
+    };
+    for call in [watch(3), first] {
+        let change = FollowUpdate::All(vec![object("a", 3), object("b", 5)], 5);
+        let (answer, ()) = tokio::join!(copies.answer(call), async {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            copies.apply("servers", &change, true);
+        });
+        let changes = vec![Change::Set(object("b", 5))];
+        let revision = 5;
+        assert_eq!(
+            decode(&answer),
+            Ok(KindReply::Changes { changes, revision })
+        );
+        copies.apply("servers", &failed, true);
+    }
+    copies.apply("servers", &failed, true);
+    let began = tokio::time::Instant::now();
+    let answer = decode(&copies.answer(watch(5)).await);
+    assert!(matches!(answer, Ok(KindReply::Failed { .. })));
+    assert_eq!(began.elapsed(), Duration::ZERO, "two calls have failed");
+}
+
+/// Guards against silent hosts that cost the whole time of a watch each.
+#[tokio::test(start_paused = true)]
+async fn the_first_watch_on_a_link_is_answered_at_once() {
+    let copies = Copies::default();
+    let listed = FollowUpdate::All(vec![object("a", 3)], 3);
+    copies.apply("servers", &listed, true);
+    let (call, limit) = first_call(watch(3));
+    assert!(limit < COPY_WAIT);
+    let began = tokio::time::Instant::now();
+    let answer = decode(&copies.answer(call).await);
+    let unchanged = KindReply::Changes {
+        changes: Vec::new(),
+        revision: 3,
+    };
+    assert_eq!(answer, Ok(unchanged));
+    assert!(began.elapsed() < Duration::from_millis(10));
+}
+
 /// Guards against a change that is left out of an answer and counts as told by its revision.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_change_at_the_end_of_a_watch_is_not_passed_over() {
