Simulate how late a change comes into force, as the sum of all steps

Each step from the store to the last host had its bound and its test; nothing tested their sum.

The simulation has the hosts' own decisions (follower, sources, copy, reach) and plays channels that fall silent at any moment of a series of changes, once or twice, to the store or between hosts, too; hosts that freeze, restart, or are cut off from the store; and a store that turns away those that watch it.

--- a/crates/core/src/gateway/tests/mod.rs
+++ b/crates/core/src/gateway/tests/mod.rs
@@ -5,6 +5,7 @@
 mod departure;
 mod follow;
 mod forming;
+mod late_changes;
 mod mirror;
 mod notices;
 mod notices_simulation;
