--- a/crates/core/src/gateway/tests/late_changes.rs
+++ b/crates/core/src/gateway/tests/late_changes.rs
@@ -101,7 +101,7 @@
 #[derive(Clone, Debug)]
 struct Call {
     source: Source,
-    call: KindCall,
+    request: KindCall,
     began: Now,
     channel_opened: Now,
     limit: Now,
@@ -201,7 +201,7 @@
         let node = |n| Node::new(Now::ZERO, true, settle_time, seed * 1_000 + n as u64);
         Self {
             settle_time,
-            apply_time: settle_time - ms(1_000),
+            apply_time: settle_time.saturating_sub(ms(1_000)),
             records: (0..size).map(|n| record(n, 3)).collect(),
             nodes: (0..size).map(node).collect(),
             faults,
@@ -239,7 +239,7 @@
             }
             let at_store = |c: &Call| {
                 matches!(
-                    (&c.source, &c.call),
+                    (&c.source, &c.request),
                     (Source::Store, KindCall::Watch { .. })
                 )
             };
@@ -295,7 +295,7 @@
                     return failed("refused");
                 }
                 let revision = self.revision(now);
-                match &call.call {
+                match &call.request {
                     KindCall::List { .. } => Some(KindReply::Items {
                         items: vec![object(revision)],
                         more: false,
@@ -316,7 +316,7 @@
                     return None;
                 }
                 let other = &self.nodes[host];
-                let wait = match &call.call {
+                let wait = match &call.request {
                     KindCall::Watch { wait, .. } => COPY_WAIT.min(*wait),
                     KindCall::List { .. } => COPY_WAIT,
                 };
@@ -325,8 +325,8 @@
                     Reach::Lost => failed("lost"),
                     Reach::InDoubt if now >= call.began + COPY_WAIT => failed("in doubt"),
                     Reach::InDoubt => None,
-                    Reach::Direct => other.mirror.answer(&call.call).or_else(|| {
-                        let after = match &call.call {
+                    Reach::Direct => other.mirror.answer(&call.request).or_else(|| {
+                        let after = match &call.request {
                             KindCall::Watch { after, .. } => *after,
                             KindCall::List { .. } => 0,
                         };
@@ -403,7 +403,7 @@
                 };
                 node.call = Some(Call {
                     source,
-                    call,
+                    request: call,
                     began: now,
                     channel_opened: opened,
                     limit: now + limit,
@@ -431,7 +431,7 @@
                 };
                 node.call = Some(Call {
                     source,
-                    call,
+                    request: call,
                     began: now,
                     channel_opened: opened,
                     limit: now + limit,
@@ -482,8 +482,8 @@
 
     fn gossip(&mut self, n: usize, now: Now) {
         let phase = u32::try_from(n % 100).unwrap() * TICK;
-        let in_round = now.saturating_sub(phase).as_millis();
-        let is_round = in_round.is_multiple_of(ROUND.as_millis());
+        let running = now.saturating_sub(phase).as_millis();
+        let is_round = running.is_multiple_of(ROUND.as_millis());
         let node = &mut self.nodes[n];
         let is_news = node.known > node.told && now >= node.told_at + ROUND;
         if is_round || is_news {
--- a/crates/net/src/gateway/copies/mod.rs
+++ b/crates/net/src/gateway/copies/mod.rs
@@ -209,14 +209,13 @@
         call: KindCall,
     ) -> Result<KindReply, String> {
         let linked = self.0.take().filter(|(linked, _)| *linked == address);
-        let (client, call, limit) = match linked {
-            Some((_, client)) => (client, call, COPY_WAIT + CALL_MARGIN),
-            None => {
-                let link = rpc::open(address).await.map_err(|e| e.to_string())?;
-                let client = StoreCopyClient::new(tarpc::client::Config::default(), link).spawn();
-                let (call, limit) = first_call(call);
-                (client, call, limit)
-            }
+        let (client, call, limit) = if let Some((_, client)) = linked {
+            (client, call, COPY_WAIT + CALL_MARGIN)
+        } else {
+            let link = rpc::open(address).await.map_err(|e| e.to_string())?;
+            let client = StoreCopyClient::new(tarpc::client::Config::default(), link).spawn();
+            let (call, limit) = first_call(call);
+            (client, call, limit)
         };
         let cx = rpc::context_with_timeout(limit);
         let answer = client.follow(cx, call).await.map_err(|e| e.to_string())?;
