--- a/crates/net/src/gateway/gossip.rs
+++ b/crates/net/src/gateway/gossip.rs
@@ -90,9 +90,11 @@
 
 /// Pulls from a host that has been ahead for a while.
 fn pull(shared: &Arc<Shared>) {
+    let store_versions = shared.store_versions();
+    let registry = shared.core().registry.as_of();
     let known = StoreVersions {
-        registry: shared.core().registry.as_of(),
-        ..shared.store_versions()
+        registry,
+        ..store_versions
     };
     let pull = shared.peers().pull(shared.now(), known);
     if let Some(pull) = pull {
