--- a/crates/core/src/gateway/sources/mod.rs
+++ b/crates/core/src/gateway/sources/mod.rs
@@ -4,10 +4,10 @@
 //! centre watch it: those that come first in an order that all hosts compute from the members they
 //! know. The others follow one of these, in their own data centre if they can.
 //!
-//! A host that none of them answers asks the store itself. It is up to date again within the settle time
-//! after the end of any fault, whatever it was doing then: the times here are shares of the settle time,
-//! and their sum, with a call that was begun before the end and a list after it, is less than 1. So a
-//! host that was passed over is asked again before that, too, if there is no other.
+//! A host that none of them answers asks the store itself. It has to be up to date within the settle time
+//! after the end of a fault, whatever it was doing then, so the times here are shares of that, and a host
+//! that was passed over is asked again if there is no other. The simulation of late changes tests the
+//! sum of all steps.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
