--- a/crates/standins/tests/faulty_engines/main.rs
+++ b/crates/standins/tests/faulty_engines/main.rs
@@ -364,3 +364,38 @@
     assert!(!answer.complete);
     fleet.close().await;
 }
+
+// Guards against statuses that no final answer has, which callers get as answers, and against a second
+// run of a request whose answer was invalid.
+#[tokio::test(flavor = "multi_thread")]
+async fn invalid_status_of_an_engine_is_not_forwarded() {
+    let lines = [
+        "HTTP/1.1 000 Trouble",
+        "HTTP/1.1 099 Trouble",
+        "HTTP/1.1 101 Switching Protocols",
+        "HTTP/1.1 600 Trouble",
+        "HTTP/1.1 999 Trouble",
+        "HTTP/1.1 2000 OK",
+        "HTTP/1.1 2x0 OK",
+        "HTTP/1.1 +200 OK",
+        "HTTP/1.1",
+        "HTTP/2.0 200 OK",
+    ];
+    for kind in [ServiceKind::Plain, ServiceKind::Model] {
+        let fleet = Fleet::start(kind, 1).await;
+        for line in lines {
+            let answer = format!("{line}\r\nX-Request-Id: {{id}}\r\nContent-Length: 2\r\n\r\nok");
+            fleet.scripts.push(&answer, End::Close);
+            let before = fleet.scripts.requests().len();
+            let answer = match kind {
+                ServiceKind::Plain => fleet.call("POST", "/reserve", "").await,
+                ServiceKind::Model => fleet.draft().await,
+            };
+            let context = format!("{line:?} {kind:?}: {answer:?}");
+            assert_eq!(fleet.scripts.requests().len(), before + 1, "{context}");
+            assert!([502, 504].contains(&answer.status), "{context}");
+            assert!(answer.body.contains("unknown"), "{context}");
+        }
+        fleet.close().await;
+    }
+}
--- a/crates/standins/tests/gateway/main.rs
+++ b/crates/standins/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod endless;
 mod faulty;
 mod hosts;
+mod invalid_heads;
 mod late_ends;
 mod limits;
 mod notices;
