Treat answers with a status outside 200 to 599 as broken

Cause: the HTTP parser accepts 101 and 600 to 999 as the status of a final answer, and both paths forwarded them to callers. Change: such an answer ends the attempt as broken, with an unknown outcome, and the upstream is charged.

--- a/crates/net/src/gateway/exchange.rs
+++ b/crates/net/src/gateway/exchange.rs
@@ -22,7 +22,7 @@
 use super::relay::Relay;
 use super::shared::Shared;
 use super::{ends, notices, permits};
-use crate::http::{Body, Sender, full};
+use crate::http::{Body, Sender, full, is_final_status};
 use crate::wire::headers::{remove_hop_by_hop, text, value};
 
 /// Why an attempt was given up, for logs.
@@ -346,6 +346,11 @@
             self.record_dropped_answer(&upstream.id, "the answer belongs to another request");
             return Err(Outcome::Broken);
         }
+        if !is_final_status(parts.status) {
+            let detail = format!("no final answer has status {}", parts.status.as_u16());
+            self.record_dropped_answer(&upstream.id, &detail);
+            return Err(Outcome::Broken);
+        }
         Ok((parts, body, sender))
     }
 
--- a/crates/net/src/http/mod.rs
+++ b/crates/net/src/http/mod.rs
@@ -11,5 +11,13 @@
 pub(crate) use client::{Sender, handshake};
 pub use server::{Limits, LimitsBuilder, Server};
 
+use http::StatusCode;
+
+/// Whether a status may be that of a final answer: 200 to 599. Parsers also let 101 and 600 to 999 through.
+#[must_use]
+pub fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/net/src/upstream/engine.rs
+++ b/crates/net/src/upstream/engine.rs
@@ -15,7 +15,7 @@
 use serde_json::Value;
 use snafu::Snafu;
 
-use crate::http::{Client, full, plain_client, single_use_client};
+use crate::http::{Client, full, is_final_status, plain_client, single_use_client};
 use crate::wire::headers;
 
 /// Time limit of a call that stops a draft or changes its priority.
@@ -37,6 +37,12 @@
     /// another request; the work may have run.
     #[snafu(display("the engine's answer has no request id, unlike earlier ones"))]
     UnidentifiedAnswer,
+    /// The status is one that no final answer has; the work may have run.
+    #[snafu(display("no final answer has the status {status} of the engine's"))]
+    InvalidStatus {
+        /// Status of the answer.
+        status: u16,
+    },
     /// The request can't be converted into one for the engine, and was not sent.
     #[snafu(display("the request can't be converted for the engine: {reason}"))]
     BadRequest {
@@ -52,7 +58,10 @@
     pub fn run(&self) -> Run {
         match self {
             Self::Unreachable | Self::BadRequest { .. } => Run::NotRun,
-            Self::Broken | Self::MismatchedAnswer | Self::UnidentifiedAnswer => Run::Unknown,
+            Self::Broken
+            | Self::MismatchedAnswer
+            | Self::UnidentifiedAnswer
+            | Self::InvalidStatus { .. } => Run::Unknown,
         }
     }
 }
@@ -162,6 +171,11 @@
                 }
             }
         }
+        if !is_final_status(answer.status()) {
+            return Err(EngineError::InvalidStatus {
+                status: answer.status().as_u16(),
+            });
+        }
         Ok(answer)
     }
 
