--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod departure;
 pub mod follow;
 pub mod health;
+pub mod load_reports;
 pub mod mirror;
 pub mod notices;
 pub mod peers;
--- a/crates/core/src/gateway/placing.rs
+++ b/crates/core/src/gateway/placing.rs
@@ -17,6 +17,7 @@
 use rand::rngs::SmallRng;
 
 use super::health::UpstreamHealth;
+use super::load_reports::LoadReports;
 use super::registry::{Upstream, UpstreamId};
 use crate::types::{DataCentreId, Now};
 
@@ -107,15 +108,42 @@
     }
 }
 
+/// What is known of the load of upstreams.
+#[derive(Clone, Copy, Debug)]
+pub struct Signals<'a> {
+    /// This host's own requests.
+    pub loads: &'a Loads,
+    /// Reports of the sidecars.
+    pub reports: &'a LoadReports,
+    /// Health as the requests of this host show it.
+    pub health: &'a UpstreamHealth,
+}
+
+impl Signals<'_> {
+    /// Requests of other hosts that a candidate without a report is taken to have: the mean of the others.
+    fn usual_others(&self, now: Now, candidates: &[&Upstream]) -> f64 {
+        let others = candidates
+            .iter()
+            .filter_map(|u| self.reports.others(now, &u.id));
+        let (count, sum) = others.fold((0, 0), |(count, sum), n| (count + 1, sum + n));
+        f64::from(sum) / f64::from(count.max(1))
+    }
+}
+
 /// Chooses the candidate with the lowest utilization; `None` only if there is no candidate.
 pub fn choose<'a>(
     rng: &mut SmallRng,
     now: Now,
     local_data_centre: &DataCentreId,
     candidates: &[&'a Upstream],
-    loads: &Loads,
-    health: &UpstreamHealth,
+    signals: &Signals<'_>,
 ) -> Option<&'a Upstream> {
+    let Signals {
+        loads,
+        reports,
+        health,
+    } = signals;
+    let usual_others = signals.usual_others(now, candidates);
     let cost = |u: &Upstream, rng: &mut SmallRng| {
         let slots = f64::from(u.slots.max(1));
         let distance = if u.data_centre == *local_data_centre {
@@ -123,8 +151,9 @@
         } else {
             REMOTE_COST
         };
-        let utilization = (loads.work(&u.id) + 1.0 + distance) / slots;
-        utilization * health.load_factor(&u.id)
+        let others = reports.others(now, &u.id).map_or(usual_others, f64::from);
+        let utilization = (loads.work(&u.id) + others + 1.0 + distance) / slots;
+        utilization * health.load_factor(&u.id) * reports.pace(now, &u.id)
             + RECENT_COST * loads.recency(now, &u.id)
             + rng.random_range(0.0..RANDOM_COST)
     };
--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -369,6 +369,12 @@
         };
     }
 
+    /// The newest upstream at an address that is not leaving.
+    #[must_use]
+    pub fn newest_at(&self, address: SocketAddr) -> Option<&Upstream> {
+        self.newest.get(&address).and_then(|(_, id)| self.get(id))
+    }
+
     /// Whether a newer upstream has the same address, which means that this one has crashed
     /// although its entry is still listed.
     #[must_use]
--- a/crates/core/src/gateway/state/choosing.rs
+++ b/crates/core/src/gateway/state/choosing.rs
@@ -7,7 +7,7 @@
 
 use super::{Admitted, Gateway, Next, Outcome, Reasons};
 use crate::gateway::notices::Willingness;
-use crate::gateway::placing;
+use crate::gateway::placing::{self, Signals};
 use crate::gateway::registry::{Upstream, UpstreamId};
 use crate::gateway::retry_after;
 use crate::gateway::silence::Liveness;
@@ -230,9 +230,14 @@
             (_, false) => &preferred,
             _ => &avoided,
         };
+        let signals = Signals {
+            loads,
+            reports: &self.load_reports,
+            health,
+        };
         let chosen = match candidates.iter().find(|u| has_permit(u)) {
             Some(permitted) => permitted,
-            None => placing::choose(&mut self.rng, now, local_data_centre, from, loads, health)?,
+            None => placing::choose(&mut self.rng, now, local_data_centre, from, &signals)?,
         };
         let reasons = Reasons {
             usable: usable.len(),
--- a/crates/core/src/gateway/state/mod.rs
+++ b/crates/core/src/gateway/state/mod.rs
@@ -15,6 +15,7 @@
 use super::budget::{RetryBound, RetryBudget};
 use super::departure::Departure;
 use super::health::UpstreamHealth;
+use super::load_reports::LoadReports;
 use super::notices::Notices;
 use super::placing::Loads;
 use super::quarantine::{self, Quarantine};
@@ -54,6 +55,8 @@
     /// Known upstreams, updated by the follower of the registry.
     pub registry: Registry,
     loads: Loads,
+    /// Load of upstreams as their sidecars report it.
+    pub load_reports: LoadReports,
     health: UpstreamHealth,
     signs: Signs,
     /// Streams that wait for their first events.
@@ -89,6 +92,7 @@
             table_since: now,
             registry: Registry::default(),
             loads: Loads::default(),
+            load_reports: LoadReports::default(),
             health: UpstreamHealth::default(),
             signs: Signs::default(),
             admission: Admission::default(),
@@ -224,6 +228,7 @@
         let registry = &self.registry;
         self.health.retain(|id| registry.get(id).is_some());
         self.loads.retain(|id| registry.get(id).is_some());
+        self.load_reports.retain(|id| registry.get(id).is_some());
         let loads = &self.loads;
         self.signs
             .retain(|id| registry.get(id).is_some() || loads.requests(id) > 0);
--- a/crates/core/src/gateway/state/outcomes.rs
+++ b/crates/core/src/gateway/state/outcomes.rs
@@ -1,6 +1,7 @@
 //! What attempts and answers say of upstreams.
 
 use super::{Admitted, Gateway, Outcome};
+use crate::gateway::load_reports::LoadReport;
 use crate::gateway::notices::{Changes, LeavingReport, Notice};
 use crate::gateway::placing::Work;
 use crate::gateway::registry::Upstream;
@@ -34,6 +35,27 @@
         self.health.observe(now, upstream, outcome)
     }
 
+    /// Upstreams whose load is of use to this host: the engines that it uses first.
+    pub fn reported_upstreams(&self) -> impl Iterator<Item = &Upstream> {
+        let table = self.table.as_ref();
+        let is_engine = move |service: &str| {
+            let service = table.and_then(|t| t.services.get(service));
+            service.is_some_and(|s| s.engine.is_some())
+        };
+        let subsets = self.subsets.iter().filter(move |(s, _)| is_engine(s));
+        let ids = subsets.flat_map(|(_, (_, subset))| subset);
+        ids.filter_map(|id| self.registry.get(id))
+    }
+
+    /// Records the load that a sidecar reports; returns whether it is used.
+    pub fn record_load(&mut self, now: Now, report: &LoadReport) -> bool {
+        let Some(upstream) = self.registry.newest_at(report.engine) else {
+            return false;
+        };
+        let own = self.loads.requests(&upstream.id);
+        self.load_reports.record(now, upstream, report, own)
+    }
+
     /// Whether a request may still be sent to the upstream that was chosen for it: it may have left, or
     /// started anew, while the connection was opened.
     #[must_use]
--- a/crates/daemon/src/settings/model.rs
+++ b/crates/daemon/src/settings/model.rs
@@ -89,6 +89,9 @@
     pub retry_window_s: f64,
     /// Maximum number of open file descriptors, sockets and pipes included.
     pub max_descriptors: usize,
+    /// Port at which the sidecars of upstreams listen, on all hosts; without one, their load is not asked for.
+    #[serde(default)]
+    pub sidecar_port: Option<u16>,
 }
 
 /// Settings of the role `rank`.
--- a/crates/net/src/gateway/gossip.rs
+++ b/crates/net/src/gateway/gossip.rs
@@ -15,7 +15,7 @@
 use tokio::time::MissedTickBehavior;
 
 use super::shared::Shared;
-use super::{notices, permits, pulls, quarantine};
+use super::{load_reports, notices, permits, pulls, quarantine};
 
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
@@ -125,6 +125,9 @@
         quarantine::receive(shared, socket, reports, from);
         return;
     }
+    if load_reports::receive(shared, bytes, from) {
+        return;
+    }
     if let Some(message) = permits::decode(bytes) {
         match message {
             Ok(message) => permits::receive(shared, message, from),
--- a/crates/net/src/gateway/host.rs
+++ b/crates/net/src/gateway/host.rs
@@ -90,6 +90,10 @@
             tokio::spawn(follow::configuration(Arc::clone(&shared))),
             tokio::spawn(follow::registry(Arc::clone(&shared))),
             tokio::spawn(follow::expire(Arc::clone(&shared))),
+            tokio::spawn(load_reports::subscribe(
+                Arc::clone(&shared),
+                Arc::clone(&peers),
+            )),
             tokio::spawn(gossip::run(Arc::clone(&shared), peers)),
             tokio::spawn(quarantine::run(Arc::clone(&shared))),
             tokio::spawn(pulls::serve(Arc::clone(&shared), links)),
@@ -333,6 +337,11 @@
         "Upstreams that want no requests from this host for a while",
         gauge(|s| s.core().notices.paused() as u64),
     );
+    metrics.register_gauge(
+        "eelgrasshold_reported_upstreams",
+        "Upstreams whose load their sidecars reported a moment ago",
+        gauge(|s| s.core().load_reports.len(s.now()) as u64),
+    );
     metrics.register_gauge(
         "eelgrasshold_resident_bytes",
         "Resident memory of the process",
--- a/crates/net/src/gateway/mod.rs
+++ b/crates/net/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod host;
 mod in_flight;
 mod intake;
+mod load_reports;
 mod metrics;
 mod notices;
 mod options;
--- a/crates/net/src/gateway/options.rs
+++ b/crates/net/src/gateway/options.rs
@@ -22,6 +22,7 @@
     pub(super) settle_time: Duration,
     pub(super) retry_bound: RetryBound,
     pub(super) first_start: bool,
+    pub(super) sidecar_port: Option<u16>,
     pub(super) answer_validity: Duration,
     pub(super) drain_limit: Duration,
     pub(super) connections: usize,
@@ -60,6 +61,7 @@
                     allowance: 10.0,
                 },
                 first_start: false,
+                sidecar_port: None,
                 answer_validity: Duration::from_secs(2),
                 drain_limit: Duration::from_secs(6),
                 connections: 1_000,
@@ -138,6 +140,13 @@
         self
     }
 
+    /// Sets the port at which the sidecars of upstreams listen; without one, their load is not asked for.
+    #[must_use]
+    pub fn sidecar_port(mut self, port: Option<u16>) -> Self {
+        self.options.sidecar_port = port;
+        self
+    }
+
     /// Sets how long callers may use resolved addresses.
     #[must_use]
     pub fn answer_validity(mut self, validity: Duration) -> Self {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod gateway;
 pub mod host;
 pub mod http;
+mod load_messages;
 pub mod metrics;
 pub mod platform;
 pub mod ranks;
--- a/crates/net/src/ranks/engine.rs
+++ b/crates/net/src/ranks/engine.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use eelgrasshold_core::gateway::load_reports::LoadReport;
 use eelgrasshold_core::ranks::{Expert, MapVersion, OrderResult, RankOrder, RankView, ReadScope};
 use eelgrasshold_platform::engine;
 use http::{Request, StatusCode};
@@ -86,6 +87,20 @@
         Some(reading)
     }
 
+    /// Reads the load; `None` if the engine does not answer.
+    pub(super) async fn load(&self) -> Option<LoadReport> {
+        let request = engine::report_request(&self.address.to_string()).ok()?;
+        let report = self.get(request).await?;
+        match engine::load_report(self.address, &report) {
+            Ok(load) => Some(load),
+            Err(error) => {
+                let engine = self.address;
+                log::debug!("the report of the engine at {engine} describes no load: {error}");
+                None
+            }
+        }
+    }
+
     /// Sends an order to the rank, again if no answer comes.
     pub(super) async fn execute(&self, order: &RankOrder) -> OrderResult {
         for _ in 0..ORDER_ATTEMPTS {
--- a/crates/net/src/ranks/host.rs
+++ b/crates/net/src/ranks/host.rs
@@ -12,11 +12,12 @@
 use eelgrasshold_core::types::{HostId, ServiceId};
 use eelgrasshold_platform::store::{CONFIG_KIND, CONFIG_NAME, SERVERS_KIND};
 use eelgrasshold_platform::{route_table, servers};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
 use super::group::{Candidate, Group, Surroundings};
+use super::load_reports;
 use super::local::LocalRank;
 use super::overlay::{Links, Overlay};
 use crate::gateway::{platform_client, serve_metrics};
@@ -74,12 +75,15 @@
             .await
             .map_err(|source| StartError::Listen { address, source })?;
         let address = listener.local_addr().unwrap_or(address);
+        let reports = UdpSocket::bind(address)
+            .await
+            .map_err(|source| StartError::Listen { address, source })?;
         let metrics = Metrics::new()?;
         let mut tasks = Vec::new();
         if let Some(address) = options.metrics {
             tasks.push(serve_metrics(address, metrics.clone()).await?);
         }
-        tasks.push(tokio::spawn(run(options, listener, metrics)));
+        tasks.push(tokio::spawn(run(options, listener, reports, metrics)));
         Ok(Self { tasks, address })
     }
 
@@ -97,7 +101,7 @@
     }
 }
 
-async fn run(options: RankOptions, listener: TcpListener, metrics: Metrics) {
+async fn run(options: RankOptions, listener: TcpListener, reports: UdpSocket, metrics: Metrics) {
     let clock = Clock::start();
     let timeline = Timeline::logging_all(options.host.clone(), Some(metrics), clock);
     let event = Event::new(EventKind::DaemonStarted, "rank")
@@ -119,6 +123,7 @@
     let (sets, experts) = (settings.layout.sets, settings.layout.experts);
     let local = LocalRank::new(clock, options.engine, sets as usize, experts as usize);
     let (local, links) = (Arc::new(local), Arc::new(Links::default()));
+    let reports = load_reports::publish(clock, Arc::clone(&local), reports);
     let (outputs_tx, mut outputs) = mpsc::unbounded_channel();
     let (leaders_tx, mut leaders) = mpsc::unbounded_channel();
     let overlay = Overlay::new(
@@ -154,6 +159,7 @@
         Arc::clone(&group).search(list),
         overlay.listen(listener),
         events,
+        reports,
     );
 }
 
--- a/crates/net/src/ranks/local/mod.rs
+++ b/crates/net/src/ranks/local/mod.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Mutex;
 
+use eelgrasshold_core::gateway::load_reports::LoadReport;
 use eelgrasshold_core::ranks::counts::{Reporter, Selections};
 use eelgrasshold_core::ranks::{
     GroupEpoch, GroupMap, KnownMaps, MapVersion, Order, RankIndex, RankOrder, RankView, ReadScope,
@@ -50,6 +51,11 @@
         lock(&self.view).as_ref().map(|v| v.rank)
     }
 
+    /// Reads the load of the engine.
+    pub(super) async fn load(&self) -> Option<LoadReport> {
+        self.engine.load().await
+    }
+
     /// Reads the state; returns it with the one before.
     pub(super) async fn refresh(&self) -> Option<(RankView, Option<RankView>)> {
         let reading = self.engine.read(ReadScope::View).await?;
--- a/crates/net/src/ranks/mod.rs
+++ b/crates/net/src/ranks/mod.rs
@@ -7,6 +7,7 @@
 mod engine;
 mod group;
 mod host;
+mod load_reports;
 mod local;
 mod overlay;
 mod remote;
