--- a/crates/net/src/gateway/host.rs
+++ b/crates/net/src/gateway/host.rs
@@ -33,7 +33,7 @@
 use super::permits::Permits;
 use super::pool::Pool;
 use super::shared::Shared;
-use super::{GatewayOptions, callers, directory, follow, gossip, pulls, quarantine};
+use super::{GatewayOptions, callers, directory, follow, gossip, load_reports, pulls, quarantine};
 use crate::connect::{ACCEPT_RETRY_DELAY, detect_dead_peer};
 use crate::host::{Drained, StartError, new_incarnation};
 use crate::http::Body;
