--- a/crates/core/src/gateway/tests/mod.rs
+++ b/crates/core/src/gateway/tests/mod.rs
@@ -6,6 +6,7 @@
 mod follow;
 mod forming;
 mod late_changes;
+mod load_reports;
 mod mirror;
 mod notices;
 mod notices_simulation;
--- a/crates/core/src/gateway/tests/placing.rs
+++ b/crates/core/src/gateway/tests/placing.rs
@@ -9,10 +9,11 @@
 use rand::{Rng, SeedableRng};
 
 use super::ms;
-use super::requests::{admit, gateway_of};
+use super::requests::{admit, gateway_of, table_with_engine};
+use crate::gateway::load_reports::LoadReport;
 use crate::gateway::registry::Upstream;
 use crate::gateway::{Gateway, Next, Outcome};
-use crate::types::HostId;
+use crate::types::{HostId, Now};
 
 const HOSTS: usize = 149;
 const UPSTREAMS: usize = 192;
@@ -55,8 +56,53 @@
     waiting: f64,
 }
 
+/// Which reports of the upstreams' load reach the hosts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reports {
+    None,
+    /// Every 100 ms, to the hosts that use the upstream first.
+    Subscribed,
+    /// The same until halfway through, then none.
+    UntilHalfway,
+    /// The same from some upstreams, and impossible ones from the others.
+    PartlyImpossible,
+}
+
 fn play(with_subsets: bool) -> Seen {
-    let mut rng = SmallRng::seed_from_u64(5);
+    play_with(with_subsets, Reports::None, 5)
+}
+
+/// Sends the load of all upstreams to the hosts that use them first.
+fn report(
+    now: Now,
+    reports: Reports,
+    hosts: &mut [Gateway],
+    upstreams: &[Upstream],
+    running: &BTreeMap<String, usize>,
+) {
+    for host in hosts {
+        let used: Vec<String> = host.reported_upstreams().map(|u| u.id.clone()).collect();
+        for upstream in upstreams.iter().filter(|u| used.contains(&u.id)) {
+            let is_possible = reports != Reports::PartlyImpossible || upstream.id.ends_with('1');
+            let active = running.get(&upstream.id).copied().unwrap_or_default();
+            let report = LoadReport {
+                engine: upstream.address,
+                born: None,
+                active: if is_possible {
+                    u32::try_from(active).unwrap()
+                } else {
+                    9_999
+                },
+                queued: 0,
+                pace: 1.0,
+            };
+            assert_eq!(host.record_load(now, &report), is_possible);
+        }
+    }
+}
+
+fn play_with(with_subsets: bool, reports: Reports, seed: u64) -> Seen {
+    let mut rng = SmallRng::seed_from_u64(seed);
     let upstreams: Vec<Upstream> = (0..UPSTREAMS).map(upstream).collect();
     let names: Vec<HostId> = (0..HOSTS).map(|n| format!("edge-{n}")).collect();
     let fleet: BTreeSet<HostId> = names.iter().cloned().collect();
@@ -72,6 +118,7 @@
                 BTreeSet::new()
             };
             gateway.set_hosts(HOSTS, live);
+            gateway.set_table(ms(0), table_with_engine());
             gateway
         })
         .collect();
@@ -83,6 +130,7 @@
     let mut busiest = Vec::new();
     let mut now = Duration::ZERO;
     let warm = Duration::from_secs(10);
+    let mut report_at = Duration::ZERO;
     while now < Duration::from_secs(40) {
         now += Duration::from_secs_f64(rng.random_range(0.0..2.0) / (RATE * HOSTS as f64));
         while ends.peek().is_some_and(|Reverse((at, ..))| *at <= now) {
@@ -93,6 +141,15 @@
             *running.get_mut(&id).unwrap() -= 1;
             idle.entry((host, id)).or_default().push(at);
         }
+        let is_reported = match reports {
+            Reports::None => false,
+            Reports::UntilHalfway => now < Duration::from_secs(9),
+            Reports::Subscribed | Reports::PartlyImpossible => true,
+        };
+        if is_reported && now >= report_at {
+            report_at = now + Duration::from_millis(100);
+            report(now, reports, &mut hosts, &upstreams, &running);
+        }
         let host = rng.random_range(0..HOSTS);
         let mut request = admit(&mut hosts[host], now, "/s/x");
         let Next::Send(chosen, _) = hosts[host].next(now, &mut request) else {
@@ -149,6 +206,34 @@
     );
 }
 
+/// Guards against busiest upstreams that have far more requests than the mean although their sidecars report
+/// it, and against reports that make it worse when they are missing, old or impossible.
+#[test]
+fn reports_of_the_load_even_out_the_requests_of_a_large_fleet() {
+    for seed in [5, 6] {
+        let own = play_with(true, Reports::None, seed);
+        let reported = play_with(true, Reports::Subscribed, seed);
+        let detail = format!(
+            "{} with and {} without reports",
+            reported.busiest, own.busiest
+        );
+        assert!(
+            reported.busiest < 1.0 + 0.6 * (own.busiest - 1.0),
+            "{detail}"
+        );
+        assert!(reported.waiting <= own.waiting, "{detail}");
+        assert!(
+            reported.new_connections < own.new_connections + 0.05,
+            "{detail}"
+        );
+        for faulty in [Reports::UntilHalfway, Reports::PartlyImpossible] {
+            let seen = play_with(true, faulty, seed);
+            let detail = format!("{faulty:?}: {} and {} without", seen.busiest, own.busiest);
+            assert!(seen.busiest < own.busiest * 1.1, "{detail}");
+        }
+    }
+}
+
 /// Guards against a small fleet whose hosts leave some of a few upstreams to the others: 7 hosts
 /// with subsets of 8 would load 12 upstreams unevenly.
 #[test]
--- a/crates/core/src/gateway/tests/requests.rs
+++ b/crates/core/src/gateway/tests/requests.rs
@@ -5,7 +5,9 @@
 use super::{ms, upstream};
 use crate::gateway::budget::RetryBound;
 use crate::gateway::registry::Upstream;
-use crate::gateway::routes::{CallerTeam, Route, RouteKind, RouteTable};
+use crate::gateway::routes::{
+    BackendService, CallerTeam, EngineProfile, Route, RouteKind, RouteTable,
+};
 use crate::gateway::upstream_limits::Permit;
 use crate::gateway::{Admitted, Gateway, GatewaySettings, Next, Outcome, RequestHead};
 use crate::types::{HostId, Now, Refusal, RefusalKind, Run};
@@ -29,13 +31,32 @@
 }
 
 fn table(version: u64) -> Arc<RouteTable> {
+    Arc::new(new_table(version))
+}
+
+/// The same routes, whose service consists of engines.
+pub(super) fn table_with_engine() -> Arc<RouteTable> {
+    let mut table = new_table(3);
+    let service = BackendService {
+        engine: Some(EngineProfile {
+            usual_prompt: 100,
+            usual_answer: 50,
+            ..EngineProfile::default()
+        }),
+        ..BackendService::default()
+    };
+    table.services.insert("drafts".into(), service);
+    Arc::new(table)
+}
+
+fn new_table(version: u64) -> RouteTable {
     let mut table = RouteTable::new(version);
     table.add_route(route("/s/", STREAM, 2));
     table.add_route(route("/safe/", RouteKind::Safe, 2));
     table.add_route(route("/unsafe/", RouteKind::Unsafe, 3));
     let team = CallerTeam { priority: Some(1) };
     table.add_team("shearers".into(), team, vec!["k".into()]);
-    Arc::new(table)
+    table
 }
 
 pub(super) fn settings() -> GatewaySettings {
