Limit streams in flight by the pauses observed at the host

At peak, streams of all kinds are late since each further stream lengthens the passes of its whole group.

Each host derives a limit for its streams of a service from the pauses between their events (multiplicative decrease above 0.85 of the target pause, additive increase while requests wait). Further streams wait in the order of priority, recognized retries, team share and departure, with every fourth start for the oldest, and are refused at once if they could not begin in time. A place is given up when the exchange is dropped. Setting gateway.pause_control, off by default; events 2023 and 2024, gauges and counters.

--- a/crates/core/benches/placing.rs
+++ b/crates/core/benches/placing.rs
@@ -44,6 +44,7 @@
             allowance: 100.0,
         },
         first_start: true,
+        pause_control: false,
     };
     let mut table = RouteTable::new(1);
     table.add_route(Route {
--- a/crates/core/src/event/catalogue.rs
+++ b/crates/core/src/event/catalogue.rs
@@ -98,6 +98,8 @@
     QuarantineLifted = 2020, "requests with something in common are no longer refused";
     RequestDelayed = 2021, "a request waits until an upstream that pauses takes requests";
     SuspectUnchecked = 2022, "whether an upstream crashed while it ran a request can't be told";
+    LimitBegun = 2023, "requests begin to wait for the limit of streams that keeps pauses short";
+    LimitEnded = 2024, "requests no longer wait for the limit of streams that keeps pauses short";
     TeamShareExpired = 2101, "no share of a team's limit came and the host falls back to an even part";
 
     WorkQueued = 3001, "work was queued";
--- /dev/null
+++ b/crates/core/src/gateway/concurrency/limit.rs
@@ -0,0 +1,169 @@
+//! Limit of the streams of a service that a host keeps in flight, derived from the pauses between their events.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::types::Now;
+
+/// Share of the target pause that the upper quartile of the observations is kept at. The rest is for passes
+/// that read more prompts than usual.
+const SET_POINT_SHARE: f64 = 0.85;
+/// Smallest limit.
+const MIN_LIMIT: f64 = 2.0;
+/// Events that arrive within this time are one observation: a pass yields an event of each stream.
+const OBSERVATION_TIME: Duration = Duration::from_millis(40);
+/// Largest number of pauses of one observation that are kept; the median of more differs little.
+const MAX_PAUSES: usize = 64;
+/// Pauses below this are parts of one delivery, since no pass is that short.
+const MIN_PAUSE: Duration = Duration::from_millis(3);
+/// Largest number and age of the observations that count.
+const MAX_OBSERVATIONS: usize = 5;
+const MAX_AGE: Duration = Duration::from_millis(1_500);
+/// Observations without which the limit does not change. With three or more, a single long pause, as of a stalled
+/// group, is above the upper quartile.
+const MIN_OBSERVATIONS: usize = 3;
+/// Smallest and largest factor of a decrease.
+const DECREASE: (f64, f64) = (0.8, 0.97);
+/// Time between two decreases: the effect of one is seen after about two passes.
+const DECREASE_INTERVAL: Duration = Duration::from_millis(250);
+/// Increase per observation as a multiple of the root of the limit, at pauses of zero. The root makes hosts with
+/// small limits grow faster in proportion, so that equal hosts end at equal limits.
+const INCREASE_PER_ROOT: f64 = 1.0;
+/// Increase per observation as a share of the limit, at pauses of zero. Without it, a large limit would need
+/// several seconds to recover.
+const INCREASE_SHARE: f64 = 0.1;
+
+/// Adaptive limit of one service.
+#[derive(Clone, Debug)]
+pub struct Limit {
+    /// Upper quartile of the pauses above which the limit decreases.
+    set_point: Duration,
+    /// The limit; `None` before the first decrease.
+    value: Option<f64>,
+    /// Pauses of the observation that has not ended yet, and its start.
+    open: Vec<Duration>,
+    opened_at: Now,
+    observations: VecDeque<(Now, Duration)>,
+    decreased_at: Option<Now>,
+}
+
+impl Limit {
+    /// Creates a limit for a service whose streams should have no pauses above `target`.
+    #[must_use]
+    pub fn new(target: Duration) -> Self {
+        Self {
+            set_point: target.mul_f64(SET_POINT_SHARE),
+            value: None,
+            open: Vec::new(),
+            opened_at: Now::ZERO,
+            observations: VecDeque::new(),
+            decreased_at: None,
+        }
+    }
+
+    /// Changes the target pause.
+    pub fn set_target(&mut self, target: Duration) {
+        self.set_point = target.mul_f64(SET_POINT_SHARE);
+    }
+
+    /// The limit; `None` if there is none.
+    #[must_use]
+    pub fn value(&self) -> Option<f64> {
+        self.value
+    }
+
+    /// Whether one more stream may be in flight.
+    #[must_use]
+    pub fn allows(&self, in_flight: usize) -> bool {
+        self.value.is_none_or(|v| in_flight as f64 + 1.0 <= v)
+    }
+
+    /// Number of streams that have to end before the limit allows another one.
+    #[must_use]
+    pub fn excess(&self, in_flight: usize) -> f64 {
+        self.value
+            .map_or(0.0, |v| (in_flight as f64 + 1.0 - v).max(0.0))
+    }
+
+    /// Removes the limit, as there is no stream in flight that tells anything.
+    pub fn clear(&mut self) {
+        self.value = None;
+        self.open.clear();
+        self.observations.clear();
+        self.decreased_at = None;
+    }
+
+    /// Upper quartile of the recent observations; zero if there are too few.
+    #[must_use]
+    pub fn pause(&self) -> Duration {
+        if self.observations.len() < MIN_OBSERVATIONS {
+            return Duration::ZERO;
+        }
+        let mut pauses: Vec<Duration> = self.observations.iter().map(|o| o.1).collect();
+        pauses.sort_unstable();
+        pauses[(pauses.len() - 1) * 3 / 4]
+    }
+
+    /// Records the pause before an event. `in_flight` is the number of streams, and `is_binding` tells whether
+    /// requests wait for the limit.
+    pub fn record(&mut self, now: Now, pause: Duration, in_flight: usize, is_binding: bool) {
+        if !self.open.is_empty() && now >= self.opened_at + OBSERVATION_TIME {
+            self.observe();
+            self.adjust(now, in_flight, is_binding);
+        }
+        if pause < MIN_PAUSE {
+            return;
+        }
+        if self.open.is_empty() {
+            self.opened_at = now;
+        }
+        if self.open.len() < MAX_PAUSES {
+            self.open.push(pause);
+        }
+    }
+
+    /// Ends the open observation.
+    fn observe(&mut self) {
+        self.open.sort_unstable();
+        let median = self.open[self.open.len() / 2];
+        self.open.clear();
+        self.observations.push_back((self.opened_at, median));
+        while self.observations.len() > MAX_OBSERVATIONS {
+            self.observations.pop_front();
+        }
+    }
+
+    fn adjust(&mut self, now: Now, in_flight: usize, is_binding: bool) {
+        self.observations.retain(|o| now < o.0 + MAX_AGE);
+        let pause = self.pause();
+        if pause.is_zero() {
+            return;
+        }
+        let ratio = pause.as_secs_f64() / self.set_point.as_secs_f64().max(0.001);
+        if ratio > 1.0 {
+            self.decrease(now, ratio, in_flight as f64);
+        } else if let (Some(value), true) = (self.value, is_binding) {
+            let step = INCREASE_PER_ROOT * value.sqrt() + INCREASE_SHARE * value;
+            self.value = Some(value + step * (1.0 - ratio));
+        }
+    }
+
+    /// Decreases the limit. While more streams are in flight than it allows, it follows them: pauses are long
+    /// until these have ended, and to decrease it again would count the same pauses twice.
+    fn decrease(&mut self, now: Now, ratio: f64, in_flight: f64) {
+        if self
+            .decreased_at
+            .is_some_and(|at| now < at + DECREASE_INTERVAL)
+        {
+            return;
+        }
+        let factor = (1.0 / ratio).clamp(DECREASE.0, DECREASE.1);
+        let value = match self.value {
+            None => in_flight * factor,
+            Some(value) if in_flight > value => value.min(in_flight * factor),
+            Some(value) => value * factor,
+        };
+        self.decreased_at = Some(now);
+        self.value = Some(value.max(MIN_LIMIT));
+    }
+}
--- a/crates/core/src/gateway/state/choosing.rs
+++ b/crates/core/src/gateway/state/choosing.rs
@@ -83,6 +83,9 @@
             let detail = "the stream could not begin in time";
             return self.refuse(now, request, RefusalKind::Overloaded, detail);
         }
+        if let Some(step) = self.hold(now, request) {
+            return step;
+        }
         let (chosen, reasons) = loop {
             let Some((chosen, reasons)) = self.choose(now, request) else {
                 return self.wait_or_refuse(now, request);
@@ -311,6 +314,9 @@
             retry_after::Cause::Full
         };
         let delay = retry_after::delay(&mut self.rng, cause, left);
+        if kind == RefusalKind::Overloaded {
+            self.record_refusal(now, request, delay);
+        }
         Next::Refuse(Refusal::not_run(kind, detail).with_retry_after(delay))
     }
 }
--- a/crates/core/src/gateway/state/mod.rs
+++ b/crates/core/src/gateway/state/mod.rs
@@ -1,6 +1,7 @@
 //! State that all requests of a gateway share, and the steps of a request.
 
 mod choosing;
+mod holding;
 mod outcomes;
 mod request;
 
@@ -13,6 +14,7 @@
 
 use super::admission::Admission;
 use super::budget::{RetryBound, RetryBudget};
+use super::concurrency::PauseControl;
 use super::departure::Departure;
 use super::health::UpstreamHealth;
 use super::notices::Notices;
@@ -43,6 +45,8 @@
     pub retry_bound: RetryBound,
     /// Whether the fleet starts for the first time, so that no process had an earlier incarnation.
     pub first_start: bool,
+    /// Whether streams are held back so that pauses between events stay within their targets.
+    pub pause_control: bool,
 }
 
 /// State that all requests of a gateway share.
@@ -58,6 +62,8 @@
     signs: Signs,
     /// Streams that wait for their first events.
     pub admission: Admission,
+    /// Limits of the streams in flight, and the requests that wait for them.
+    pub pauses: PauseControl,
     /// Requests that are refused because upstreams end under them.
     pub quarantine: Quarantine,
     /// Limits that upstreams have named.
@@ -92,6 +98,7 @@
             health: UpstreamHealth::default(),
             signs: Signs::default(),
             admission: Admission::default(),
+            pauses: PauseControl::default(),
             quarantine: Quarantine::new(seed),
             fleet: BTreeSet::new(),
             subsets: BTreeMap::new(),
@@ -105,6 +112,7 @@
         let newer = table.version > self.table_version();
         if newer {
             self.table_since = now;
+            self.update_targets(&table);
             self.table = Some(table);
         }
         newer
@@ -206,6 +214,8 @@
             work,
             max_events,
             features,
+            content: None,
+            ticket: None,
             tried: BTreeSet::new(),
             may_have_run: false,
             failed_connections: 0,
--- a/crates/core/src/gateway/state/request.rs
+++ b/crates/core/src/gateway/state/request.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::gateway::concurrency::Ticket;
 use crate::gateway::departure::Departure;
 use crate::gateway::placing::Work;
 use crate::gateway::quarantine::{self, FeatureId};
@@ -64,6 +65,10 @@
     pub max_events: Option<u32>,
     /// What it has in common with other requests.
     pub features: Vec<FeatureId>,
+    /// Hash of all that it consists of; `None` before its body has arrived.
+    pub(super) content: Option<u64>,
+    /// Its place among the streams in flight or the requests that wait for one.
+    pub(super) ticket: Option<Ticket>,
     /// Upstreams that it was sent to, without those that could not be reached.
     pub tried: BTreeSet<UpstreamId>,
     /// Whether some upstream may have run it.
@@ -92,7 +97,8 @@
     /// Ask this host whether it may be sent to this upstream, which names a limit, and pass the answer
     /// to [`Gateway::permit_answered`].
     Ask(UpstreamId, HostId),
-    /// Wait for this time, as an upstream that pauses is expected to take requests then, and ask again.
+    /// Wait for this time, as an upstream that pauses is expected to take requests then, and ask again. A
+    /// request that waits for its turn ([`Gateway::is_waiting`]) asks sooner if its ticket is woken.
     Wait(Duration),
     /// Answer with this refusal.
     Refuse(Refusal),
@@ -161,6 +167,7 @@
     pub fn set_content(&mut self, content: u64) {
         let features = quarantine::request_features(&self.route.host, &self.service, content);
         self.features.extend(features);
+        self.content = Some(content);
     }
 
     /// Longest time that its answer takes if it begins before its caller leaves and has no longer pauses than
--- a/crates/core/src/gateway/tests/forming.rs
+++ b/crates/core/src/gateway/tests/forming.rs
@@ -55,6 +55,7 @@
             allowance: 100.0,
         },
         first_start: false,
+        pause_control: false,
     };
     let mut table = RouteTable::new(2);
     table.add_route(Route {
--- a/crates/core/src/gateway/tests/requests.rs
+++ b/crates/core/src/gateway/tests/requests.rs
@@ -48,6 +48,7 @@
             allowance: 100.0,
         },
         first_start: true,
+        pause_control: false,
     }
 }
 
--- a/crates/daemon/src/run/mod.rs
+++ b/crates/daemon/src/run/mod.rs
@@ -196,6 +196,7 @@
         .settle_time(Duration::from_millis(gateway.store_settle_ms))
         .retry_bound(retry_bound)
         .first_start(settings.first_start)
+        .pause_control(gateway.pause_control)
         .answer_validity(validity)
         .drain_limit(Duration::from_secs(settings.drain_limit_s))
         .connections((gateway.max_descriptors - RESERVED_DESCRIPTORS) / 2)
--- a/crates/daemon/src/settings/model.rs
+++ b/crates/daemon/src/settings/model.rs
@@ -89,6 +89,9 @@
     pub retry_window_s: f64,
     /// Maximum number of open file descriptors, sockets and pipes included.
     pub max_descriptors: usize,
+    /// Whether streams wait here as far as is needed for pauses between events within the targets.
+    #[serde(default)]
+    pub pause_control: bool,
 }
 
 /// Settings of the role `rank`.
--- a/crates/net/src/gateway/exchange.rs
+++ b/crates/net/src/gateway/exchange.rs
@@ -21,7 +21,7 @@
 use super::pool::idle_limit;
 use super::relay::Relay;
 use super::shared::Shared;
-use super::{ends, notices, permits};
+use super::{ends, notices, permits, turns};
 use crate::http::{Body, Sender, full};
 use crate::wire::headers::{remove_hop_by_hop, text, value};
 
@@ -150,6 +150,7 @@
     /// Records the end of the request in metrics and the event timeline.
     pub(super) fn settle(&mut self, event: EventKind, outcome: &'static str, detail: &str) {
         self.settled = true;
+        self.release();
         let took = self.shared.now().saturating_sub(self.admitted.arrived);
         let kind = self.admitted.route.kind.name();
         self.shared.metrics.request_ended(kind, outcome, took);
@@ -162,6 +163,13 @@
         self.shared.timeline.record(event);
     }
 
+    /// Gives up the request's place in flight, or its turn.
+    fn release(&mut self) {
+        let core = &mut self.shared.core();
+        core.release(self.shared.now(), &mut self.admitted);
+        self.shared.turns.wake(core);
+    }
+
     /// Sends the request to the next upstream. `resume_after` is the id of the last event that
     /// the caller received from an interrupted stream.
     pub(super) async fn send(&mut self, resume_after: Option<u64>) -> SendResult {
@@ -174,6 +182,9 @@
             match next {
                 Next::Send(upstream, reasons) => break (now, upstream, reasons),
                 Next::Ask(upstream, accountant) => self.ask(&upstream, &accountant).await,
+                Next::Wait(time) if self.admitted.ticket().is_some() => {
+                    turns::wait(&self.shared, &self.admitted, time).await;
+                }
                 Next::Wait(time) => {
                     if let Err(refusal) = self.take_in_shutdown(now + time) {
                         return SendResult::Refused(refusal);
@@ -450,6 +461,7 @@
 
 impl Drop for Exchange {
     fn drop(&mut self) {
+        self.release();
         if !self.settled {
             self.settle(EventKind::CallerGone, "caller_gone", "");
         }
--- a/crates/net/src/gateway/follow.rs
+++ b/crates/net/src/gateway/follow.rs
@@ -16,7 +16,7 @@
 
 use super::copies::CopyLink;
 use super::shared::Shared;
-use super::{ends, quarantine};
+use super::{ends, quarantine, turns};
 
 /// Longest time until a host without a source looks for one again.
 const SOURCE_POLL_INTERVAL: Duration = Duration::from_millis(200);
@@ -332,6 +332,7 @@
         let changes = shared.core().expire(now);
         shared.record_registry_changes(changes);
         quarantine::record_changes(&shared);
+        turns::record_changes(&shared);
         let closed = {
             let core = shared.core();
             shared.pool.sweep(now, |id| core.registry.get(id).is_some())
--- a/crates/net/src/gateway/host.rs
+++ b/crates/net/src/gateway/host.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use eelgrasshold_core::event::{Event, EventKind};
 use eelgrasshold_core::fleet::platform_policy::PlatformLimits;
+use eelgrasshold_core::gateway::concurrency::PauseControl;
 use eelgrasshold_core::gateway::peers::{PeerRecord, PeerState, Peers};
 use eelgrasshold_core::gateway::stopping::Shutdown;
 use eelgrasshold_core::gateway::{Gateway, GatewaySettings};
@@ -33,6 +34,7 @@
 use super::permits::Permits;
 use super::pool::Pool;
 use super::shared::Shared;
+use super::turns::Turns;
 use super::{GatewayOptions, callers, directory, follow, gossip, pulls, quarantine};
 use crate::connect::{ACCEPT_RETRY_DELAY, detect_dead_peer};
 use crate::host::{Drained, StartError, new_incarnation};
@@ -239,6 +241,7 @@
         data_centre: options.data_centre.clone(),
         retry_bound: options.retry_bound,
         first_start: options.first_start,
+        pause_control: options.pause_control,
     };
     let own_record = PeerRecord {
         host: options.host.clone(),
@@ -260,6 +263,7 @@
         copies: Copies::default(),
         permits,
         answer_buffers: AnswerBuffers::default(),
+        turns: Turns::default(),
         connections: TaskTracker::new(),
         end_checks: EndChecks::default(),
         quarantine_news: Notify::new(),
@@ -333,6 +337,7 @@
         "Upstreams that want no requests from this host for a while",
         gauge(|s| s.core().notices.paused() as u64),
     );
+    register_pause_gauges(metrics, shared);
     metrics.register_gauge(
         "eelgrasshold_resident_bytes",
         "Resident memory of the process",
@@ -350,6 +355,55 @@
     );
 }
 
+/// Registers the gauges and counts of the limits of streams.
+fn register_pause_gauges(metrics: &Metrics, shared: &Arc<Shared>) {
+    let gauge = |value: fn(&PauseControl) -> u64| {
+        let shared = Arc::downgrade(shared);
+        move || shared.upgrade().map_or(0, |s| value(&s.core().pauses))
+    };
+    metrics.register_gauge(
+        "eelgrasshold_stream_limit",
+        "Streams that may be in flight, over the services that have limits; 0 if none has",
+        gauge(|p| {
+            let limits = p.states().filter_map(|(_, s)| s.limit);
+            limits.map(|limit| limit.floor() as u64).sum()
+        }),
+    );
+    metrics.register_gauge(
+        "eelgrasshold_streams_waiting",
+        "Streams that wait for a limit",
+        gauge(|p| p.states().map(|(_, s)| s.waiting as u64).sum()),
+    );
+    metrics.register_gauge(
+        "eelgrasshold_streams_in_flight",
+        "Streams in flight at services that may have limits",
+        gauge(|p| p.states().map(|(_, s)| s.in_flight as u64).sum()),
+    );
+    metrics.register_gauge(
+        "eelgrasshold_observed_pause_ms",
+        "Upper quartile of the recent pauses between events, of the service with the longest",
+        gauge(|p| {
+            let pause = p.states().map(|(_, s)| s.pause).max().unwrap_or_default();
+            u64::try_from(pause.as_millis()).unwrap_or(u64::MAX)
+        }),
+    );
+    metrics.register_counter(
+        "eelgrasshold_streams_delayed",
+        "Streams that had to wait for a limit",
+        gauge(|p| p.counts().delayed),
+    );
+    metrics.register_counter(
+        "eelgrasshold_streams_refused_for_limit",
+        "Streams that were refused since a limit would have let them begin too late",
+        gauge(|p| p.counts().refused),
+    );
+    metrics.register_counter(
+        "eelgrasshold_retries_recognized",
+        "Streams that had to wait and were recognized as repetitions of refused ones",
+        gauge(|p| p.counts().retries),
+    );
+}
+
 fn age_ms(shared: &Shared, since: Now) -> u64 {
     let age = shared.now().saturating_sub(since);
     u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
--- a/crates/net/src/gateway/in_flight.rs
+++ b/crates/net/src/gateway/in_flight.rs
@@ -29,6 +29,8 @@
     has_head: bool,
     /// Number of events that arrived.
     pub(super) events: u32,
+    /// When the last event arrived; [`Self::sent_at`] before the first.
+    event_at: Now,
     ended: bool,
 }
 
@@ -49,6 +51,7 @@
             heard_at: now,
             has_head: false,
             events: 0,
+            event_at: now,
             ended: false,
         }
     }
@@ -69,10 +72,16 @@
     /// Records that a whole event of the answer arrived.
     pub(super) fn record_event(&mut self) {
         self.events += 1;
+        let (now, upstream) = (self.shared.now(), &self.upstream);
+        let pause = now.saturating_sub(self.event_at);
+        self.event_at = now;
+        let core = &mut self.shared.core();
         if self.events == 1 {
-            let (now, upstream) = (self.shared.now(), &self.upstream);
-            let mut core = self.shared.core();
             core.stream_begun(now, &upstream.service, &upstream.id, &self.request);
+            core.pauses.record_begin(&upstream.service, pause);
+        } else {
+            core.pauses.record_pause(now, &upstream.service, pause);
+            self.shared.turns.wake(core);
         }
     }
 
--- a/crates/net/src/gateway/mod.rs
+++ b/crates/net/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 mod relay;
 mod shared;
 mod sse;
+mod turns;
 
 pub use host::GatewayHost;
 pub(crate) use host::{platform_client, serve_metrics};
--- a/crates/net/src/gateway/options.rs
+++ b/crates/net/src/gateway/options.rs
@@ -22,6 +22,7 @@
     pub(super) settle_time: Duration,
     pub(super) retry_bound: RetryBound,
     pub(super) first_start: bool,
+    pub(super) pause_control: bool,
     pub(super) answer_validity: Duration,
     pub(super) drain_limit: Duration,
     pub(super) connections: usize,
@@ -60,6 +61,7 @@
                     allowance: 10.0,
                 },
                 first_start: false,
+                pause_control: false,
                 answer_validity: Duration::from_secs(2),
                 drain_limit: Duration::from_secs(6),
                 connections: 1_000,
@@ -138,6 +140,14 @@
         self
     }
 
+    /// Sets whether streams are held back so that pauses between events stay within their targets; the default
+    /// is that they are not.
+    #[must_use]
+    pub fn pause_control(mut self, pause_control: bool) -> Self {
+        self.options.pause_control = pause_control;
+        self
+    }
+
     /// Sets how long callers may use resolved addresses.
     #[must_use]
     pub fn answer_validity(mut self, validity: Duration) -> Self {
--- a/crates/net/src/gateway/shared.rs
+++ b/crates/net/src/gateway/shared.rs
@@ -25,6 +25,7 @@
 use super::metrics::GatewayMetrics;
 use super::permits::Permits;
 use super::pool::Pool;
+use super::turns::Turns;
 use crate::http::Sender;
 use crate::platform::Platform;
 use crate::runtime::{Clock, Timeline};
@@ -43,6 +44,8 @@
     pub(super) copies: Copies,
     pub(super) permits: Permits,
     pub(super) answer_buffers: AnswerBuffers,
+    /// Requests that wait for the limits of their services.
+    pub(super) turns: Turns,
     /// Connections of callers.
     pub(super) connections: TaskTracker,
     /// Checks whether upstreams have ended.
