--- a/crates/core/src/gateway/concurrency/mod.rs
+++ b/crates/core/src/gateway/concurrency/mod.rs
@@ -9,6 +9,9 @@
 pub mod refused;
 pub mod waiting;
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
