--- a/crates/core/src/gateway/tests/mod.rs
+++ b/crates/core/src/gateway/tests/mod.rs
@@ -10,6 +10,7 @@
 mod mirror;
 mod notices;
 mod notices_simulation;
+mod pause_control;
 mod pauses;
 mod peers;
 mod placing;
--- a/crates/daemon/src/run/mod.rs
+++ b/crates/daemon/src/run/mod.rs
@@ -197,6 +197,7 @@
         .retry_bound(retry_bound)
         .first_start(settings.first_start)
         .sidecar_port(gateway.sidecar_port)
+        .pause_control(gateway.pause_control)
         .answer_validity(validity)
         .drain_limit(Duration::from_secs(settings.drain_limit_s))
         .connections((gateway.max_descriptors - RESERVED_DESCRIPTORS) / 2)
--- a/crates/daemon/src/settings/model.rs
+++ b/crates/daemon/src/settings/model.rs
@@ -92,6 +92,9 @@
     /// Port at which the sidecars of upstreams listen, on all hosts; without one, their load is not asked for.
     #[serde(default)]
     pub sidecar_port: Option<u16>,
+    /// Whether streams wait here as far as is needed for pauses between events within the targets.
+    #[serde(default)]
+    pub pause_control: bool,
 }
 
 /// Settings of the role `rank`.
