--- a/crates/core/src/gateway/concurrency/mod.rs
+++ b/crates/core/src/gateway/concurrency/mod.rs
@@ -32,6 +32,8 @@
 const BEGIN_WEIGHT: f64 = 0.1;
 /// Share of the limit up to which streams that are at least as urgent as a new request do not make it wait.
 const URGENT_SHARE: f64 = 0.8;
+/// Share of the limit up to which requests that will be late start.
+const LATE_SHARE: f64 = 0.85;
 /// Multiple of the limit that urgent requests may reach.
 const URGENT_EXCESS: f64 = 1.15;
 /// Longest time after which a waiting request is decided on again.
@@ -50,7 +52,9 @@
     pub priority: u8,
     /// Expected work, relative to a usual request.
     pub work: f64,
-    /// When the first event has to arrive.
+    /// When the first event has to arrive to be in time.
+    pub in_time_by: Now,
+    /// When the first event has to arrive at the latest.
     pub begin_by: Now,
     /// When the caller leaves.
     pub leaves_at: Now,
@@ -189,7 +193,8 @@
             team,
             work: request.work,
             leaves_at: request.leaves_at,
-            start_by: service.start_by(request),
+            in_time_until: service.start_by(request, request.in_time_by),
+            start_by: service.start_by(request, request.begin_by),
         };
         if now + service.expected_wait(now, &waiting) > waiting.start_by {
             self.counts.refused += 1;
@@ -339,7 +344,7 @@
             self.in_flight.insert(ticket, request.priority);
             return Verdict::Start;
         }
-        let start_by = self.start_by(request);
+        let start_by = self.start_by(request, request.begin_by);
         if self.waiting.contains(ticket) && now <= start_by {
             return Verdict::Wait(wait_time(now, start_by));
         }
@@ -370,6 +375,13 @@
             && in_flight as f64 + 1.0 <= (limit * URGENT_EXCESS).max(limit + 1.0)
     }
 
+    /// Whether a request that will be late may start: the rest of the limit is kept for those that come next and
+    /// can be in time.
+    fn allows_late(&self) -> bool {
+        let in_flight = self.in_flight.len() as f64 + 1.0;
+        self.limit.value().is_none_or(|v| in_flight <= (v * LATE_SHARE).max(1.0))
+    }
+
     /// Starts waiting requests as far as the limit allows.
     fn start_waiting(&mut self, now: Now, woken: &mut Vec<Ticket>) {
         if self.waiting.is_empty() {
@@ -378,7 +390,8 @@
         self.waited_at = now;
         woken.extend(self.waiting.take_expired(now));
         while self.limit.allows(self.in_flight.len()) {
-            let Some(next) = self.waiting.take_next(now) else {
+            let allows_late = self.allows_late();
+            let Some(next) = self.waiting.take_next(now, allows_late) else {
                 return;
             };
             self.start(now, next.ticket, next.priority, &next.team, next.work);
@@ -386,11 +399,11 @@
         }
     }
 
-    /// Latest time at which a request may start to begin in time.
-    fn start_by(&self, request: &Candidate<'_>) -> Now {
+    /// Latest time at which a request may start for its first event to arrive by a time.
+    fn start_by(&self, request: &Candidate<'_>, begin_by: Now) -> Now {
         let begin = self.begin_time.unwrap_or_default();
         let begin = begin.max(request.wait_at_upstreams);
-        request.begin_by.saturating_sub(begin)
+        begin_by.saturating_sub(begin)
     }
 
     /// Rate at which places in flight become free, per second. Starts are too few while more streams are in
--- a/crates/core/src/gateway/concurrency/tests.rs
+++ b/crates/core/src/gateway/concurrency/tests.rs
@@ -24,6 +24,7 @@
         team: Some(team),
         priority,
         work: 1.0,
+        in_time_by: now + ms(1_000),
         begin_by: now + ms(1_000),
         leaves_at: now + ms(2_000),
         wait_at_upstreams: Duration::ZERO,
--- a/crates/core/src/gateway/concurrency/waiting.rs
+++ b/crates/core/src/gateway/concurrency/waiting.rs
@@ -29,10 +29,19 @@
     pub work: f64,
     /// When the caller leaves.
     pub leaves_at: Now,
+    /// Latest time at which it has to start to be in time.
+    pub in_time_until: Now,
     /// Latest time at which it may start.
     pub start_by: Now,
 }
 
+impl Waiting {
+    /// Whether its first event comes late, whenever it starts.
+    fn is_late(&self, now: Now) -> bool {
+        now > self.in_time_until
+    }
+}
+
 /// Work of the requests that a team has started, which fades.
 #[derive(Clone, Copy, Debug, Default)]
 struct Usage {
@@ -105,18 +114,19 @@
     #[must_use]
     pub fn before(&self, now: Now, request: &Waiting) -> usize {
         let shares = self.shares(now);
-        let goes_first = |w: &&Waiting| compare(&shares, w, request) == Ordering::Less;
+        let goes_first = |w: &&Waiting| compare(now, &shares, w, request) == Ordering::Less;
         self.waiting.iter().filter(goes_first).count()
     }
 
-    /// Removes the request that starts next.
-    pub fn take_next(&mut self, now: Now) -> Option<Waiting> {
+    /// Removes the request that starts next; `allows_late` tells whether one that will be late may.
+    pub fn take_next(&mut self, now: Now, allows_late: bool) -> Option<Waiting> {
         let shares = self.shares(now);
         let waiting = self.waiting.iter().enumerate();
+        let waiting = waiting.filter(|(_, w)| allows_late || !w.is_late(now));
         let next = if self.starts % OLDEST_FIRST_PERIOD == OLDEST_FIRST_PERIOD - 1 {
-            waiting.min_by_key(|(_, w)| w.ticket)
+            waiting.min_by_key(|(_, w)| (w.is_late(now), w.ticket))
         } else {
-            waiting.min_by(|(_, a), (_, b)| compare(&shares, a, b))
+            waiting.min_by(|(_, a), (_, b)| compare(now, &shares, a, b))
         };
         let index = next?.0;
         self.starts = self.starts.wrapping_add(1);
@@ -148,11 +158,13 @@
     }
 }
 
-/// Order of two requests: `Less` if the first one starts first.
-fn compare(shares: &BTreeMap<&str, u32>, a: &Waiting, b: &Waiting) -> Ordering {
+/// Order of two requests: `Less` if the first one starts first. Those that will be late whenever they start go
+/// last, as they would make others late, too.
+fn compare(now: Now, shares: &BTreeMap<&str, u32>, a: &Waiting, b: &Waiting) -> Ordering {
     let key = |w: &Waiting| {
         let share = shares.get(w.team.as_str()).copied().unwrap_or(0);
-        (w.priority, !w.is_retry, share, w.leaves_at, w.ticket)
+        let order = (w.priority, !w.is_retry, share, w.leaves_at, w.ticket);
+        (w.is_late(now), order)
     };
     key(a).cmp(&key(b))
 }
--- a/crates/core/src/gateway/state/holding.rs
+++ b/crates/core/src/gateway/state/holding.rs
@@ -10,6 +10,9 @@
 use crate::gateway::routes::RouteTable;
 use crate::types::{Now, Refusal, RefusalKind, ServiceId};
 
+/// Largest share of the time until its caller leaves after which the first event of a request may arrive.
+const MAX_SHARE_HELD: f64 = 0.75;
+
 impl Admitted {
     /// Ticket of the request while it waits for its turn or is in flight.
     #[must_use]
@@ -26,11 +29,11 @@
         })
     }
 
-    /// When the first event has to arrive for the request to be in time, and at the latest before the caller leaves.
+    /// When the first event has to arrive at the latest: well before the caller leaves, as the upstream may fail.
     fn begin_by(&self) -> Now {
-        let target = self.arrived + self.route.target_latency;
         let answer_by = self.departure.answer_by().unwrap_or(self.deadline);
-        target.min(answer_by).min(self.deadline)
+        let time = answer_by.min(self.deadline).saturating_sub(self.arrived);
+        self.arrived + time.mul_f64(MAX_SHARE_HELD)
     }
 }
 
@@ -47,6 +50,7 @@
             team: request.team.as_ref(),
             priority: request.priority,
             work: request.work,
+            in_time_by: request.arrived + request.route.target_latency,
             begin_by: request.begin_by(),
             leaves_at: request.departure.at().unwrap_or(request.deadline),
             wait_at_upstreams: self.admission.expected_wait(
