Decode the cold time and rate of services, and keep cold times that are not reported

The registry entry's cold_left_ms was decoded to zero when it was missing, so an upstream that reports nothing could not be told from one that is warm. Upstream::warm_up is now optional. Between hosts it stays a plain duration with the longest one for "not reported", so that hosts of this and earlier builds still copy the registry from one another. Services get cold_start_s and cold_per_s.

--- a/crates/core/src/gateway/registry.rs
+++ b/crates/core/src/gateway/registry.rs
@@ -74,12 +74,36 @@
     pub leaving: bool,
     /// When it started, if it says so; tells incarnations with the same id apart.
     pub born: Option<Born>,
-    /// Remaining warm-up time, in which it is slow, as of the entry.
-    pub warm_up: Duration,
+    /// Remaining time as of the entry for which it is cold; `None` if the entry does not report it.
+    #[serde(with = "warm_up")]
+    pub warm_up: Option<Duration>,
     /// Store revision of the entry.
     pub version: Version,
 }
 
+/// Format of [`Upstream::warm_up`] between hosts. It is a plain duration, as earlier versions expect, with
+/// the longest one for a time that is not reported.
+mod warm_up {
+    use std::time::Duration;
+
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+    #[allow(clippy::ref_option, reason = "the signature is serde's")]
+    pub(super) fn serialize<S: Serializer>(
+        time: &Option<Duration>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        time.unwrap_or(Duration::MAX).serialize(serializer)
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Option<Duration>, D::Error> {
+        let time = Duration::deserialize(deserializer)?;
+        Ok((time != Duration::MAX).then_some(time))
+    }
+}
+
 /// Effect of a registry change, for logs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
--- a/crates/core/src/gateway/routes.rs
+++ b/crates/core/src/gateway/routes.rs
@@ -181,6 +181,10 @@
     pub max_connections: u32,
     /// Model of the engines, if the upstreams are engines.
     pub engine: Option<EngineProfile>,
+    /// Time for which an upstream is cold after it starts.
+    pub cold_start: Duration,
+    /// Requests a second that a cold upstream should get at most; 0 if there is no limit.
+    pub cold_per_s: f64,
     /// Known one-way network delays between data centres.
     pub delays: BTreeMap<(DataCentreId, DataCentreId), Duration>,
 }
--- a/crates/core/src/gateway/tests/mod.rs
+++ b/crates/core/src/gateway/tests/mod.rs
@@ -44,7 +44,7 @@
         slots: 4,
         leaving: false,
         born: None,
-        warm_up: Duration::ZERO,
+        warm_up: Some(Duration::ZERO),
         version: u64::from(n) + 1,
     }
 }
--- a/crates/core/src/gateway/tests/placing.rs
+++ b/crates/core/src/gateway/tests/placing.rs
@@ -40,7 +40,7 @@
         slots: 6,
         leaving: false,
         born: None,
-        warm_up: Duration::ZERO,
+        warm_up: Some(Duration::ZERO),
         version: 1,
     }
 }
--- a/crates/core/src/gateway/tests/registry.rs
+++ b/crates/core/src/gateway/tests/registry.rs
@@ -325,3 +325,22 @@
     registry.expire(back + LAPSE_GRACE);
     assert_eq!(usable(&registry), 0);
 }
+
+// Guards against an entry without a cold time that reaches other hosts as one of a warm upstream, and against a
+// copy that hosts of earlier versions can't decode: they expect a plain duration.
+#[test]
+fn copies_tell_an_unreported_cold_time_from_none_left() {
+    for (warm_up, plain) in [
+        (None, Duration::MAX),
+        (Some(Duration::ZERO), Duration::ZERO),
+        (Some(ms(1_500)), ms(1_500)),
+    ] {
+        let sent = Upstream {
+            warm_up,
+            ..upstream(1)
+        };
+        let value = serde_json::to_value(&sent).unwrap();
+        assert_eq!(value["warm_up"], serde_json::to_value(plain).unwrap());
+        assert_eq!(serde_json::from_value::<Upstream>(value).unwrap(), sent);
+    }
+}
