Limit requests to cold upstreams

A cold upstream crashes when it gets many more requests in a second than it can take, and hosts sent to it as to any other. The decision `cold` knows from entries, outcomes and ends of evacuations which upstreams are cold, and issues permits at regular intervals with a random phase, one at a time, for this host's share of the rate. A cold upstream without a permit is passed over for first sends, retries and resumed streams; if only such ones are left, the request waits for the next permit or is refused with the time until then as Retry-After.

--- a/crates/core/benches/placing.rs
+++ b/crates/core/benches/placing.rs
@@ -44,6 +44,8 @@
             allowance: 100.0,
         },
         first_start: true,
+        cold_bound: None,
+        settle_time: Duration::from_secs(3),
     };
     let mut table = RouteTable::new(1);
     table.add_route(Route {
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 
 pub mod admission;
 pub mod budget;
+pub mod cold;
 pub mod departure;
 pub mod follow;
 pub mod health;
--- a/crates/core/src/gateway/state/choosing.rs
+++ b/crates/core/src/gateway/state/choosing.rs
@@ -23,6 +23,9 @@
 /// together.
 const WAIT_SPREAD: f64 = 1.0;
 const MIN_WAIT_SPREAD: Duration = Duration::from_millis(300);
+/// Longest random time that is added to a wait for a permit of a cold upstream: half the time after
+/// which the permit expires.
+const COLD_WAIT_SPREAD: Duration = Duration::from_millis(100);
 /// Failed connections after which a request is refused: the next one is likely to fail too, and
 /// each takes up to the connect timeout.
 const MAX_FAILED_CONNECTIONS: u32 = 4;
@@ -115,6 +118,7 @@
         }
         self.loads.add(now, &chosen.id, request.work);
         self.notices.record_send(now, &chosen.id);
+        self.cold.take(&chosen.id);
         Next::Send(chosen, reasons)
     }
 
@@ -166,16 +170,22 @@
     fn wait_or_refuse(&mut self, now: Now, request: &Admitted) -> Next {
         let untried = self.registry.usable(&request.service);
         let untried = untried.filter(|u| !request.tried.contains(&u.id));
-        let (mut limited, mut paused) = (None, None);
+        let (mut limited, mut paused, mut cold) = (None, None, None);
         for upstream in untried {
             let (wait, earliest) = match self.notices.willingness(now, upstream) {
-                Willingness::Open => (self.limits.exhausted_for(now, &upstream.id), &mut limited),
+                Willingness::Open => match (
+                    self.limits.exhausted_for(now, &upstream.id),
+                    self.cold.wait(now, upstream),
+                ) {
+                    (None, permit_in) => (permit_in, &mut cold),
+                    (limited_for, permit_in) => (limited_for.max(permit_in), &mut limited),
+                },
                 Willingness::Leaving => continue,
                 Willingness::Paused(left) => (Some(left), &mut paused),
             };
             *earliest = [*earliest, wait].into_iter().flatten().min();
         }
-        let Some(wait) = [limited, paused].into_iter().flatten().min() else {
+        let Some(wait) = [limited, paused, cold].into_iter().flatten().min() else {
             let detail = format!("no upstream of `{}` takes requests now", request.service);
             return self.refuse(now, request, RefusalKind::NoUpstream, &detail);
         };
@@ -185,6 +195,10 @@
             let spread = spread.mul_f64(self.rng.random_range(0.0..1.0));
             return Next::Wait((wait + spread).min(most));
         }
+        if cold == Some(wait) && wait <= most {
+            let spread = COLD_WAIT_SPREAD.mul_f64(self.rng.random_range(0.0..1.0));
+            return Next::Wait((wait + spread).min(most));
+        }
         let detail = "all upstreams that could take the request want none for now";
         if request.may_have_run {
             return Next::Refuse(Refusal::unknown(RefusalKind::UpstreamFailed, detail));
@@ -208,7 +222,7 @@
         let candidates = untried.iter().filter(|u| {
             let is_open = self.notices.willingness(now, u) == Willingness::Open;
             unwilling += usize::from(!is_open);
-            is_open && within_limits(u)
+            is_open && within_limits(u) && self.cold.admits(now, u)
         });
         let candidates: Vec<&Upstream> = candidates.copied().collect();
         let local_data_centre = &self.settings.data_centre;
--- a/crates/core/src/gateway/state/mod.rs
+++ b/crates/core/src/gateway/state/mod.rs
@@ -13,6 +13,7 @@
 
 use super::admission::Admission;
 use super::budget::{RetryBound, RetryBudget};
+use super::cold::{Cold, ColdBound};
 use super::departure::Departure;
 use super::health::UpstreamHealth;
 use super::notices::Notices;
@@ -43,6 +44,10 @@
     pub retry_bound: RetryBound,
     /// Whether the fleet starts for the first time, so that no process had an earlier incarnation.
     pub first_start: bool,
+    /// Bound on the requests to cold upstreams; `None` if they are not limited.
+    pub cold_bound: Option<ColdBound>,
+    /// Time after a start in which the host may not know all others.
+    pub settle_time: Duration,
 }
 
 /// State that all requests of a gateway share.
@@ -64,6 +69,8 @@
     pub limits: UpstreamLimits,
     /// What upstreams have said of themselves.
     pub notices: Notices,
+    /// Upstreams that have just started, and the limit on requests to them.
+    pub cold: Cold,
     /// Entry hosts that share the upstreams.
     fleet: BTreeSet<HostId>,
     /// Upstreams of each service that this host uses first, with the registry's revision for which
@@ -84,6 +91,7 @@
             budget: RetryBudget::new(settings.retry_bound, restarted),
             limits: UpstreamLimits::new(settings.host.clone(), seed),
             notices: Notices::new(seed),
+            cold: Cold::new(now, settings.cold_bound, settings.settle_time, seed),
             settings,
             table: None,
             table_since: now,
@@ -105,6 +113,7 @@
         let newer = table.version > self.table_version();
         if newer {
             self.table_since = now;
+            self.cold.set_services(&table.services);
             self.table = Some(table);
         }
         newer
@@ -134,10 +143,11 @@
         self.table.is_some() && self.registry.is_complete()
     }
 
-    /// Sets the number of hosts that share the retry budget's allowance, and the live ones, which
-    /// share the upstreams.
+    /// Sets the number of hosts that share the retry budget's allowance and the rate of cold upstreams,
+    /// and the live ones, which share the upstreams.
     pub fn set_hosts(&mut self, hosts: usize, live: BTreeSet<HostId>) {
         self.budget.set_hosts(hosts);
+        self.cold.set_hosts(hosts);
         if self.fleet != live {
             self.fleet = live;
             self.subsets.clear();
--- a/crates/core/src/gateway/state/outcomes.rs
+++ b/crates/core/src/gateway/state/outcomes.rs
@@ -1,6 +1,7 @@
 //! What attempts and answers say of upstreams.
 
 use super::{Admitted, Gateway, Outcome};
+use crate::gateway::cold::ColdChange;
 use crate::gateway::notices::{Changes, LeavingReport, Notice};
 use crate::gateway::placing::Work;
 use crate::gateway::registry::Upstream;
@@ -30,6 +31,9 @@
         if let (Outcome::Stalled, Some(u)) = (outcome, self.registry.get(upstream)) {
             self.signs.record_stall(now, &u.service);
         }
+        if let Some(listed) = self.registry.get(upstream) {
+            self.cold.record_outcome(now, listed, outcome);
+        }
         self.count_idle_refusal(upstream, outcome);
         self.health.observe(now, upstream, outcome)
     }
@@ -82,6 +86,23 @@
     pub fn stream_begun(&mut self, now: Now, service: &str, upstream: &str, request: &str) {
         self.admission.record_begin(now, service, request);
         self.signs.record_begin(upstream);
+        if let Some(listed) = self.registry.get(upstream) {
+            self.cold.record_reached(now, listed);
+        }
+    }
+
+    /// Records that the evacuation of a data centre has ended: its upstreams may be cold.
+    pub fn record_evacuation_end(&mut self, now: Now, data_centre: &str) {
+        let upstreams = self.registry.all();
+        for upstream in upstreams.filter(|u| u.data_centre == data_centre) {
+            self.cold.record_evacuation_end(now, upstream);
+        }
+    }
+
+    /// Brings the records of cold upstreams up to date; returns the upstreams that have become cold or
+    /// warm since the last call.
+    pub fn refresh_cold(&mut self, now: Now) -> Vec<ColdChange> {
+        self.cold.refresh(now, &self.registry)
     }
 
     /// Records that an attempt has ended, and with it the stream that may have begun.
--- a/crates/core/src/gateway/state/request.rs
+++ b/crates/core/src/gateway/state/request.rs
@@ -92,7 +92,8 @@
     /// Ask this host whether it may be sent to this upstream, which names a limit, and pass the answer
     /// to [`Gateway::permit_answered`].
     Ask(UpstreamId, HostId),
-    /// Wait for this time, as an upstream that pauses is expected to take requests then, and ask again.
+    /// Wait for this time, as an upstream that pauses or is cold is expected to take requests then, and ask
+    /// again.
     Wait(Duration),
     /// Answer with this refusal.
     Refuse(Refusal),
@@ -105,7 +106,8 @@
     pub usable: usize,
     /// Of these, skipped because the request was sent to them before.
     pub tried: usize,
-    /// Of these, skipped because they have reached the limits that they name.
+    /// Of these, skipped because they have reached the limits that they name, or are cold and this host has
+    /// no permit for them.
     pub limited: usize,
     /// Of these, left out because they leave, or want no requests from this host for now.
     pub unwilling: usize,
--- a/crates/core/src/gateway/tests/forming.rs
+++ b/crates/core/src/gateway/tests/forming.rs
@@ -55,6 +55,8 @@
             allowance: 100.0,
         },
         first_start: false,
+        cold_bound: None,
+        settle_time: Duration::from_secs(3),
     };
     let mut table = RouteTable::new(2);
     table.add_route(Route {
--- a/crates/core/src/gateway/tests/mod.rs
+++ b/crates/core/src/gateway/tests/mod.rs
@@ -2,6 +2,8 @@
 
 mod admission;
 mod budget;
+mod cold;
+mod cold_simulation;
 mod departure;
 mod follow;
 mod forming;
--- a/crates/core/src/gateway/tests/requests.rs
+++ b/crates/core/src/gateway/tests/requests.rs
@@ -48,6 +48,8 @@
             allowance: 100.0,
         },
         first_start: true,
+        cold_bound: None,
+        settle_time: Duration::from_secs(3),
     }
 }
 
--- a/crates/net/src/gateway/host.rs
+++ b/crates/net/src/gateway/host.rs
@@ -239,6 +239,8 @@
         data_centre: options.data_centre.clone(),
         retry_bound: options.retry_bound,
         first_start: options.first_start,
+        cold_bound: options.cold_bound,
+        settle_time: options.settle_time,
     };
     let own_record = PeerRecord {
         host: options.host.clone(),
@@ -333,6 +335,16 @@
         "Upstreams that want no requests from this host for a while",
         gauge(|s| s.core().notices.paused() as u64),
     );
+    metrics.register_gauge(
+        "eelgrasshold_cold_upstreams",
+        "Upstreams that this host takes for cold",
+        gauge(|s| s.core().cold.len(s.now()) as u64),
+    );
+    metrics.register_counter(
+        "eelgrasshold_cold_upstreams_skipped",
+        "Times that a cold upstream was passed over for lack of a permit",
+        gauge(|s| s.core().cold.skipped()),
+    );
     metrics.register_gauge(
         "eelgrasshold_resident_bytes",
         "Resident memory of the process",
--- a/crates/net/src/gateway/options.rs
+++ b/crates/net/src/gateway/options.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use eelgrasshold_core::gateway::budget::RetryBound;
+use eelgrasshold_core::gateway::cold::ColdBound;
 use eelgrasshold_core::types::{DataCentreId, HostId, RegionId};
 
 /// Start options of a gateway; see the methods of [`GatewayOptionsBuilder`].
@@ -21,6 +22,7 @@
     pub(super) platform: String,
     pub(super) settle_time: Duration,
     pub(super) retry_bound: RetryBound,
+    pub(super) cold_bound: Option<ColdBound>,
     pub(super) first_start: bool,
     pub(super) answer_validity: Duration,
     pub(super) drain_limit: Duration,
@@ -59,6 +61,7 @@
                     ratio: 0.1,
                     allowance: 10.0,
                 },
+                cold_bound: None,
                 first_start: false,
                 answer_validity: Duration::from_secs(2),
                 drain_limit: Duration::from_secs(6),
@@ -130,6 +133,14 @@
         self
     }
 
+    /// Sets the bound on requests to cold upstreams, which holds over all entry hosts together; without
+    /// one, they are not limited.
+    #[must_use]
+    pub fn cold_bound(mut self, bound: Option<ColdBound>) -> Self {
+        self.options.cold_bound = bound;
+        self
+    }
+
     /// Sets whether the fleet starts for the first time, so that no earlier incarnation of the
     /// process can have spent the retry allowance.
     #[must_use]
--- a/crates/net/src/metrics/mod.rs
+++ b/crates/net/src/metrics/mod.rs
@@ -81,6 +81,22 @@
             .build();
     }
 
+    /// Registers a counter whose value is read when metrics are scraped.
+    pub fn register_counter(
+        &self,
+        name: &'static str,
+        description: &'static str,
+        read: impl Fn() -> u64 + Send + Sync + 'static,
+    ) {
+        let meter = self.meter();
+        // The provider keeps the instrument alive.
+        let _ = meter
+            .u64_observable_counter(name)
+            .with_description(description)
+            .with_callback(move |observer| observer.observe(read(), &[]))
+            .build();
+    }
+
     /// Returns all metrics in the Prometheus text format. If encoding fails, the error is logged
     /// and the text may be truncated.
     #[must_use]
