--- a/crates/core/src/event/catalogue.rs
+++ b/crates/core/src/event/catalogue.rs
@@ -144,6 +144,7 @@
     UpstreamPaused = 5107, "an upstream wants no requests from this host for a while";
     NoticeUnreadable = 5108, "what an upstream said of itself can't be read";
     UpstreamLimited = 5109, "an upstream named another limit of requests a second, or none any more";
+    UpstreamCold = 5115, "an upstream became cold, so that its requests are limited, or warm again";
 
     ConfigApplied = 6001, "a configuration came into force";
     ConfigRefused = 6002, "a configuration was refused";
--- a/crates/ctl/src/explain/mod.rs
+++ b/crates/ctl/src/explain/mod.rs
@@ -18,7 +18,7 @@
 const LOOKBACK_MS: u64 = 10_000;
 
 /// State changes of an upstream that other requests or the registry caused.
-const UPSTREAM_EVENTS: [EventKind; 10] = [
+const UPSTREAM_EVENTS: [EventKind; 11] = [
     EventKind::SuspectNoted,
     EventKind::UpstreamEjected,
     EventKind::UpstreamReturned,
@@ -29,6 +29,7 @@
     EventKind::UpstreamGone,
     EventKind::UpstreamLimited,
     EventKind::UpstreamPaused,
+    EventKind::UpstreamCold,
 ];
 
 /// Name of the fact that identifies the upstream of an event.
--- a/crates/daemon/src/run/mod.rs
+++ b/crates/daemon/src/run/mod.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use eelgrasshold_core::gateway::budget::RetryBound;
+use eelgrasshold_core::gateway::cold::ColdBound;
 use eelgrasshold_net::gateway::{GatewayHost, GatewayOptions};
 use eelgrasshold_net::host::{
     Drained, EngineOptions, EntryHost, HostOptions, StartError, UpstreamHost,
@@ -195,6 +196,7 @@
         .metrics(settings.metrics_address)
         .settle_time(Duration::from_millis(gateway.store_settle_ms))
         .retry_bound(retry_bound)
+        .cold_bound(cold_bound(gateway))
         .first_start(settings.first_start)
         .answer_validity(validity)
         .drain_limit(Duration::from_secs(settings.drain_limit_s))
@@ -203,6 +205,15 @@
         .build()
 }
 
+/// Bound on requests to cold upstreams; the missing one of the two settings changes nothing.
+fn cold_bound(gateway: &GatewaySettings) -> Option<ColdBound> {
+    let is_set = gateway.cold_overage.is_some() || gateway.cold_slack.is_some();
+    is_set.then(|| ColdBound {
+        overage: gateway.cold_overage.unwrap_or(1.0),
+        slack: gateway.cold_slack.unwrap_or(0.0),
+    })
+}
+
 fn host_options(settings: &Settings) -> Result<HostOptions, RunError> {
     let identity = match &settings.tls {
         None => None,
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -125,6 +125,12 @@
     if !(0.1..=3_600.0).contains(&gateway.retry_window_s) {
         report("gateway.retry_window_s", "must be 0.1 to 3600");
     }
+    if !(0.0..=1e6).contains(&gateway.cold_overage.unwrap_or_default()) {
+        report("gateway.cold_overage", "must be 0 to 1000000");
+    }
+    if !(-1e6..=1e6).contains(&gateway.cold_slack.unwrap_or_default()) {
+        report("gateway.cold_slack", "must be -1000000 to 1000000");
+    }
     if gateway.max_descriptors < MIN_DESCRIPTORS {
         report("gateway.max_descriptors", "must be 256 or more");
     }
--- a/crates/daemon/src/settings/model.rs
+++ b/crates/daemon/src/settings/model.rs
@@ -87,6 +87,13 @@
     pub retry_allowance: f64,
     /// Length of the retry window, in seconds.
     pub retry_window_s: f64,
+    /// Factor on the rate of a service's cold upstreams up to which all hosts together may exceed it.
+    /// Without this and `cold_slack`, cold upstreams are not limited.
+    #[serde(default)]
+    pub cold_overage: Option<f64>,
+    /// Requests a second beyond that factor.
+    #[serde(default)]
+    pub cold_slack: Option<f64>,
     /// Maximum number of open file descriptors, sockets and pipes included.
     pub max_descriptors: usize,
 }
--- a/crates/daemon/src/settings/tests.rs
+++ b/crates/daemon/src/settings/tests.rs
@@ -64,6 +64,8 @@
     "retry_ratio": 0.2,
     "retry_allowance": 100,
     "retry_window_s": 10,
+    "cold_overage": 1.5,
+    "cold_slack": 5,
     "max_descriptors": 4096
   }
 }"#;
@@ -76,6 +78,17 @@
     assert_eq!(settings.unknown, ["gateway.colour"]);
 }
 
+// Guards against a gateway that does not start where the platform names no bounds for cold upstreams.
+#[test]
+fn bounds_of_cold_upstreams_are_optional() {
+    let set = parse("edge.json", GATEWAY).unwrap().gateway.unwrap();
+    assert_eq!((set.cold_overage, set.cold_slack), (Some(1.5), Some(5.0)));
+    let without = GATEWAY.replace("\"cold_overage\": 1.5,", "");
+    let without = without.replace("\"cold_slack\": 5,", "");
+    let unset = parse("edge.json", &without).unwrap().gateway.unwrap();
+    assert_eq!((unset.cold_overage, unset.cold_slack), (None, None));
+}
+
 // Guards against validation errors that do not name the field.
 #[test]
 fn errors_name_the_invalid_gateway_setting() {
@@ -85,6 +98,8 @@
         ("\"retry_ratio\": 0.2", "\"retry_ratio\": -1"),
         ("\"retry_allowance\": 100", "\"retry_allowance\": \"many\""),
         ("\"retry_window_s\": 10", "\"retry_window_s\": 1e9"),
+        ("\"cold_overage\": 1.5", "\"cold_overage\": -1"),
+        ("\"cold_slack\": 5", "\"cold_slack\": \"some\""),
         ("\"max_descriptors\": 4096", "\"max_descriptors\": 3"),
         (
             "\"ready_address\": \"127.0.0.1:8081\"",
--- a/crates/net/src/gateway/follow.rs
+++ b/crates/net/src/gateway/follow.rs
@@ -331,6 +331,8 @@
         let now = shared.now();
         let changes = shared.core().expire(now);
         shared.record_registry_changes(changes);
+        let cold_changes = shared.core().refresh_cold(now);
+        shared.record_cold_changes(cold_changes);
         quarantine::record_changes(&shared);
         let closed = {
             let core = shared.core();
--- a/crates/net/src/gateway/shared.rs
+++ b/crates/net/src/gateway/shared.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use eelgrasshold_core::event::{Event, EventKind};
+use eelgrasshold_core::gateway::cold::ColdChange;
 use eelgrasshold_core::gateway::peers::{Peers, StoreVersions};
 use eelgrasshold_core::gateway::registry::{Change, Upstream};
 use eelgrasshold_core::gateway::silence::Prospect;
@@ -193,6 +194,19 @@
         }
     }
 
+    /// Records upstreams that have become cold or warm.
+    pub(super) fn record_cold_changes(&self, changes: Vec<ColdChange>) {
+        for change in changes {
+            let mut event = Event::new(EventKind::UpstreamCold, "")
+                .with("upstream", change.upstream)
+                .with("cold", u64::from(change.is_cold));
+            if let Some(left) = change.left.filter(|_| change.is_cold) {
+                event = event.with("left_ms", left);
+            }
+            self.timeline.record(event);
+        }
+    }
+
     /// Announces a changed readiness to other entry hosts and records when the host becomes ready.
     pub(super) fn record_readiness(&self, was_ready: bool) {
         let ready = self.core().is_ready();
