--- a/crates/core/src/gateway/tests/cold_simulation.rs
+++ b/crates/core/src/gateway/tests/cold_simulation.rs
@@ -2,7 +2,7 @@
 //! any second stays within the bound, and a useful part of it is used.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -99,7 +99,8 @@
 
     fn know(&mut self, known: impl Fn(&mut SmallRng) -> usize) {
         for host in &mut self.hosts {
-            host.cold.set_hosts(known(&mut self.rng).max(1));
+            let hosts = known(&mut self.rng).max(1);
+            host.set_hosts(hosts, BTreeSet::new());
         }
     }
 
@@ -205,8 +206,9 @@
     }
 }
 
-/// Guards against restarted hosts that use the shares of a smaller fleet, or all at the same time, and against
-/// shares of which most is lost.
+/// Guards against restarted hosts that use the shares of a smaller fleet, or all at the same time, against shares
+/// of which most is lost, and against shares of a large fleet that are not reduced: a second in some hundred surges
+/// would exceed the bound, which is too rare to be seen here.
 #[test]
 fn restarted_hosts_that_learn_of_each_other_stay_within_the_bound() {
     for hosts in FLEETS {
@@ -228,8 +230,12 @@
                 worst <= MOST,
                 "{worst} requests in a second from {hosts} hosts"
             );
-            let least = if hosts > 46 { 0.6 } else { 0.8 };
-            assert!(used >= least * PER_S, "{used} a second of {hosts} hosts");
+            let (least, most) = if hosts > 46 { (0.6, 0.8) } else { (0.8, 1.1) };
+            let part = used / PER_S;
+            assert!(
+                (least..most).contains(&part),
+                "{used} a second of {hosts} hosts"
+            );
         }
     }
 }
