--- a/crates/core/benches/placing.rs
+++ b/crates/core/benches/placing.rs
@@ -29,7 +29,7 @@
         slots: 8,
         leaving: false,
         born: None,
-        warm_up: Duration::ZERO,
+        warm_up: Some(Duration::ZERO),
         version: 1,
     }
 }
@@ -45,6 +45,8 @@
         },
         first_start: true,
         pause_control: false,
+        cold_bound: None,
+        settle_time: Duration::from_secs(3),
     };
     let mut table = RouteTable::new(1);
     table.add_route(Route {
--- a/crates/core/src/gateway/concurrency/mod.rs
+++ b/crates/core/src/gateway/concurrency/mod.rs
@@ -379,7 +379,9 @@
     /// can be in time.
     fn allows_late(&self) -> bool {
         let in_flight = self.in_flight.len() as f64 + 1.0;
-        self.limit.value().is_none_or(|v| in_flight <= (v * LATE_SHARE).max(1.0))
+        self.limit
+            .value()
+            .is_none_or(|v| in_flight <= (v * LATE_SHARE).max(1.0))
     }
 
     /// Starts waiting requests as far as the limit allows.
--- a/crates/core/src/gateway/tests/forming.rs
+++ b/crates/core/src/gateway/tests/forming.rs
@@ -56,6 +56,8 @@
         },
         first_start: false,
         pause_control: false,
+        cold_bound: None,
+        settle_time: Duration::from_secs(3),
     };
     let mut table = RouteTable::new(2);
     table.add_route(Route {
--- a/crates/core/src/gateway/tests/mod.rs
+++ b/crates/core/src/gateway/tests/mod.rs
@@ -2,6 +2,8 @@
 
 mod admission;
 mod budget;
+mod cold;
+mod cold_simulation;
 mod departure;
 mod follow;
 mod forming;
@@ -46,7 +48,7 @@
         slots: 4,
         leaving: false,
         born: None,
-        warm_up: Duration::ZERO,
+        warm_up: Some(Duration::ZERO),
         version: u64::from(n) + 1,
     }
 }
--- a/crates/core/src/gateway/tests/requests.rs
+++ b/crates/core/src/gateway/tests/requests.rs
@@ -70,6 +70,8 @@
         },
         first_start: true,
         pause_control: false,
+        cold_bound: None,
+        settle_time: Duration::from_secs(3),
     }
 }
 
--- a/crates/net/src/gateway/host.rs
+++ b/crates/net/src/gateway/host.rs
@@ -246,6 +246,8 @@
         retry_bound: options.retry_bound,
         first_start: options.first_start,
         pause_control: options.pause_control,
+        cold_bound: options.cold_bound,
+        settle_time: options.settle_time,
     };
     let own_record = PeerRecord {
         host: options.host.clone(),
@@ -347,6 +349,16 @@
         "Upstreams whose load their sidecars reported a moment ago",
         gauge(|s| s.core().load_reports.len(s.now()) as u64),
     );
+    metrics.register_gauge(
+        "eelgrasshold_cold_upstreams",
+        "Upstreams that this host takes for cold",
+        gauge(|s| s.core().cold.len(s.now()) as u64),
+    );
+    metrics.register_counter(
+        "eelgrasshold_cold_upstreams_skipped",
+        "Times that a cold upstream was passed over for lack of a permit",
+        gauge(|s| s.core().cold.skipped()),
+    );
     metrics.register_gauge(
         "eelgrasshold_resident_bytes",
         "Resident memory of the process",
