Decide which data centres are evacuated and send them no requests

Operators take a data centre out of use with an object of kind `evacuations`. Upstreams of evacuated data centres are left out when an upstream is chosen, when a request would wait for one, and right before a request is written. A host is not ready before it has read the list or the settle time after its start has passed. By default the set is not followed and empty.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 pub mod admission;
 pub mod budget;
 pub mod departure;
+pub mod evacuations;
 pub mod follow;
 pub mod health;
 pub mod mirror;
--- a/crates/core/src/gateway/state/choosing.rs
+++ b/crates/core/src/gateway/state/choosing.rs
@@ -165,7 +165,9 @@
     /// in its time. Otherwise it is refused, with the time until some upstream takes it if that is known.
     fn wait_or_refuse(&mut self, now: Now, request: &Admitted) -> Next {
         let untried = self.registry.usable(&request.service);
-        let untried = untried.filter(|u| !request.tried.contains(&u.id));
+        let untried = untried.filter(|u| {
+            !request.tried.contains(&u.id) && !self.evacuations.is_evacuated(&u.data_centre)
+        });
         let (mut limited, mut paused) = (None, None);
         for upstream in untried {
             let (wait, earliest) = match self.notices.willingness(now, upstream) {
@@ -176,7 +178,12 @@
             *earliest = [*earliest, wait].into_iter().flatten().min();
         }
         let Some(wait) = [limited, paused].into_iter().flatten().min() else {
-            let detail = format!("no upstream of `{}` takes requests now", request.service);
+            let reason = if self.is_evacuated(&request.service) {
+                "is in a data centre that is not evacuated"
+            } else {
+                "takes requests now"
+            };
+            let detail = format!("no upstream of `{}` {reason}", request.service);
             return self.refuse(now, request, RefusalKind::NoUpstream, &detail);
         };
         let most = request.time_to_wait(now);
@@ -204,8 +211,12 @@
         let has_permit = |u: &Upstream| request.permit.as_ref() == Some(&u.id);
         let within_limits =
             |u: &&&Upstream| has_permit(u) || limits.exhausted_for(now, &u.id).is_none();
-        let mut unwilling = 0;
+        let (mut unwilling, mut evacuated) = (0, 0);
         let candidates = untried.iter().filter(|u| {
+            if self.evacuations.is_evacuated(&u.data_centre) {
+                evacuated += 1;
+                return false;
+            }
             let is_open = self.notices.willingness(now, u) == Willingness::Open;
             unwilling += usize::from(!is_open);
             is_open && within_limits(u)
@@ -238,7 +249,8 @@
             usable: usable.len(),
             tried: usable.len() - untried.len(),
             unwilling,
-            limited: untried.len() - unwilling - candidates.len(),
+            evacuated,
+            limited: untried.len() - unwilling - evacuated - candidates.len(),
             avoided: avoided.len(),
             in_flight: loads.requests(&chosen.id),
             registry: self.registry.revision(),
@@ -280,6 +292,7 @@
             return;
         }
         let usable = self.registry.usable(service);
+        let usable = usable.filter(|u| !self.evacuations.is_evacuated(&u.data_centre));
         let usable: BTreeSet<UpstreamId> = usable.map(|u| u.id.clone()).collect();
         let subset = if usable.len() <= placing::MAX_UPSTREAMS_WITHOUT_SUBSETS {
             usable
--- a/crates/core/src/gateway/state/mod.rs
+++ b/crates/core/src/gateway/state/mod.rs
@@ -14,6 +14,8 @@
 use super::admission::Admission;
 use super::budget::{RetryBound, RetryBudget};
 use super::departure::Departure;
+use super::evacuations::{EvacuationChange, Evacuations};
+use super::follow::FollowUpdate;
 use super::health::UpstreamHealth;
 use super::notices::Notices;
 use super::placing::Loads;
@@ -53,6 +55,8 @@
     table_since: Now,
     /// Known upstreams, updated by the follower of the registry.
     pub registry: Registry,
+    /// Evacuated data centres, updated by [`Self::apply_evacuations`].
+    pub evacuations: Evacuations,
     loads: Loads,
     health: UpstreamHealth,
     signs: Signs,
@@ -88,6 +92,7 @@
             table: None,
             table_since: now,
             registry: Registry::default(),
+            evacuations: Evacuations::default(),
             loads: Loads::default(),
             health: UpstreamHealth::default(),
             signs: Signs::default(),
@@ -131,7 +136,35 @@
     /// Whether callers can be served.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.table.is_some() && self.registry.is_complete()
+        self.table.is_some() && self.registry.is_complete() && self.evacuations.is_settled()
+    }
+
+    /// Applies an update of the evacuated data centres.
+    pub fn apply_evacuations(&mut self, now: Now, update: &FollowUpdate) -> Vec<EvacuationChange> {
+        let changes = self.evacuations.apply(now, update);
+        self.evacuations_changed(changes)
+    }
+
+    /// Ends evacuations and waits that have run out.
+    pub fn expire_evacuations(&mut self, now: Now) -> Vec<EvacuationChange> {
+        let changes = self.evacuations.expire(now);
+        self.evacuations_changed(changes)
+    }
+
+    /// Upstreams that this host uses first must not be evacuated, or its requests would share the few
+    /// that are left of them.
+    fn evacuations_changed(&mut self, changes: Vec<EvacuationChange>) -> Vec<EvacuationChange> {
+        if !changes.is_empty() {
+            self.subsets.clear();
+        }
+        changes
+    }
+
+    /// Whether a service has upstreams, and all of them are in evacuated data centres.
+    #[must_use]
+    pub fn is_evacuated(&self, service: &str) -> bool {
+        let mut usable = self.registry.usable(service).peekable();
+        usable.peek().is_some() && usable.all(|u| self.evacuations.is_evacuated(&u.data_centre))
     }
 
     /// Sets the number of hosts that share the retry budget's allowance, and the live ones, which
--- a/crates/core/src/gateway/state/outcomes.rs
+++ b/crates/core/src/gateway/state/outcomes.rs
@@ -34,12 +34,13 @@
         self.health.observe(now, upstream, outcome)
     }
 
-    /// Whether a request may still be sent to the upstream that was chosen for it: it may have left, or
-    /// started anew, while the connection was opened.
+    /// Whether a request may still be sent to the upstream that was chosen for it: it may have left,
+    /// started anew or been evacuated while the connection was opened.
     #[must_use]
     pub fn may_send(&self, now: Now, upstream: &Upstream) -> bool {
         let listed = self.registry.get(&upstream.id);
-        listed.is_some_and(|l| !l.leaving && l.born == upstream.born)
+        let is_evacuated = |l: &Upstream| self.evacuations.is_evacuated(&l.data_centre);
+        listed.is_some_and(|l| !l.leaving && l.born == upstream.born && !is_evacuated(l))
             && self.notices.may_send(now, upstream)
     }
 
--- a/crates/core/src/gateway/state/request.rs
+++ b/crates/core/src/gateway/state/request.rs
@@ -109,6 +109,8 @@
     pub limited: usize,
     /// Of these, left out because they leave, or want no requests from this host for now.
     pub unwilling: usize,
+    /// Of these, left out because their data centres are evacuated.
+    pub evacuated: usize,
     /// Of these, avoided because they are ejected, silent, or another upstream has their address.
     pub avoided: usize,
     /// This host's requests in flight at the chosen upstream.
@@ -132,7 +134,7 @@
     Full,
     /// The upstream wants no requests from this host for a while and did not run the request.
     Declined,
-    /// The request was not sent: the chosen upstream leaves, or wants no requests, by now.
+    /// The request was not sent: the chosen upstream leaves, wants no requests, or is evacuated, by now.
     Moved,
     /// The upstream waits for another rank of its group and did not run the request.
     Stalled,
--- a/crates/core/src/gateway/tests/mod.rs
+++ b/crates/core/src/gateway/tests/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod budget;
 mod departure;
+mod evacuations;
 mod follow;
 mod forming;
 mod late_changes;
