Follow evacuations with three watchers

A third follower, with ten watchers like the other two, would add half of today's idle watches. Three hosts, one in each of three data centres, watch this kind; the others follow them. Without `gateway.evacuate_ms` nothing is followed. Events 5110 and 5111, gauges of the set and its age, and a counter of requests not sent for it show what is in force.

For this kind, a watcher whose call failed holds no calls of others, and a host without a source asks the store after 0.125 to 0.225 of the settle time instead of 0.25 to 0.45.

--- a/crates/core/src/event/catalogue.rs
+++ b/crates/core/src/event/catalogue.rs
@@ -144,6 +144,8 @@
     UpstreamPaused = 5107, "an upstream wants no requests from this host for a while";
     NoticeUnreadable = 5108, "what an upstream said of itself can't be read";
     UpstreamLimited = 5109, "an upstream named another limit of requests a second, or none any more";
+    EvacuationBegun = 5110, "a data centre is evacuated and its upstreams get no requests";
+    EvacuationEnded = 5111, "a data centre is no longer evacuated";
 
     ConfigApplied = 6001, "a configuration came into force";
     ConfigRefused = 6002, "a configuration was refused";
--- a/crates/core/src/gateway/mirror/reach.rs
+++ b/crates/core/src/gateway/mirror/reach.rs
@@ -16,15 +16,16 @@
 }
 
 impl Reach {
-    /// State after an update. `direct` tells whether the store itself was called.
+    /// State after an update. `direct` tells whether the store itself was called, and `may_doubt` whether
+    /// one failed call leaves doubt.
     #[must_use]
-    pub fn after(self, update: &FollowUpdate, direct: bool) -> Self {
+    pub fn after(self, update: &FollowUpdate, direct: bool, may_doubt: bool) -> Self {
         let failed = matches!(update, FollowUpdate::Failed { .. });
         match self {
             _ if !direct => Self::Lost,
             _ if !failed => Self::Direct,
-            Self::Direct => Self::InDoubt,
-            Self::InDoubt | Self::Lost => Self::Lost,
+            Self::Direct if may_doubt => Self::InDoubt,
+            Self::Direct | Self::InDoubt | Self::Lost => Self::Lost,
         }
     }
 }
--- a/crates/core/src/gateway/sources/mod.rs
+++ b/crates/core/src/gateway/sources/mod.rs
@@ -22,12 +22,17 @@
 use crate::types::{DataCentreId, Now};
 
 /// Number of hosts of all data centres that watch the store.
-const WATCHERS: usize = 10;
+pub const WATCHERS: usize = 10;
+/// The same for evacuations: ten more would add half of the idle watches of two kinds.
+pub const EVACUATION_WATCHERS: usize = 3;
 /// Time for which a host that could not answer is passed over, if there are others.
 const AVOID_TIME: Duration = Duration::from_secs(3);
 /// Share of the settle time without an answer of any watcher after which a host asks the store, drawn
 /// so that not all hosts do so at once.
 const SHARE_WITHOUT_SOURCE: Range<f64> = 0.25..0.45;
+/// The same for evacuations. With the longer time, hosts were up to 0.23 s late when all three watchers were
+/// cut off from the store.
+const EVACUATION_SHARE_WITHOUT_SOURCE: Range<f64> = 0.125..0.225;
 /// Share of the settle time between two attempts of such a host.
 const STORE_RETRY_SHARE: f64 = 2.0 / 3.0;
 /// Longest time between two attempts of such a host.
@@ -50,6 +55,40 @@
     NoneUntil(Now),
 }
 
+/// How the hosts of a fleet share the watches of one kind of objects.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WatchPlan {
+    /// Number of hosts of all data centres that watch the store; each data centre has one at least.
+    pub watchers: usize,
+    /// Share of the settle time without an answer of any watcher after which a host asks the store.
+    share_without_source: Range<f64>,
+    /// Whether a watcher whose last call failed holds the calls of others until its next call, see
+    /// [`Reach::InDoubt`](super::mirror::Reach::InDoubt).
+    pub holds_calls_in_doubt: bool,
+}
+
+impl Default for WatchPlan {
+    fn default() -> Self {
+        Self {
+            watchers: WATCHERS,
+            share_without_source: SHARE_WITHOUT_SOURCE,
+            holds_calls_in_doubt: true,
+        }
+    }
+}
+
+impl WatchPlan {
+    /// The plan for evacuations. All of the few watchers may fail at once, so others go elsewhere earlier.
+    #[must_use]
+    pub fn of_evacuations() -> Self {
+        Self {
+            watchers: EVACUATION_WATCHERS,
+            share_without_source: EVACUATION_SHARE_WITHOUT_SOURCE,
+            holds_calls_in_doubt: false,
+        }
+    }
+}
+
 /// Choice of the source for one kind of objects.
 #[derive(Clone, Debug)]
 pub struct Sources {
@@ -64,14 +103,20 @@
     /// When a host that is passed over may be asked, if there is no other.
     next_host_retry: Now,
     settle_time: Duration,
+    plan: WatchPlan,
     rng: SmallRng,
 }
 
-/// The hosts that watch the store, nearest first. `members` are the live hosts with the local one.
+/// The hosts that watch the store, nearest first. `members` are the live hosts with the local one, and
+/// `count` is the number of watchers in all data centres; each data centre has one at least.
 #[must_use]
-pub fn watchers<'a>(local: &PeerRecord, members: &[&'a PeerRecord]) -> Vec<&'a PeerRecord> {
+pub fn watchers<'a>(
+    local: &PeerRecord,
+    members: &[&'a PeerRecord],
+    count: usize,
+) -> Vec<&'a PeerRecord> {
     let places: BTreeSet<&DataCentreId> = members.iter().map(|m| &m.data_centre).collect();
-    let per_place = (WATCHERS / places.len().max(1)).max(1);
+    let per_place = (count / places.len().max(1)).max(1);
     let mut by_place: BTreeMap<&DataCentreId, Vec<&PeerRecord>> = BTreeMap::new();
     for member in members {
         let members = by_place.entry(&member.data_centre).or_default();
@@ -107,6 +152,7 @@
             next_store_attempt: now,
             next_host_retry: now,
             settle_time: DEFAULT_SETTLE_TIME,
+            plan: WatchPlan::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -120,6 +166,12 @@
         }
     }
 
+    /// Sets how the hosts share the watches.
+    #[must_use]
+    pub fn with_plan(self, plan: WatchPlan) -> Self {
+        Self { plan, ..self }
+    }
+
     /// Chooses the source of the next call. `members` are the live hosts with the local one.
     pub fn choose(&mut self, now: Now, local: &PeerRecord, members: &[&PeerRecord]) -> Source {
         self.avoided.retain(|_, until| now < *until);
@@ -131,7 +183,7 @@
         if !self.begun && !self.first_start && self.ask_store_at.is_none() {
             return Source::Store;
         }
-        let watchers = watchers(local, members);
+        let watchers = watchers(local, members, self.plan.watchers);
         if members.len() <= 1 || watchers.iter().any(|w| w.host == local.host) {
             return Source::Store;
         }
@@ -179,7 +231,9 @@
     }
 
     fn record_none(&mut self, now: Now) {
-        let share = self.rng.random_range(SHARE_WITHOUT_SOURCE);
+        let share = self
+            .rng
+            .random_range(self.plan.share_without_source.clone());
         let wait = self.settle_time.mul_f64(share);
         self.ask_store_at.get_or_insert(now + wait);
     }
--- a/crates/core/src/gateway/tests/late_changes.rs
+++ b/crates/core/src/gateway/tests/late_changes.rs
@@ -3,6 +3,9 @@
 //!
 //! It checks the sum of all steps: a change is in force at each host that is undisturbed within the time
 //! that configurations have, and at each host that was disturbed at the end of the settle time.
+//!
+//! Evacuations have fewer watchers, no gossip of versions, and a time limit of their own, which holds
+//! also while channels fall silent.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -16,7 +19,9 @@
 use crate::gateway::follow::{FollowUpdate, Follower, watch_wait};
 use crate::gateway::mirror::{Mirror, Reach};
 use crate::gateway::peers::{PeerRecord, PeerState};
-use crate::gateway::sources::{Source, Sources, watchers};
+use crate::gateway::sources::{
+    EVACUATION_WATCHERS, Source, Sources, WATCHERS, WatchPlan, watchers,
+};
 use crate::platform::{Change, KindCall, KindReply, StoredObject, Version};
 use crate::types::Now;
 
@@ -42,6 +47,41 @@
 /// When the faults and changes begin, and when the simulation ends after the last of them.
 const CALM: Duration = ms(6_000);
 
+/// How a kind of objects is followed, and what must hold for it.
+#[derive(Clone, Debug)]
+struct Rules {
+    plan: WatchPlan,
+    /// Whether gossip tells of versions, so that hosts that are behind pull from others.
+    gossips: bool,
+    settle_time: Duration,
+    /// Time after a change at which it is in force at all undisturbed hosts.
+    apply_time: Duration,
+    /// Whether hosts whose channels fell silent have the settle time from then on.
+    allows_for_silence: bool,
+}
+
+impl Rules {
+    fn of_configurations(settle_time: Duration) -> Self {
+        Self {
+            plan: WatchPlan::default(),
+            gossips: true,
+            settle_time,
+            apply_time: settle_time.saturating_sub(ms(1_000)),
+            allows_for_silence: true,
+        }
+    }
+
+    fn of_evacuations() -> Self {
+        Self {
+            plan: WatchPlan::of_evacuations(),
+            gossips: false,
+            settle_time: ms(4_000),
+            apply_time: ms(5_000),
+            allows_for_silence: false,
+        }
+    }
+}
+
 fn record(n: usize, places: usize) -> PeerRecord {
     let port = 7_000 + u16::try_from(n).unwrap();
     let address = SocketAddr::from(([10, 1, 0, 1], port));
@@ -136,10 +176,12 @@
 }
 
 impl Node {
-    fn new(now: Now, first_start: bool, settle_time: Duration, seed: u64) -> Self {
+    fn new(now: Now, first_start: bool, rules: &Rules, seed: u64) -> Self {
         Self {
-            follower: Follower::new(KIND, watch_wait(settle_time), seed),
-            sources: Sources::new(now, first_start, seed).with_settle_time(settle_time),
+            follower: Follower::new(KIND, watch_wait(rules.settle_time), seed),
+            sources: Sources::new(now, first_start, seed)
+                .with_settle_time(rules.settle_time)
+                .with_plan(rules.plan.clone()),
             mirror: Mirror::default(),
             reach: Reach::default(),
             known: 0,
@@ -161,9 +203,9 @@
         }
     }
 
-    fn apply(&mut self, update: &FollowUpdate, direct: bool) {
+    fn apply(&mut self, update: &FollowUpdate, direct: bool, may_doubt: bool) {
         self.mirror.apply(KIND, update);
-        self.reach = self.reach.after(update, direct);
+        self.reach = self.reach.after(update, direct, may_doubt);
         self.failing = matches!(update, FollowUpdate::Failed { .. });
         let versions: Vec<Version> = match update {
             FollowUpdate::All(objects, _) => objects.iter().map(|o| o.version).collect(),
@@ -184,8 +226,8 @@
 type Late = (usize, Duration);
 
 struct Fleet {
-    settle_time: Duration,
-    apply_time: Duration,
+    now: Now,
+    rules: Rules,
     records: Vec<PeerRecord>,
     nodes: Vec<Node>,
     faults: Faults,
@@ -197,13 +239,14 @@
 }
 
 impl Fleet {
-    fn new(size: usize, settle_time: Duration, faults: Faults, seed: u64) -> Self {
-        let node = |n| Node::new(Now::ZERO, true, settle_time, seed * 1_000 + n as u64);
+    fn new(size: usize, rules: Rules, faults: Faults, seed: u64) -> Self {
+        let node = |n| Node::new(Now::ZERO, true, &rules, seed * 1_000 + n as u64);
+        let nodes = (0..size).map(node).collect();
         Self {
-            settle_time,
-            apply_time: settle_time.saturating_sub(ms(1_000)),
+            now: Now::ZERO,
+            rules,
             records: (0..size).map(|n| record(n, 3)).collect(),
-            nodes: (0..size).map(node).collect(),
+            nodes,
             faults,
             rng: SmallRng::seed_from_u64(seed),
             latest: None,
@@ -228,8 +271,8 @@
     }
 
     fn run(&mut self, until: Now) {
-        let mut now = Now::ZERO;
-        while now < until {
+        while self.now < until {
+            let now = self.now;
             self.begin_faults(now);
             for n in 0..self.nodes.len() {
                 if !self.is_down(n, now) {
@@ -249,7 +292,7 @@
                 .filter(|n| n.call.as_ref().is_some_and(at_store));
             self.most_watches = self.most_watches.max(watches.count());
             self.check(now);
-            now += TICK;
+            self.now += TICK;
         }
     }
 
@@ -262,7 +305,7 @@
             let (HostFault::Freeze(time) | HostFault::Restart(time) | HostFault::Cut(time)) = fault;
             if matches!(fault, HostFault::Restart(_)) {
                 let seed = self.rng.random();
-                self.nodes[n] = Node::new(now + time, false, self.settle_time, seed);
+                self.nodes[n] = Node::new(now + time, false, &self.rules, seed);
             }
             let node = &mut self.nodes[n];
             node.disturbed_at = now + time;
@@ -442,13 +485,14 @@
                 node.next_call_at = at.min(now + SOURCE_POLL_INTERVAL).max(now + TICK);
                 if node.sources.is_without() && !node.failing {
                     let reason = "no source".to_owned();
-                    node.apply(&FollowUpdate::Failed { reason }, false);
+                    node.apply(&FollowUpdate::Failed { reason }, false, true);
                 }
             }
         }
     }
 
     fn end_call(&mut self, n: usize, now: Now, source: Source, reply: KindReply) {
+        let may_doubt = self.rules.plan.holds_calls_in_doubt;
         let node = &mut self.nodes[n];
         node.next_call_at = now;
         if source == Source::Store {
@@ -459,7 +503,7 @@
                 _ => node.sources.answered(),
             }
             if let Some(update) = update {
-                node.apply(&update, true);
+                node.apply(&update, true, may_doubt);
             }
             return;
         }
@@ -476,11 +520,14 @@
         }
         node.seen_behind = node.times_behind;
         if let Some(update) = update {
-            node.apply(&update, false);
+            node.apply(&update, false, true);
         }
     }
 
     fn gossip(&mut self, n: usize, now: Now) {
+        if !self.rules.gossips {
+            return;
+        }
         let phase = u32::try_from(n % 100).unwrap() * TICK;
         let running = now.saturating_sub(phase).as_millis();
         let is_round = running.is_multiple_of(ROUND.as_millis());
@@ -523,14 +570,16 @@
     fn limit(&self, n: usize, known: Version) -> Option<Now> {
         let first_missed = usize::try_from(known.max(1) - 1).unwrap();
         let changed_at = *self.faults.changes.get(first_missed)?;
-        let silent_at = self.faults.silences.iter().map(|s| s.at);
+        let silences = self.faults.silences.iter();
+        let silences = silences.filter(|_| self.rules.allows_for_silence);
+        let silent_at = silences.map(|s| s.at);
         let disturbed_at = silent_at.fold(self.nodes[n].disturbed_at, Now::max);
-        Some((changed_at + self.apply_time).max(disturbed_at + self.settle_time))
+        Some((changed_at + self.rules.apply_time).max(disturbed_at + self.rules.settle_time))
     }
 
     fn check(&mut self, now: Now) {
         // While the store is impaired, no host is held to the limit.
-        let refuses = |r: &Refusal| r.from <= now && now < r.until + self.settle_time;
+        let refuses = |r: &Refusal| r.from <= now && now < r.until + self.rules.settle_time;
         if self.faults.refusals.iter().any(refuses) {
             return;
         }
@@ -565,17 +614,17 @@
 }
 
 /// Plays a fleet and returns the latest change, with the calls to the store and the most watches there.
-fn play(
-    size: usize,
-    settle_time: Duration,
-    faults: Faults,
-    seed: u64,
-) -> (Option<Late>, usize, usize) {
+fn play(size: usize, rules: &Rules, faults: Faults, seed: u64) -> (Option<Late>, usize, usize) {
     let last = faults.changes.iter().max().copied().unwrap_or(CALM);
     let last = faults.silences.iter().fold(last, |l, s| l.max(s.at));
     let last = faults.refusals.iter().fold(last, |l, r| l.max(r.until));
-    let mut fleet = Fleet::new(size, settle_time, faults, seed);
-    fleet.run(last + settle_time + ms(3_000));
+    let hosts = faults.hosts.iter().map(|(at, _, fault)| {
+        let (HostFault::Freeze(time) | HostFault::Restart(time) | HostFault::Cut(time)) = fault;
+        *at + *time
+    });
+    let last = hosts.fold(last, Now::max);
+    let mut fleet = Fleet::new(size, rules.clone(), faults, seed);
+    fleet.run(last + rules.settle_time + ms(3_000));
     (fleet.latest, fleet.store_calls, fleet.most_watches)
 }
 
@@ -588,25 +637,41 @@
 ];
 
 /// The hosts that watch the store while all live.
-fn watching(size: usize) -> BTreeSet<usize> {
+fn watching(size: usize, count: usize) -> BTreeSet<usize> {
     let records: Vec<PeerRecord> = (0..size).map(|n| record(n, 3)).collect();
     let members: Vec<&PeerRecord> = records.iter().collect();
-    let watching = watchers(&records[0], &members);
+    let watching = watchers(&records[0], &members, count);
     let is_watching = |n: &usize| watching.iter().any(|w| w.host == records[*n].host);
     (0..size).filter(is_watching).collect()
 }
 
 /// Plays the seeds below `seeds`, or below `EELGRASSHOLD_FUZZ_CASES`.
 fn assert_in_time(name: &str, seeds: u64, draw: impl Fn(&mut SmallRng, usize) -> Faults) {
+    let fleets = FLEETS.map(|(size, settle_time)| (size, Rules::of_configurations(settle_time)));
+    assert_all_in_time(name, &fleets, seeds, draw);
+}
+
+/// The same for evacuations.
+fn assert_evacuated_in_time(name: &str, seeds: u64, draw: impl Fn(&mut SmallRng, usize) -> Faults) {
+    let fleets = [7, 19, 33, 149].map(|size| (size, Rules::of_evacuations()));
+    assert_all_in_time(name, &fleets, seeds, draw);
+}
+
+fn assert_all_in_time(
+    name: &str,
+    fleets: &[(usize, Rules)],
+    seeds: u64,
+    draw: impl Fn(&mut SmallRng, usize) -> Faults,
+) {
     let cases = std::env::var("EELGRASSHOLD_FUZZ_CASES").ok();
     let seeds = cases.and_then(|c| c.parse().ok()).unwrap_or(seeds);
     let mut failures = Vec::new();
-    for (size, settle_time) in FLEETS {
+    for (size, rules) in fleets {
         for seed in 0..seeds {
             let mut rng = SmallRng::seed_from_u64(seed);
-            let mut faults = draw(&mut rng, size);
+            let mut faults = draw(&mut rng, *size);
             faults.changes.sort_unstable();
-            let (late, ..) = play(size, settle_time, faults.clone(), seed);
+            let (late, ..) = play(*size, rules, faults.clone(), seed);
             if let Some(late) = late {
                 failures.push(format!("{size} hosts, seed {seed}: {late:?}"));
             }
@@ -616,7 +681,7 @@
     assert!(
         count == 0,
         "{name}: {count} of {}: {failures:#?}",
-        seeds * 4
+        seeds * fleets.len() as u64
     );
 }
 
@@ -686,7 +751,7 @@
             changes: series(rng, CALM),
             ..Faults::default()
         };
-        for n in watching(size) {
+        for n in watching(size, WATCHERS) {
             if rng.random_bool(0.4) {
                 let begins = at(rng, 5_000, 9_000);
                 let cut = HostFault::Cut(at(rng, 500, 4_000));
@@ -705,7 +770,7 @@
         let from = at(rng, 5_000, 8_000);
         let until = from + at(rng, 500, 6_000);
         let all = rng.random_bool(0.3);
-        let watching = watching(size);
+        let watching = watching(size, WATCHERS);
         let hosts = (0..size).filter(|n| all || watching.contains(n));
         let mut faults = Faults {
             refusals: vec![Refusal {
@@ -730,7 +795,7 @@
 // Guards against a watch of each host at the store, and against calls that grow with the fleet.
 #[test]
 fn a_silence_costs_few_calls_and_no_watch_of_each_host() {
-    let settle_time = ms(4_000);
+    let rules = Rules::of_configurations(ms(4_000));
     for seed in 0..5 {
         let silence = Silence {
             at: ms(8_000),
@@ -745,8 +810,8 @@
             changes: vec![ms(8_500)],
             ..Faults::default()
         };
-        let (late, calls, watches) = play(380, settle_time, faults, seed);
-        let (_, calm_calls, _) = play(380, settle_time, calm, seed);
+        let (late, calls, watches) = play(380, &rules, faults, seed);
+        let (_, calm_calls, _) = play(380, &rules, calm, seed);
         assert!(late.is_none(), "{late:?}");
         assert!(watches <= 20, "{watches} watches");
         assert!(
@@ -755,3 +820,115 @@
         );
     }
 }
+
+/// One to three changes from a time on.
+fn evacuations(rng: &mut SmallRng, from: Now) -> Vec<Now> {
+    let count = rng.random_range(1..=3);
+    (0..count).map(|_| from + at(rng, 0, 4_000)).collect()
+}
+
+// Guards against requests to an evacuated data centre since a change is lost with its channel, at a watcher
+// or at hosts that follow one.
+#[test]
+fn evacuations_are_in_force_in_time_when_channels_fall_silent() {
+    assert_evacuated_in_time("evacuations, silence", 25, |rng, _| {
+        let changes = evacuations(rng, CALM);
+        let silence = Silence {
+            at: at(rng, 5_000, 11_000),
+            between_hosts: rng.random(),
+        };
+        Faults {
+            silences: vec![silence],
+            changes,
+            ..Faults::default()
+        }
+    });
+}
+
+// Guards against hosts that wait for three watchers one after the other while all of them stand still, are
+// cut off from the store, or restart.
+#[test]
+fn evacuations_are_in_force_in_time_when_all_watchers_fail() {
+    assert_evacuated_in_time("evacuations, watchers", 25, |rng, size| {
+        let mut faults = Faults {
+            changes: evacuations(rng, CALM),
+            ..Faults::default()
+        };
+        let (from, kind) = (at(rng, 5_000, 9_000), rng.random_range(0..3));
+        for n in watching(size, EVACUATION_WATCHERS) {
+            let time = at(rng, 500, 8_000);
+            let fault = match kind {
+                0 => HostFault::Freeze(time),
+                1 => HostFault::Cut(time),
+                _ => HostFault::Restart(time),
+            };
+            let begins = from + at(rng, 0, 1_500);
+            faults.hosts.push((begins, n, fault));
+        }
+        faults
+    });
+}
+
+// Guards against hosts that start without the list since none of them watches the store yet.
+#[test]
+fn evacuations_are_in_force_in_time_after_all_hosts_restart() {
+    assert_evacuated_in_time("evacuations, restarts", 15, |rng, size| {
+        let mut faults = Faults {
+            changes: evacuations(rng, CALM),
+            ..Faults::default()
+        };
+        let from = at(rng, 5_000, 9_000);
+        for n in 0..size {
+            let restart = HostFault::Restart(at(rng, 200, 1_500));
+            faults.hosts.push((from + at(rng, 0, 500), n, restart));
+        }
+        faults
+    });
+}
+
+// Guards against hosts that are late after the store has turned away its watchers.
+#[test]
+fn evacuations_are_in_force_in_time_after_the_store_has_turned_watchers_away() {
+    assert_evacuated_in_time("evacuations, refusals", 15, |rng, size| {
+        let from = at(rng, 5_000, 8_000);
+        let until = from + at(rng, 500, 6_000);
+        let all = rng.random_bool(0.3);
+        let watching = watching(size, EVACUATION_WATCHERS);
+        let hosts = (0..size).filter(|n| all || watching.contains(n));
+        let refusal = Refusal {
+            from,
+            until,
+            hosts: hosts.collect(),
+        };
+        Faults {
+            refusals: vec![refusal],
+            changes: evacuations(rng, until - ms(1_000)),
+            ..Faults::default()
+        }
+    });
+}
+
+/// Calls to the store in 20 s, for a kind with changes at this interval.
+fn calls(rules: &Rules, interval: Option<Duration>) -> usize {
+    let count = interval.map_or(0, |i| 20_000 / i.as_millis() as u32);
+    let changes = (0..count).map(|n| CALM + interval.unwrap_or_default() * n);
+    let faults = Faults {
+        changes: changes.collect(),
+        ..Faults::default()
+    };
+    let mut fleet = Fleet::new(33, rules.clone(), faults, 1);
+    fleet.run(CALM);
+    let before = fleet.store_calls;
+    fleet.run(CALM + ms(20_000));
+    fleet.store_calls - before
+}
+
+// Guards against a third kind of objects that adds more than a tenth to the calls to the store. The entries of
+// 63 upstreams are written every 1.2 s each.
+#[test]
+fn watching_evacuations_adds_less_than_a_tenth_of_the_calls() {
+    let rules = Rules::of_configurations(ms(4_000));
+    let today = calls(&rules, None) + calls(&rules, Some(ms(20)));
+    let added = calls(&Rules::of_evacuations(), None);
+    assert!(added > 0 && added * 10 <= today, "{added} beside {today}");
+}
--- a/crates/core/src/gateway/tests/sources.rs
+++ b/crates/core/src/gateway/tests/sources.rs
@@ -3,7 +3,7 @@
 
 use super::ms;
 use crate::gateway::peers::{PeerRecord, PeerState};
-use crate::gateway::sources::{Source, Sources, watchers};
+use crate::gateway::sources::{Source, Sources, WATCHERS, watchers};
 
 fn host(n: usize, places: usize) -> PeerRecord {
     let address = SocketAddr::from((
@@ -59,7 +59,7 @@
     let hosts: Vec<PeerRecord> = (0..60).map(|n| host(n, 5)).collect();
     let members: Vec<&PeerRecord> = hosts.iter().collect();
     for local in &hosts {
-        let watchers = watchers(local, &members);
+        let watchers = watchers(local, &members, WATCHERS);
         assert_eq!(watchers[0].data_centre, local.data_centre);
     }
     // Two of five data centres are silent.
@@ -68,7 +68,7 @@
         .filter(|m| m.data_centre < "north-3".into())
         .collect();
     for local in &left {
-        let watchers = watchers(local, &left);
+        let watchers = watchers(local, &left, WATCHERS);
         assert_eq!(watchers[0].data_centre, local.data_centre);
     }
 }
@@ -78,7 +78,7 @@
 fn a_host_passes_over_hosts_that_do_not_answer_and_asks_the_store_in_the_end() {
     let hosts: Vec<PeerRecord> = (0..60).map(|n| host(n, 3)).collect();
     let members: Vec<&PeerRecord> = hosts.iter().collect();
-    let order = watchers(&hosts[0], &members);
+    let order = watchers(&hosts[0], &members, WATCHERS);
     let local = hosts
         .iter()
         .find(|h| order.iter().all(|w| w.host != h.host))
@@ -98,7 +98,7 @@
         }
     }
     let different: BTreeSet<_> = asked.iter().collect();
-    assert_eq!(different.len(), watchers(local, &members).len());
+    assert_eq!(different.len(), watchers(local, &members, WATCHERS).len());
     assert!(now < ms(5_000) + ms(3_200), "{now:?}");
     // The store does not answer either: it is not asked all the time.
     sources.failed(now, Source::Store);
@@ -123,7 +123,7 @@
 fn a_host_whose_watchers_fall_silent_one_after_the_other_asks_the_store() {
     let hosts: Vec<PeerRecord> = (0..60).map(|n| host(n, 3)).collect();
     let members: Vec<&PeerRecord> = hosts.iter().collect();
-    let order = watchers(&hosts[0], &members);
+    let order = watchers(&hosts[0], &members, WATCHERS);
     let local = hosts
         .iter()
         .find(|h| order.iter().all(|w| w.host != h.host))
--- a/crates/daemon/src/run/mod.rs
+++ b/crates/daemon/src/run/mod.rs
@@ -194,6 +194,7 @@
         .peers(settings.control_address, settings.seeds.clone())
         .metrics(settings.metrics_address)
         .settle_time(Duration::from_millis(gateway.store_settle_ms))
+        .evacuate_within(gateway.evacuate_ms.map(Duration::from_millis))
         .retry_bound(retry_bound)
         .first_start(settings.first_start)
         .answer_validity(validity)
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -116,6 +116,12 @@
     if !(500..=60_000).contains(&gateway.store_settle_ms) {
         report("gateway.store_settle_ms", "must be 500 to 60000");
     }
+    if gateway
+        .evacuate_ms
+        .is_some_and(|ms| !(500..=60_000).contains(&ms))
+    {
+        report("gateway.evacuate_ms", "must be 500 to 60000");
+    }
     if !(0.0..=10.0).contains(&gateway.retry_ratio) {
         report("gateway.retry_ratio", "must be 0 to 10");
     }
--- a/crates/daemon/src/settings/model.rs
+++ b/crates/daemon/src/settings/model.rs
@@ -81,6 +81,9 @@
     /// Time after a fault of the platform's API within which the host must be up to date again, in
     /// milliseconds.
     pub store_settle_ms: u64,
+    /// Time after which an evacuated data centre gets no more requests, in milliseconds. Evacuations are
+    /// not followed without it.
+    pub evacuate_ms: Option<u64>,
     /// Retries allowed per request to a service within a window.
     pub retry_ratio: f64,
     /// Retries allowed within a window in addition to `retry_ratio`, summed over all hosts.
--- a/crates/daemon/src/settings/tests.rs
+++ b/crates/daemon/src/settings/tests.rs
@@ -61,6 +61,7 @@
     "directory_address": "127.0.0.1:8082",
     "answer_validity_s": 5,
     "store_settle_ms": 3000,
+    "evacuate_ms": 5000,
     "retry_ratio": 0.2,
     "retry_allowance": 100,
     "retry_window_s": 10,
@@ -82,6 +83,7 @@
     for (field, bad) in [
         ("\"answer_validity_s\": 5", "\"answer_validity_s\": 0"),
         ("\"store_settle_ms\": 3000", "\"store_settle_ms\": 0"),
+        ("\"evacuate_ms\": 5000", "\"evacuate_ms\": 10"),
         ("\"retry_ratio\": 0.2", "\"retry_ratio\": -1"),
         ("\"retry_allowance\": 100", "\"retry_allowance\": \"many\""),
         ("\"retry_window_s\": 10", "\"retry_window_s\": 1e9"),
@@ -99,6 +101,25 @@
     }
 }
 
+// Guards against evacuations that are followed although the platform does not name a time limit for them,
+// which renders nothing in the template, and against a section of it that leaves no JSON.
+#[test]
+fn evacuations_are_followed_only_with_their_setting() {
+    let set = parse("edge.json", GATEWAY).unwrap();
+    assert_eq!(set.gateway.unwrap().evacuate_ms, Some(5_000));
+    let unset = GATEWAY.replace("\"evacuate_ms\": 5000,", "");
+    let unset = parse("edge.json", &unset).unwrap();
+    assert_eq!(unset.gateway.unwrap().evacuate_ms, None);
+    let template = include_str!("../../../../deploy/gateway.json");
+    let (before, rest) = template.split_once("{{#bounds.evacuate_ms}}").unwrap();
+    let (section, after) = rest.split_once("{{/bounds.evacuate_ms}}").unwrap();
+    assert_eq!(
+        section.trim(),
+        "\"evacuate_ms\": {{bounds.evacuate_ms|json}},"
+    );
+    assert!(before.ends_with("    ") && after.starts_with("\"retry_ratio\""));
+}
+
 const RANK: &str = r#"{
   "role": "rank",
   "host": "side-1",
--- a/crates/net/src/gateway/copies/mod.rs
+++ b/crates/net/src/gateway/copies/mod.rs
@@ -49,10 +49,11 @@
 }
 
 impl Copies {
-    /// Applies an update. `direct` tells whether the store itself gave it.
-    pub(super) fn apply(&self, kind: &str, update: &FollowUpdate, direct: bool) {
+    /// Applies an update. `direct` tells whether the store itself gave it, and `may_doubt` whether calls
+    /// are held after one failed call.
+    pub(super) fn apply(&self, kind: &str, update: &FollowUpdate, direct: bool, may_doubt: bool) {
         lock(&self.mirror).apply(kind, update);
-        let after = self.reach(kind).after(update, direct);
+        let after = self.reach(kind).after(update, direct, may_doubt);
         lock(&self.reach).insert(kind.to_owned(), after);
         self.changed.notify_waiters();
     }
--- a/crates/net/src/gateway/copies/tests.rs
+++ b/crates/net/src/gateway/copies/tests.rs
@@ -42,11 +42,11 @@
 async fn a_watch_is_answered_by_the_next_change() {
     let copies = Copies::default();
     let listed = FollowUpdate::All(vec![object("a", 3)], 3);
-    copies.apply("servers", &listed, true);
+    copies.apply("servers", &listed, true, true);
     let change = FollowUpdate::Changes(vec![Change::Set(object("b", 5))], 5);
     let (answer, ()) = tokio::join!(copies.answer(watch(3)), async {
         tokio::time::sleep(Duration::from_millis(50)).await;
-        copies.apply("servers", &change, true);
+        copies.apply("servers", &change, true, true);
     });
     let changes = vec![Change::Set(object("b", 5))];
     let revision = 5;
@@ -70,13 +70,13 @@
         matches!(answer, Ok(KindReply::Failed { .. }))
     };
     assert!(refuses().await);
-    copies.apply("servers", &listed, false);
+    copies.apply("servers", &listed, false, true);
     assert!(refuses().await, "it follows another host");
-    copies.apply("servers", &listed, true);
+    copies.apply("servers", &listed, true, true);
     assert!(!refuses().await);
-    copies.apply("servers", &failed, true);
+    copies.apply("servers", &failed, true, true);
     assert!(refuses().await, "it lost the store");
-    copies.apply("servers", &listed, true);
+    copies.apply("servers", &listed, true, true);
     copies.mark_behind();
     assert!(refuses().await, "others know more");
 }
@@ -86,11 +86,11 @@
 async fn a_host_whose_call_failed_once_answers_after_the_next_one() {
     let copies = Copies::default();
     let listed = FollowUpdate::All(vec![object("a", 3)], 3);
-    copies.apply("servers", &listed, true);
+    copies.apply("servers", &listed, true, true);
     let failed = FollowUpdate::Failed {
         reason: "no answer".into(),
     };
-    copies.apply("servers", &failed, true);
+    copies.apply("servers", &failed, true, true);
     let first = KindCall::Watch {
         kind: "servers".into(),
         after: 3,
@@ -100,7 +100,7 @@
         let change = FollowUpdate::All(vec![object("a", 3), object("b", 5)], 5);
         let (answer, ()) = tokio::join!(copies.answer(call), async {
             tokio::time::sleep(Duration::from_millis(300)).await;
-            copies.apply("servers", &change, true);
+            copies.apply("servers", &change, true, true);
         });
         let changes = vec![Change::Set(object("b", 5))];
         let revision = 5;
@@ -108,9 +108,9 @@
             decode(&answer),
             Ok(KindReply::Changes { changes, revision })
         );
-        copies.apply("servers", &failed, true);
+        copies.apply("servers", &failed, true, true);
     }
-    copies.apply("servers", &failed, true);
+    copies.apply("servers", &failed, true, true);
     let began = tokio::time::Instant::now();
     let answer = decode(&copies.answer(watch(5)).await);
     assert!(matches!(answer, Ok(KindReply::Failed { .. })));
@@ -122,7 +122,7 @@
 async fn the_first_watch_on_a_link_is_answered_at_once() {
     let copies = Copies::default();
     let listed = FollowUpdate::All(vec![object("a", 3)], 3);
-    copies.apply("servers", &listed, true);
+    copies.apply("servers", &listed, true, true);
     let (call, limit) = first_call(watch(3));
     assert!(limit < COPY_WAIT);
     let began = tokio::time::Instant::now();
@@ -140,7 +140,7 @@
 async fn a_change_at_the_end_of_a_watch_is_not_passed_over() {
     let copies = Arc::new(Copies::default());
     let listed = FollowUpdate::All(vec![object("a", 3)], 3);
-    copies.apply("servers", &listed, true);
+    copies.apply("servers", &listed, true, true);
     let watcher = Arc::clone(&copies);
     let watching = tokio::spawn(async move { watcher.answer(watch(3)).await });
     tokio::time::sleep(COPY_WAIT.saturating_sub(Duration::from_millis(100))).await;
--- a/crates/net/src/gateway/exchange.rs
+++ b/crates/net/src/gateway/exchange.rs
@@ -183,7 +183,12 @@
                     self.shared.timeline.record(event.with("wait_ms", time));
                     tokio::time::sleep(time).await;
                 }
-                Next::Refuse(refusal) => return SendResult::Refused(refusal),
+                Next::Refuse(refusal) => {
+                    if self.shared.core().is_evacuated(&self.admitted.service) {
+                        self.shared.metrics.request_not_sent_evacuated("refused");
+                    }
+                    return SendResult::Refused(refusal);
+                }
             }
         };
         self.record_dispatch(&upstream, reasons, resume_after);
@@ -255,7 +260,10 @@
         if resume_after.is_some() {
             self.shared.metrics.stream_resumed();
         }
-        let event = Event::new(kind, "")
+        if reasons.evacuated > 0 {
+            self.shared.metrics.request_not_sent_evacuated("chosen");
+        }
+        let mut event = Event::new(kind, "")
             .about_request(self.admitted.id.as_str())
             .with("upstream", upstream.id.as_str())
             .with("address", upstream.address.to_string())
@@ -271,6 +279,9 @@
             .with("lapsed", u32::from(reasons.lapsed))
             .with("leaves_in_ms", self.time_to_departure())
             .with("resume_after", resume_after.unwrap_or_default());
+        if reasons.evacuated > 0 {
+            event = event.with("evacuated", reasons.evacuated);
+        }
         self.shared.timeline.record(event);
     }
 
@@ -323,7 +334,16 @@
             Outcome::Unreachable
         })?;
         if !self.shared.core().may_send(self.shared.now(), upstream) {
-            let detail = "not sent: the upstream has left, leaves or wants no requests";
+            let evacuated = {
+                let core = self.shared.core();
+                core.evacuations.is_evacuated(&upstream.data_centre)
+            };
+            let detail = if evacuated {
+                self.shared.metrics.request_not_sent_evacuated("written");
+                "not sent: the data centre of the upstream is evacuated"
+            } else {
+                "not sent: the upstream has left, leaves or wants no requests"
+            };
             self.record_dropped_answer(&upstream.id, detail);
             self.shared.metrics.request_moved();
             return Err(Outcome::Moved);
--- a/crates/net/src/gateway/follow.rs
+++ b/crates/net/src/gateway/follow.rs
@@ -1,17 +1,18 @@
-//! Follows the configuration and the registry of upstreams, at the platform's store or at a host
-//! that watches it.
+//! Follows the configuration, the registry of upstreams and evacuations of data centres, at the
+//! platform's store or at a host that watches it.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use eelgrasshold_core::event::{Event, EventKind};
+use eelgrasshold_core::gateway::evacuations::EvacuationChange;
 use eelgrasshold_core::gateway::follow::{FollowUpdate, Follower, watch_wait};
 use eelgrasshold_core::gateway::registry::{EXPIRY_INTERVAL, Registry, Upstream, lapse_limit};
-use eelgrasshold_core::gateway::sources::{Source, Sources};
+use eelgrasshold_core::gateway::sources::{Source, Sources, WatchPlan};
 use eelgrasshold_core::platform::{Change, KindCall, KindReply, StoredObject, Version, era};
 use eelgrasshold_core::types::Now;
-use eelgrasshold_platform::store::{CONFIG_KIND, CONFIG_NAME, SERVERS_KIND};
+use eelgrasshold_platform::store::{CONFIG_KIND, CONFIG_NAME, EVACUATIONS_KIND, SERVERS_KIND};
 use eelgrasshold_platform::{route_table, servers};
 
 use super::copies::CopyLink;
@@ -20,10 +21,33 @@
 
 /// Longest time until a host without a source looks for one again.
 const SOURCE_POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// Share of the time limit of an evacuation within which its follower must be up to date after a fault.
+/// The rest is for a change right before the fault is noticed.
+const SETTLE_SHARE_OF_EVACUATION: f64 = 0.8;
+
+/// A kind of objects, and how it is followed.
+#[derive(Clone, Debug)]
+struct Followed {
+    kind: &'static str,
+    plan: WatchPlan,
+    /// Time after a fault within which it must be up to date again.
+    settle_time: Duration,
+}
+
+impl Followed {
+    fn new(shared: &Shared, kind: &'static str) -> Self {
+        Self {
+            kind,
+            plan: WatchPlan::default(),
+            settle_time: shared.options.settle_time,
+        }
+    }
+}
 
 /// Watches the configuration and applies new versions; never returns.
 pub(super) async fn configuration(shared: Arc<Shared>) {
-    follow(&shared, CONFIG_KIND, |update, _| match update {
+    let followed = Followed::new(&shared, CONFIG_KIND);
+    follow(&shared, followed, |update, _| match update {
         FollowUpdate::All(objects, as_of) => {
             observe_era(&shared, as_of);
             for object in &objects {
@@ -100,7 +124,8 @@
 
 /// Watches the registry of upstreams and applies its changes; never returns.
 pub(super) async fn registry(shared: Arc<Shared>) {
-    follow(&shared, SERVERS_KIND, |update, asked| {
+    let followed = Followed::new(&shared, SERVERS_KIND);
+    follow(&shared, followed, |update, asked| {
         let now = shared.now();
         let answered = |registry: &mut Registry| match asked {
             Asked::Store { .. } => registry.store_answered(now),
@@ -171,6 +196,58 @@
     }
 }
 
+/// Watches evacuations of data centres and applies their changes. Returns at once without the setting
+/// for it, and never otherwise.
+pub(super) async fn evacuations(shared: Arc<Shared>) {
+    let Some(limit) = shared.options.evacuate_within else {
+        return;
+    };
+    let limit = limit.mul_f64(SETTLE_SHARE_OF_EVACUATION);
+    let followed = Followed {
+        plan: WatchPlan::of_evacuations(),
+        settle_time: shared.options.settle_time.min(limit),
+        ..Followed::new(&shared, EVACUATIONS_KIND)
+    };
+    follow(&shared, followed, |update, _| {
+        let now = shared.now();
+        let mut core = shared.core();
+        let was_ready = core.is_ready();
+        let unconfirmed = now.saturating_sub(core.evacuations.confirmed_at());
+        let changes = core.apply_evacuations(now, &update);
+        drop(core);
+        record_evacuations(&shared, changes, unconfirmed);
+        shared.record_readiness(was_ready);
+    })
+    .await;
+}
+
+/// Records changes of the evacuated data centres. `unconfirmed` is the time for which the store had not
+/// confirmed the set before.
+fn record_evacuations(shared: &Shared, changes: Vec<EvacuationChange>, unconfirmed: Duration) {
+    for change in changes {
+        let (kind, data_centre, version) = match change {
+            EvacuationChange::Begun(name, version) => (EventKind::EvacuationBegun, name, version),
+            EvacuationChange::Ended(name, version) => (EventKind::EvacuationEnded, name, version),
+        };
+        let upstreams = {
+            let core = shared.core();
+            let listed = core.registry.all();
+            listed.filter(|u| u.data_centre == data_centre).count()
+        };
+        let detail = if upstreams == 0 {
+            "the registry lists no upstream there; check the name"
+        } else {
+            ""
+        };
+        let event = Event::new(kind, detail)
+            .with("data_centre", data_centre)
+            .with("revision", version)
+            .with("upstreams", upstreams)
+            .with("unconfirmed_ms", unconfirmed);
+        shared.timeline.record(event);
+    }
+}
+
 /// Who was asked for an update.
 #[derive(Clone, Copy, Debug)]
 enum Asked {
@@ -182,12 +259,23 @@
 }
 
 /// Passes each update to `apply`, with who was asked for it.
-async fn follow(shared: &Arc<Shared>, kind: &str, mut apply: impl FnMut(FollowUpdate, Asked)) {
-    let wait = watch_wait(shared.options.settle_time);
+async fn follow(
+    shared: &Arc<Shared>,
+    followed: Followed,
+    mut apply: impl FnMut(FollowUpdate, Asked),
+) {
+    let Followed {
+        kind,
+        plan,
+        settle_time,
+    } = followed;
+    let may_doubt = plan.holds_calls_in_doubt;
+    let wait = watch_wait(settle_time);
     let mut follower = Follower::new(kind, wait, rand::random());
     let first_start = shared.options.first_start;
     let mut sources = Sources::new(shared.now(), first_start, rand::random())
-        .with_settle_time(shared.options.settle_time);
+        .with_settle_time(settle_time)
+        .with_plan(plan);
     let mut link = CopyLink::default();
     let mut times_behind = 0;
     let mut failing = false;
@@ -235,7 +323,8 @@
             }
         };
         let Some(update) = update else { continue };
-        shared.copies.apply(kind, &update, source == Source::Store);
+        let is_direct = source == Source::Store;
+        shared.copies.apply(kind, &update, is_direct, may_doubt);
         record_store_state(shared, kind, &update, &mut failing);
         apply(update, asked);
     }
@@ -331,6 +420,7 @@
         let now = shared.now();
         let changes = shared.core().expire(now);
         shared.record_registry_changes(changes);
+        expire_evacuations(&shared, now);
         quarantine::record_changes(&shared);
         let closed = {
             let core = shared.core();
@@ -341,3 +431,15 @@
         }
     }
 }
+
+/// Ends evacuations that a restored store has lost, and the wait for the first list.
+fn expire_evacuations(shared: &Shared, now: Now) {
+    let (was_ready, changes, unconfirmed) = {
+        let mut core = shared.core();
+        let was_ready = core.is_ready();
+        let unconfirmed = now.saturating_sub(core.evacuations.confirmed_at());
+        (was_ready, core.expire_evacuations(now), unconfirmed)
+    };
+    record_evacuations(shared, changes, unconfirmed);
+    shared.record_readiness(was_ready);
+}
--- a/crates/net/src/gateway/host.rs
+++ b/crates/net/src/gateway/host.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use eelgrasshold_core::event::{Event, EventKind};
 use eelgrasshold_core::fleet::platform_policy::PlatformLimits;
+use eelgrasshold_core::gateway::evacuations::Evacuations;
 use eelgrasshold_core::gateway::peers::{PeerRecord, PeerState, Peers};
 use eelgrasshold_core::gateway::stopping::Shutdown;
 use eelgrasshold_core::gateway::{Gateway, GatewaySettings};
@@ -89,6 +90,7 @@
         let mut tasks = vec![
             tokio::spawn(follow::configuration(Arc::clone(&shared))),
             tokio::spawn(follow::registry(Arc::clone(&shared))),
+            tokio::spawn(follow::evacuations(Arc::clone(&shared))),
             tokio::spawn(follow::expire(Arc::clone(&shared))),
             tokio::spawn(gossip::run(Arc::clone(&shared), peers)),
             tokio::spawn(quarantine::run(Arc::clone(&shared))),
@@ -240,6 +242,10 @@
         retry_bound: options.retry_bound,
         first_start: options.first_start,
     };
+    let mut core = Gateway::new(clock.now(), settings, options.seed);
+    if options.evacuate_within.is_some() {
+        core.evacuations = Evacuations::followed(clock.now(), options.settle_time);
+    }
     let own_record = PeerRecord {
         host: options.host.clone(),
         incarnation: new_incarnation(),
@@ -253,7 +259,7 @@
     Shared {
         timeline: Timeline::logging_all(options.host.clone(), Some(metrics.clone()), clock),
         metrics: GatewayMetrics::new(metrics),
-        core: Mutex::new(Gateway::new(clock.now(), settings, options.seed)),
+        core: Mutex::new(core),
         peers: Mutex::new(Peers::new(own_record, options.seeds.clone(), options.seed)),
         pool: Pool::default(),
         platform: platform_client(&options.platform, clock, options.seed),
@@ -308,6 +314,7 @@
         "Time since the store last told about the registry",
         gauge(|s| age_ms(s, s.core().registry.last_answer_at())),
     );
+    register_evacuation_gauges(metrics, shared);
     metrics.register_gauge(
         "eelgrasshold_peers",
         "Entry hosts that callers are told of",
@@ -350,6 +357,40 @@
     );
 }
 
+/// Registers the gauges of evacuations, if these are followed.
+fn register_evacuation_gauges(metrics: &Metrics, shared: &Arc<Shared>) {
+    if shared.options.evacuate_within.is_none() {
+        return;
+    }
+    let gauge = |value: fn(&Shared) -> u64| {
+        let shared = Arc::downgrade(shared);
+        move || shared.upgrade().map_or(0, |s| value(&s))
+    };
+    metrics.register_gauge(
+        "eelgrasshold_evacuated_data_centres",
+        "Data centres that are evacuated",
+        gauge(|s| s.core().evacuations.in_force().len() as u64),
+    );
+    metrics.register_gauge(
+        "eelgrasshold_evacuations_unmatched",
+        "Evacuated data centres in which the registry lists no upstream",
+        gauge(|s| {
+            let core = s.core();
+            let is_unmatched = |name: &&String| {
+                let mut upstreams = core.registry.all();
+                !upstreams.any(|u| u.data_centre == **name)
+            };
+            let names = core.evacuations.in_force().keys();
+            names.filter(is_unmatched).count() as u64
+        }),
+    );
+    metrics.register_gauge(
+        "eelgrasshold_evacuations_unconfirmed_ms",
+        "Time since the store, or a host for it, last confirmed the evacuated data centres",
+        gauge(|s| age_ms(s, s.core().evacuations.confirmed_at())),
+    );
+}
+
 fn age_ms(shared: &Shared, since: Now) -> u64 {
     let age = shared.now().saturating_sub(since);
     u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
--- a/crates/net/src/gateway/metrics.rs
+++ b/crates/net/src/gateway/metrics.rs
@@ -23,6 +23,7 @@
     attempts: Counter<u64>,
     resumes: Counter<u64>,
     moved: Counter<u64>,
+    not_sent_evacuated: Counter<u64>,
     connections_opened: Counter<u64>,
     store_calls: Counter<u64>,
     store_latency: Histogram<f64>,
@@ -37,6 +38,13 @@
         self.moved.add(1, &[]);
     }
 
+    /// Counts a request that was not sent somewhere, or refused, since data centres are evacuated. `step` is
+    /// where that was decided.
+    pub(super) fn request_not_sent_evacuated(&self, step: &'static str) {
+        self.not_sent_evacuated
+            .add(1, &[KeyValue::new("step", step)]);
+    }
+
     /// Registers the instruments with the metrics of the process.
     pub(super) fn new(metrics: &Metrics) -> Self {
         let meter = metrics.meter();
@@ -68,6 +76,11 @@
                 "eelgrasshold_requests_moved",
                 "Requests whose chosen upstream said meanwhile that it leaves or wants none",
             ),
+            not_sent_evacuated: counter(
+                &meter,
+                "eelgrasshold_not_sent_evacuated",
+                "Requests not sent to upstreams of evacuated data centres, by step",
+            ),
             resumes: counter(
                 &meter,
                 "eelgrasshold_resumes",
--- a/crates/net/src/gateway/options.rs
+++ b/crates/net/src/gateway/options.rs
@@ -20,6 +20,7 @@
     pub(super) seeds: Vec<SocketAddr>,
     pub(super) platform: String,
     pub(super) settle_time: Duration,
+    pub(super) evacuate_within: Option<Duration>,
     pub(super) retry_bound: RetryBound,
     pub(super) first_start: bool,
     pub(super) answer_validity: Duration,
@@ -54,6 +55,7 @@
                 seeds: Vec::new(),
                 platform: platform.to_owned(),
                 settle_time: Duration::from_secs(3),
+                evacuate_within: None,
                 retry_bound: RetryBound {
                     window: Duration::from_secs(10),
                     ratio: 0.1,
@@ -123,6 +125,14 @@
         self
     }
 
+    /// Sets the time after which an evacuated data centre gets no more requests; `None`, the default, if
+    /// evacuations are not followed.
+    #[must_use]
+    pub fn evacuate_within(mut self, limit: Option<Duration>) -> Self {
+        self.options.evacuate_within = limit;
+        self
+    }
+
     /// Sets the limit on retries, which holds over all entry hosts together.
     #[must_use]
     pub fn retry_bound(mut self, bound: RetryBound) -> Self {
--- a/crates/net/src/gateway/quarantine.rs
+++ b/crates/net/src/gateway/quarantine.rs
@@ -169,7 +169,7 @@
 fn misses_hosts(shared: &Shared) -> bool {
     let peers = shared.peers();
     let live = peers.live_hosts();
-    let watchers = sources::watchers(peers.local_record(), &live);
+    let watchers = sources::watchers(peers.local_record(), &live, sources::WATCHERS);
     let is_watcher = || watchers.iter().any(|w| w.host == peers.local_record().host);
     peers.is_alone() || (peers.count() > live.len() && is_watcher())
 }
