Test evacuations with real gateways and the stand-in store

Twelve tests: evacuated and taken back with four values that can't be read as objects, an unknown data centre, a running and a resumed stream, a retried and a waiting request, a restarted gateway, a gateway without the list, all data centres evacuated, failures, lost history, a restore and silent channels of the store, and nothing followed without the setting. The stand-in store counts calls by kind for the last one.

--- a/crates/standins/src/users/store.rs
+++ b/crates/standins/src/users/store.rs
@@ -83,6 +83,7 @@
     compacted_rev: u64,
     access: AccessMode,
     calls: u64,
+    calls_by_kind: BTreeMap<String, u64>,
     /// Number of times that the waiting watches were abandoned.
     abandoned: u64,
 }
@@ -134,6 +135,13 @@
         self.shared.lock().calls
     }
 
+    /// Number of calls about a kind that were executed, including waiting watches.
+    #[must_use]
+    pub fn calls_about(&self, kind: &str) -> u64 {
+        let state = self.shared.lock();
+        state.calls_by_kind.get(kind).copied().unwrap_or_default()
+    }
+
     /// Changes how calls are handled. Unless the new mode is [`AccessMode::Open`], the connections
     /// of waiting watches are closed.
     pub fn set_access(&self, access: AccessMode) {
@@ -259,6 +267,11 @@
             Some((kind, name)) => (kind, Some(name)),
             None => (path, None),
         };
+        *self
+            .lock()
+            .calls_by_kind
+            .entry(kind.to_owned())
+            .or_default() += 1;
         let query = request.uri().query().map(str::to_owned);
         let query = query.as_deref();
         match (request.method().as_str(), name) {
--- a/crates/standins/tests/gateway/main.rs
+++ b/crates/standins/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod departures;
 mod draining;
 mod endless;
+mod evacuations;
 mod faulty;
 mod hosts;
 mod late_ends;
