Shorten the tests of evacuations and let channels fall silent twice

Cases that differ in one step share a test now; none is dropped: the unknown data centre is part of evacuated_data_centre_gets_no_requests_until_it_is_taken_back, the silent watches of failures_of_the_store_end_no_evacuation, the restart of all hosts of the failing watchers. The draw of a store that turns hosts away is shared with configurations and unchanged for these.

--- a/crates/core/src/gateway/tests/late_changes.rs
+++ b/crates/core/src/gateway/tests/late_changes.rs
@@ -765,31 +765,34 @@
 // Guards against hosts that are late after the store turned away those that watch it.
 #[test]
 fn changes_are_in_force_in_time_after_the_store_has_turned_hosts_away() {
-    assert_in_time("refusals", 15, |rng, size| {
-        let changes = series(rng, CALM);
-        let from = at(rng, 5_000, 8_000);
-        let until = from + at(rng, 500, 6_000);
-        let all = rng.random_bool(0.3);
-        let watching = watching(size, WATCHERS);
-        let hosts = (0..size).filter(|n| all || watching.contains(n));
-        let mut faults = Faults {
-            refusals: vec![Refusal {
-                from,
-                until,
-                hosts: hosts.collect(),
-            }],
-            changes,
-            ..Faults::default()
-        };
-        faults.changes.push(until + at(rng, 0, 1_500));
-        if rng.random() {
-            faults.silences.push(Silence {
-                at: until + at(rng, 0, 1_000),
-                between_hosts: rng.random(),
-            });
-        }
-        faults
-    });
+    assert_in_time("refusals", 15, |rng, size| refused(rng, size, WATCHERS));
+}
+
+/// Changes after the store has turned away the hosts that watch it, or all hosts.
+fn refused(rng: &mut SmallRng, size: usize, watchers: usize) -> Faults {
+    let changes = series(rng, CALM);
+    let from = at(rng, 5_000, 8_000);
+    let until = from + at(rng, 500, 6_000);
+    let all = rng.random_bool(0.3);
+    let watching = watching(size, watchers);
+    let hosts = (0..size).filter(|n| all || watching.contains(n));
+    let mut faults = Faults {
+        refusals: vec![Refusal {
+            from,
+            until,
+            hosts: hosts.collect(),
+        }],
+        changes,
+        ..Faults::default()
+    };
+    faults.changes.push(until + at(rng, 0, 1_500));
+    if rng.random() {
+        faults.silences.push(Silence {
+            at: until + at(rng, 0, 1_000),
+            between_hosts: rng.random(),
+        });
+    }
+    faults
 }
 
 // Guards against a watch of each host at the store, and against calls that grow with the fleet.
@@ -821,24 +824,18 @@
     }
 }
 
-/// One to three changes from a time on.
-fn evacuations(rng: &mut SmallRng, from: Now) -> Vec<Now> {
-    let count = rng.random_range(1..=3);
-    (0..count).map(|_| from + at(rng, 0, 4_000)).collect()
-}
-
 // Guards against requests to an evacuated data centre since a change is lost with its channel, at a watcher
 // or at hosts that follow one.
 #[test]
 fn evacuations_are_in_force_in_time_when_channels_fall_silent() {
     assert_evacuated_in_time("evacuations, silence", 25, |rng, _| {
-        let changes = evacuations(rng, CALM);
-        let silence = Silence {
+        let changes = (0..2).map(|_| CALM + at(rng, 0, 4_000)).collect();
+        let silence = |_| Silence {
             at: at(rng, 5_000, 11_000),
             between_hosts: rng.random(),
         };
         Faults {
-            silences: vec![silence],
+            silences: (0..2).map(silence).collect(),
             changes,
             ..Faults::default()
         }
@@ -846,21 +843,23 @@
 }
 
 // Guards against hosts that wait for three watchers one after the other while all of them stand still, are
-// cut off from the store, or restart.
+// cut off from the store, or restart, and against hosts that all start without the list.
 #[test]
-fn evacuations_are_in_force_in_time_when_all_watchers_fail() {
-    assert_evacuated_in_time("evacuations, watchers", 25, |rng, size| {
+fn evacuations_are_in_force_in_time_when_all_watchers_or_all_hosts_fail() {
+    assert_evacuated_in_time("evacuations, hosts", 40, |rng, size| {
         let mut faults = Faults {
-            changes: evacuations(rng, CALM),
+            changes: (0..2).map(|_| CALM + at(rng, 0, 4_000)).collect(),
             ..Faults::default()
         };
-        let (from, kind) = (at(rng, 5_000, 9_000), rng.random_range(0..3));
-        for n in watching(size, EVACUATION_WATCHERS) {
+        let (from, kind) = (at(rng, 5_000, 9_000), rng.random_range(0..4));
+        let watchers = watching(size, EVACUATION_WATCHERS);
+        for n in (0..size).filter(|n| kind == 3 || watchers.contains(n)) {
             let time = at(rng, 500, 8_000);
             let fault = match kind {
                 0 => HostFault::Freeze(time),
                 1 => HostFault::Cut(time),
-                _ => HostFault::Restart(time),
+                2 => HostFault::Restart(time),
+                _ => HostFault::Restart(at(rng, 200, 1_500)),
             };
             let begins = from + at(rng, 0, 1_500);
             faults.hosts.push((begins, n, fault));
@@ -869,54 +868,20 @@
     });
 }
 
-// Guards against hosts that start without the list since none of them watches the store yet.
-#[test]
-fn evacuations_are_in_force_in_time_after_all_hosts_restart() {
-    assert_evacuated_in_time("evacuations, restarts", 15, |rng, size| {
-        let mut faults = Faults {
-            changes: evacuations(rng, CALM),
-            ..Faults::default()
-        };
-        let from = at(rng, 5_000, 9_000);
-        for n in 0..size {
-            let restart = HostFault::Restart(at(rng, 200, 1_500));
-            faults.hosts.push((from + at(rng, 0, 500), n, restart));
-        }
-        faults
-    });
-}
-
 // Guards against hosts that are late after the store has turned away its watchers.
 #[test]
 fn evacuations_are_in_force_in_time_after_the_store_has_turned_watchers_away() {
-    assert_evacuated_in_time("evacuations, refusals", 15, |rng, size| {
-        let from = at(rng, 5_000, 8_000);
-        let until = from + at(rng, 500, 6_000);
-        let all = rng.random_bool(0.3);
-        let watching = watching(size, EVACUATION_WATCHERS);
-        let hosts = (0..size).filter(|n| all || watching.contains(n));
-        let refusal = Refusal {
-            from,
-            until,
-            hosts: hosts.collect(),
-        };
-        Faults {
-            refusals: vec![refusal],
-            changes: evacuations(rng, until - ms(1_000)),
-            ..Faults::default()
-        }
-    });
+    let draw = |rng: &mut SmallRng, size| refused(rng, size, EVACUATION_WATCHERS);
+    assert_evacuated_in_time("evacuations, refusals", 15, draw);
 }
 
-/// Calls to the store in 20 s, for a kind with changes at this interval.
-fn calls(rules: &Rules, interval: Option<Duration>) -> usize {
-    let count = interval.map_or(0, |i| 20_000 / i.as_millis() as u32);
-    let changes = (0..count).map(|n| CALM + interval.unwrap_or_default() * n);
+/// Calls of 33 hosts to the store in 20 s, for a kind with changes at these times.
+fn calls(rules: Rules, changes: Vec<Now>) -> usize {
     let faults = Faults {
-        changes: changes.collect(),
+        changes,
         ..Faults::default()
     };
-    let mut fleet = Fleet::new(33, rules.clone(), faults, 1);
+    let mut fleet = Fleet::new(33, rules, faults, 1);
     fleet.run(CALM);
     let before = fleet.store_calls;
     fleet.run(CALM + ms(20_000));
@@ -928,7 +893,8 @@
 #[test]
 fn watching_evacuations_adds_less_than_a_tenth_of_the_calls() {
     let rules = Rules::of_configurations(ms(4_000));
-    let today = calls(&rules, None) + calls(&rules, Some(ms(20)));
-    let added = calls(&Rules::of_evacuations(), None);
+    let entries = (0..1_000).map(|n| CALM + ms(n * 20)).collect();
+    let today = calls(rules.clone(), Vec::new()) + calls(rules, entries);
+    let added = calls(Rules::of_evacuations(), Vec::new());
     assert!(added > 0 && added * 10 <= today, "{added} beside {today}");
 }
--- a/crates/standins/tests/gateway/evacuations.rs
+++ b/crates/standins/tests/gateway/evacuations.rs
@@ -1,5 +1,6 @@
 //! Data centres that operators evacuate and take back.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use eelgrasshold_net::gateway::{GatewayHost, GatewayOptions};
@@ -19,38 +20,23 @@
 /// Time within which a request is refused that no upstream may take.
 const REFUSAL_TIME: Duration = Duration::from_millis(250);
 
-fn options(host: &str, store: &ObjectStore, data_centre: &str) -> GatewayOptionsFor {
-    GatewayOptionsFor {
-        host: host.to_owned(),
-        platform: format!("http://{}", store.address()),
-        data_centre: data_centre.to_owned(),
-        seeds: Vec::new(),
-        first_start: true,
-        evacuates: true,
-    }
-}
-
-/// What differs between the gateways of these tests.
-struct GatewayOptionsFor {
-    host: String,
-    platform: String,
-    data_centre: String,
-    seeds: Vec<std::net::SocketAddr>,
+/// Starts a gateway in a data centre. Only one of a first start may send requests again at once.
+async fn start(
+    host: &str,
+    store: &ObjectStore,
+    data_centre: &str,
+    seeds: Vec<SocketAddr>,
     first_start: bool,
     evacuates: bool,
-}
-
-impl GatewayOptionsFor {
-    async fn start(self) -> GatewayHost {
-        let options = GatewayOptions::builder(&self.host, &self.platform)
-            .place("north", &self.data_centre)
-            .peers("127.0.0.1:0".parse().unwrap(), self.seeds)
-            .settle_time(SETTLE_TIME)
-            .evacuate_within(self.evacuates.then_some(EVACUATION_TIME))
-            .first_start(self.first_start)
-            .build();
-        GatewayHost::start(options).await.unwrap()
-    }
+) -> GatewayHost {
+    let options = GatewayOptions::builder(host, &format!("http://{}", store.address()))
+        .place("north", data_centre)
+        .peers("127.0.0.1:0".parse().unwrap(), seeds)
+        .settle_time(SETTLE_TIME)
+        .evacuate_within(evacuates.then_some(EVACUATION_TIME))
+        .first_start(first_start)
+        .build();
+    GatewayHost::start(options).await.unwrap()
 }
 
 impl Cluster {
@@ -66,11 +52,10 @@
         }
         for n in 0..gateways {
             let data_centre = format!("north-{}", 1 + n % 3);
-            let mut options = options(&format!("edge-{n}"), &cluster.store, &data_centre);
             let seeds = cluster.gateways.iter().map(GatewayHost::peers_address);
-            options.seeds = seeds.take(2).collect();
-            options.evacuates = evacuates;
-            cluster.gateways.push(options.start().await);
+            let (seeds, name) = (seeds.take(2).collect(), format!("edge-{n}"));
+            let gateway = start(&name, &cluster.store, &data_centre, seeds, true, evacuates).await;
+            cluster.gateways.push(gateway);
         }
         for n in 0..gateways {
             let knows_all = || async { cluster.resolved_addresses(n).await.len() == gateways };
@@ -108,11 +93,12 @@
     send(gateway.ready_address(), text).await.status == 200
 }
 
-// Guards against requests to an evacuated data centre, none after it was taken back, and an object that does
-// not count since its value is not the usual one.
+// Guards against requests to an evacuated data centre, none after it was taken back, an object that does not
+// count since its value is not the usual one, and one with a wrong name that takes capacity away.
 #[tokio::test]
 async fn evacuated_data_centre_gets_no_requests_until_it_is_taken_back() {
     let cluster = Cluster::start_in(&["north-1", "north-2"], 4, true).await;
+    cluster.store.put(KIND, "north-9", json!({}));
     for value in [
         json!({}),
         json!("\u{0}{"),
@@ -126,15 +112,7 @@
         tokio::time::sleep(CALM_TIME).await;
     }
     assert!(cluster.served_by(0, "back").await > 0);
-}
-
-// Guards against an object with a wrong name that takes capacity away.
-#[tokio::test]
-async fn evacuation_of_an_unknown_data_centre_changes_nothing() {
-    let cluster = Cluster::start_in(&["north-1", "north-2"], 2, true).await;
-    cluster.evacuate("north-9", json!({})).await;
-    assert!(cluster.served_by(0, "first").await > 0);
-    assert!(cluster.served_by(1, "second").await > 0);
+    assert!(cluster.served_by(1, "back-1").await > 0);
 }
 
 // Guards against a setting that is left out and changes calls to the store, or the choice of upstreams.
@@ -249,9 +227,7 @@
     let mut cluster = Cluster::start_in(&["north-1", "north-2"], 2, true).await;
     cluster.evacuate("north-1", json!({})).await;
     cluster.gateways.pop().unwrap().abort();
-    let mut restarted = options("edge-1", &cluster.store, "north-1");
-    restarted.first_start = false;
-    let restarted = restarted.start().await;
+    let restarted = start("edge-1", &cluster.store, "north-1", Vec::new(), false, true).await;
     cluster.wait_until(|| is_ready(&restarted)).await;
     cluster.gateways.push(restarted);
     assert_eq!(cluster.served_by(0, "restarted").await, 0);
@@ -267,11 +243,9 @@
     let began = Instant::now();
     let mut started = Vec::new();
     for evacuates in [true, false] {
-        let mut options = options(&format!("edge-{evacuates}"), &silent, "north-1");
-        options.seeds = vec![cluster.gateways[0].peers_address()];
-        options.first_start = false;
-        options.evacuates = evacuates;
-        started.push(options.start().await);
+        let seeds = vec![cluster.gateways[0].peers_address()];
+        let name = format!("edge-{evacuates}");
+        started.push(start(&name, &silent, "north-1", seeds, false, evacuates).await);
     }
     // The other host tells both of the configuration and the registry.
     cluster.wait_until(|| is_ready(&started[1])).await;
@@ -284,11 +258,14 @@
     assert_eq!(answer.status, 200);
 }
 
-// Guards against the end of an evacuation, or a late beginning, when the store fails or forgets its history.
+// Guards against the end of an evacuation, or a late beginning, when the store fails, forgets its history, or
+// its answers to all waiting watches are lost.
 #[tokio::test]
 async fn failures_of_the_store_end_no_evacuation() {
     let cluster = Cluster::start_in(&["north-1", "north-2", "north-3"], 5, true).await;
-    cluster.evacuate("north-1", json!({})).await;
+    cluster.store.abandon_waiting_watches();
+    cluster.store.put(KIND, "north-1", json!({}));
+    tokio::time::sleep(EVACUATION_TIME).await;
     cluster.store.set_access(AccessMode::Busy);
     assert_eq!(cluster.served_by(0, "down").await, 0);
     cluster.store.put(KIND, "north-2", json!({}));
@@ -317,13 +294,3 @@
     assert!(cluster.served_by(0, "deleted").await > 0);
     assert_eq!(cluster.served_by(1, "again").await, 0);
 }
-
-// Guards against an evacuation that is missed since the answers to all waiting watches are lost.
-#[tokio::test]
-async fn evacuation_is_in_force_in_time_although_channels_are_silent() {
-    let cluster = Cluster::start_in(&["north-1", "north-2", "north-3"], 5, true).await;
-    cluster.store.abandon_waiting_watches();
-    cluster.store.put(KIND, "north-1", json!({}));
-    tokio::time::sleep(EVACUATION_TIME).await;
-    assert_eq!(cluster.served_by(0, "silent").await, 0);
-}
