--- a/crates/net/src/gateway/follow.rs
+++ b/crates/net/src/gateway/follow.rs
@@ -261,14 +261,14 @@
 /// Passes each update to `apply`, with who was asked for it.
 async fn follow(
     shared: &Arc<Shared>,
-    followed: Followed,
+    subject: Followed,
     mut apply: impl FnMut(FollowUpdate, Asked),
 ) {
     let Followed {
         kind,
         plan,
         settle_time,
-    } = followed;
+    } = subject;
     let may_doubt = plan.holds_calls_in_doubt;
     let wait = watch_wait(settle_time);
     let mut follower = Follower::new(kind, wait, rand::random());
