--- a/crates/core/src/event/catalogue.rs
+++ b/crates/core/src/event/catalogue.rs
@@ -147,6 +147,8 @@
     NoticeUnreadable = 5108, "what an upstream said of itself can't be read";
     UpstreamLimited = 5109, "an upstream named another limit of requests a second, or none any more";
     UpstreamCold = 5115, "an upstream became cold, so that its requests are limited, or warm again";
+    EvacuationBegun = 5110, "a data centre is evacuated and its upstreams get no requests";
+    EvacuationEnded = 5111, "a data centre is no longer evacuated";
 
     ConfigApplied = 6001, "a configuration came into force";
     ConfigRefused = 6002, "a configuration was refused";
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod cold;
 pub mod concurrency;
 pub mod departure;
+pub mod evacuations;
 pub mod follow;
 pub mod health;
 pub mod load_reports;
--- a/crates/core/src/gateway/state/mod.rs
+++ b/crates/core/src/gateway/state/mod.rs
@@ -17,6 +17,8 @@
 use super::cold::{Cold, ColdBound};
 use super::concurrency::PauseControl;
 use super::departure::Departure;
+use super::evacuations::{EvacuationChange, Evacuations};
+use super::follow::FollowUpdate;
 use super::health::UpstreamHealth;
 use super::load_reports::LoadReports;
 use super::notices::Notices;
@@ -63,6 +65,8 @@
     table_since: Now,
     /// Known upstreams, updated by the follower of the registry.
     pub registry: Registry,
+    /// Evacuated data centres, updated by [`Self::apply_evacuations`].
+    pub evacuations: Evacuations,
     loads: Loads,
     /// Load of upstreams as their sidecars report it.
     pub load_reports: LoadReports,
@@ -105,6 +109,7 @@
             table: None,
             table_since: now,
             registry: Registry::default(),
+            evacuations: Evacuations::default(),
             loads: Loads::default(),
             load_reports: LoadReports::default(),
             health: UpstreamHealth::default(),
@@ -152,7 +157,44 @@
     /// Whether callers can be served.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.table.is_some() && self.registry.is_complete()
+        self.table.is_some() && self.registry.is_complete() && self.evacuations.is_settled()
+    }
+
+    /// Applies an update of the evacuated data centres.
+    pub fn apply_evacuations(&mut self, now: Now, update: &FollowUpdate) -> Vec<EvacuationChange> {
+        let changes = self.evacuations.apply(now, update);
+        self.evacuations_changed(now, changes)
+    }
+
+    /// Ends evacuations and waits that have run out.
+    pub fn expire_evacuations(&mut self, now: Now) -> Vec<EvacuationChange> {
+        let changes = self.evacuations.expire(now);
+        self.evacuations_changed(now, changes)
+    }
+
+    /// Upstreams that this host uses first must not be evacuated, or its requests would share the few
+    /// that are left of them. Those of a data centre whose evacuation has ended may be cold.
+    fn evacuations_changed(
+        &mut self,
+        now: Now,
+        changes: Vec<EvacuationChange>,
+    ) -> Vec<EvacuationChange> {
+        for change in &changes {
+            if let EvacuationChange::Ended(data_centre, _) = change {
+                self.record_evacuation_end(now, data_centre);
+            }
+        }
+        if !changes.is_empty() {
+            self.subsets.clear();
+        }
+        changes
+    }
+
+    /// Whether a service has upstreams, and all of them are in evacuated data centres.
+    #[must_use]
+    pub fn is_evacuated(&self, service: &str) -> bool {
+        let mut usable = self.registry.usable(service).peekable();
+        usable.peek().is_some() && usable.all(|u| self.evacuations.is_evacuated(&u.data_centre))
     }
 
     /// Sets the number of hosts that share the retry budget's allowance and the rate of cold upstreams,
--- a/crates/core/src/gateway/tests/cold.rs
+++ b/crates/core/src/gateway/tests/cold.rs
@@ -4,8 +4,11 @@
 use super::requests::{admit, end, refused, send};
 use super::{ms, upstream};
 use crate::gateway::cold::{ColdBound, RAMP_TIME};
+use crate::gateway::evacuations::Evacuations;
+use crate::gateway::follow::FollowUpdate;
 use crate::gateway::registry::Upstream;
 use crate::gateway::{Gateway, Next, Outcome};
+use crate::platform::StoredObject;
 use crate::types::Now;
 
 /// Sends of as many requests as upstreams take at once.
@@ -173,3 +176,21 @@
         assert!(sent <= most && sent * 2 >= most, "{sent} of {most}");
     }
 }
+
+/// Guards against the usual load for upstreams right after an evacuation, in which they may have become cold.
+#[test]
+fn upstreams_are_cold_after_the_evacuation_of_their_data_centre() {
+    let mut gateway = settled(vec![cold(1, 1, 0)]);
+    gateway.evacuations = Evacuations::followed(ms(0), ms(4_000));
+    let name = cold(1, 1, 0).data_centre;
+    let object = StoredObject {
+        name,
+        version: 5,
+        value: Vec::new(),
+    };
+    gateway.apply_evacuations(ms(9_000), &FollowUpdate::All(vec![object], 5));
+    assert!(burst(&mut gateway, ms(9_500)).is_empty());
+    gateway.apply_evacuations(ms(10_000), &FollowUpdate::All(Vec::new(), 6));
+    gateway.refresh_cold(ms(10_000));
+    assert!(is_limited(&mut gateway, ms(10_500)));
+}
--- a/crates/core/src/gateway/tests/mod.rs
+++ b/crates/core/src/gateway/tests/mod.rs
@@ -5,6 +5,7 @@
 mod cold;
 mod cold_simulation;
 mod departure;
+mod evacuations;
 mod follow;
 mod forming;
 mod late_changes;
