--- a/crates/net/src/ranks/host.rs
+++ b/crates/net/src/ranks/host.rs
@@ -8,7 +8,7 @@
 use eelgrasshold_core::gateway::registry::Upstream;
 use eelgrasshold_core::gateway::routes::{EngineProfile, ExpertLayout};
 use eelgrasshold_core::platform::{KindCall, KindReply, Pages, StoredObject};
-use eelgrasshold_core::ranks::{Input, LeaderSettings};
+use eelgrasshold_core::ranks::LeaderSettings;
 use eelgrasshold_core::types::{HostId, ServiceId};
 use eelgrasshold_platform::store::{CONFIG_KIND, CONFIG_NAME, SERVERS_KIND};
 use eelgrasshold_platform::{route_table, servers};
@@ -120,12 +120,12 @@
     let local = LocalRank::new(clock, options.engine, sets as usize, experts as usize);
     let (local, links) = (Arc::new(local), Arc::new(Links::default()));
     let (outputs_tx, mut outputs) = mpsc::unbounded_channel();
-    let (leaders_tx, mut leaders) = mpsc::unbounded_channel();
+    let (inputs_tx, mut inputs) = mpsc::unbounded_channel();
     let overlay = Overlay::new(
         Arc::clone(&local),
         Arc::clone(&links),
         options.fanout,
-        leaders_tx,
+        inputs_tx,
     );
     let surroundings = Surroundings {
         clock,
@@ -142,7 +142,7 @@
             loop {
                 tokio::select! {
                     Some(outputs) = outputs.recv() => group.execute_outputs(outputs),
-                    Some(rank) = leaders.recv() => group.handle_input(Input::PolledBy(rank)),
+                    Some(input) = inputs.recv() => group.handle_input(input),
                     else => break,
                 }
             }
--- a/crates/net/src/ranks/local/mod.rs
+++ b/crates/net/src/ranks/local/mod.rs
@@ -57,6 +57,11 @@
         Some((reading.view, before))
     }
 
+    /// Reads the state without recording it as the last one.
+    pub(super) async fn read_view(&self) -> Option<RankView> {
+        Some(self.engine.read(ReadScope::View).await?.view)
+    }
+
     /// Carries out what a call asks of the rank. There is no answer if the engine gives none.
     pub(super) async fn carry_out(&self, rank: RankIndex, task: &Task) -> Answers {
         let mut answers = Answers::default();
--- a/crates/net/src/ranks/overlay/mod.rs
+++ b/crates/net/src/ranks/overlay/mod.rs
@@ -10,8 +10,8 @@
 use std::time::{Duration, Instant};
 use std::{fmt, io};
 
-use eelgrasshold_core::ranks::RankIndex;
 use eelgrasshold_core::ranks::overlay::{Branch, split};
+use eelgrasshold_core::ranks::{Input, RankIndex};
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use tarpc::context::Context;
@@ -119,8 +119,8 @@
     local: Arc<LocalRank>,
     links: Arc<Links>,
     fanout: usize,
-    /// Ranks of the sidecars whose calls arrived, for the state machine that may lead.
-    leaders: mpsc::UnboundedSender<RankIndex>,
+    /// Inputs for the state machine that may lead.
+    inputs: mpsc::UnboundedSender<Input>,
 }
 
 impl Overlay {
@@ -128,13 +128,13 @@
         local: Arc<LocalRank>,
         links: Arc<Links>,
         fanout: usize,
-        leaders: mpsc::UnboundedSender<RankIndex>,
+        inputs: mpsc::UnboundedSender<Input>,
     ) -> Self {
         Self {
             local,
             links,
             fanout,
-            leaders,
+            inputs,
         }
     }
 
@@ -148,6 +148,14 @@
         handled.for_each_concurrent(None, |handled| handled).await;
     }
 
+    /// Reads the local rank after a pass was held or released there, so that the state machine sees
+    /// a hold whose owner falls silent.
+    async fn report_hold(self) {
+        if let Some(view) = self.local.read_view().await {
+            let _ = self.inputs.send(Input::OwnView(view));
+        }
+    }
+
     /// Passes a call on to members; returns the answers that arrive in time.
     async fn pass_on(&self, call: &Call, members: Vec<Member>, deadline: Instant) -> Answers {
         let mut calls: FuturesUnordered<_> = split(members, self.fanout)
@@ -177,7 +185,7 @@
     async fn call(self, cx: Context, rank: RankIndex, call: Call, members: Vec<Member>) -> Reply {
         if let Some(leader) = call.leader {
             // The receiver is dropped only when the process stops.
-            let _ = self.leaders.send(leader);
+            let _ = self.inputs.send(Input::PolledBy(leader));
         }
         let deadline = cx.deadline.checked_sub(HOP_TIME).unwrap_or(cx.deadline);
         let own = self.local.carry_out(rank, &call.task);
@@ -186,6 +194,9 @@
             own.unwrap_or_default()
         };
         let (mut answers, below) = tokio::join!(own, self.pass_on(&call, members, deadline));
+        if call.task.changes_hold() {
+            tokio::spawn(self.clone().report_hold());
+        }
         answers.ranks.extend(below.ranks);
         answers.selections.add(&below.selections);
         answers.into()
--- a/crates/net/src/ranks/wire/mod.rs
+++ b/crates/net/src/ranks/wire/mod.rs
@@ -34,6 +34,16 @@
     Execute(GroupEpoch, WireOrder),
 }
 
+impl Task {
+    /// Whether the task holds or releases a pass.
+    pub(super) fn changes_hold(&self) -> bool {
+        let Self::Execute(_, WireOrder::Whole(order)) = self else {
+            return false;
+        };
+        matches!(order, Order::Hold { .. } | Order::Go { .. })
+    }
+}
+
 /// An order on its way between sidecars.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) enum WireOrder {
