--- a/crates/core/src/ranks/rollout.rs
+++ b/crates/core/src/ranks/rollout.rs
@@ -196,14 +196,13 @@
     holder: RankIndex,
     /// The owner's rank is known to have been armed with the version for the pass.
     owner_armed: bool,
-    /// The rollout may invalidate the version; otherwise it is abandoned instead.
-    may_invalidate: bool,
     epoch: GroupEpoch,
     version: MapVersion,
     map: Arc<GroupMap>,
     /// Map that is prepared to invalidate the version: the one in use, which needs no loading.
     current_map: Arc<GroupMap>,
-    invalidating_version: MapVersion,
+    /// Higher version that invalidates it; a rollout without one is abandoned instead.
+    invalidating_version: Option<MapVersion>,
     pass: Pass,
     /// Passes between choosing a pass to hold and its beginning.
     lead_passes: Pass,
@@ -265,12 +264,11 @@
             owner: params.rank,
             holder: holder_of(params.rank, params.size),
             owner_armed: false,
-            may_invalidate: true,
             epoch: params.epoch,
             version: params.version,
             map,
             current_map: params.current_map,
-            invalidating_version: params.invalidating_version,
+            invalidating_version: Some(params.invalidating_version),
             pass: 0,
             lead_passes: params.lead_passes,
             after_pass: params.after_pass,
@@ -352,7 +350,7 @@
         let mut rollout = Self {
             pass,
             owner_armed: true,
-            may_invalidate: false,
+            invalidating_version: None,
             ..Self::new(now, params, Arc::default(), Duration::ZERO)
         };
         rollout.enter(now, Phase::Arm);
@@ -497,7 +495,7 @@
             return Some(Order::Disarm { version });
         }
         Some(Order::Prepare {
-            version: self.invalidating_version,
+            version: self.invalidating_version?,
             map: Arc::clone(&self.current_map),
         })
     }
@@ -669,7 +667,7 @@
             self.phase = Phase::Ended(RolloutOutcome::Abandoned);
         } else if !progress.done && (replaced || newest > Some(self.version)) {
             // The rank has taken a higher version since it accepted this one.
-            if self.may_invalidate {
+            if self.invalidating_version.is_some() {
                 self.unarmable = true;
                 self.enter(now, Phase::Invalidate);
             } else {
@@ -685,6 +683,9 @@
         rank: RankIndex,
         view: &RankView,
     ) {
+        let Some(invalidating_version) = self.invalidating_version else {
+            return;
+        };
         let for_pass =
             |a: &(MapVersion, Pass)| a.1 == self.pass && version_owner(a.0) == Some(self.owner);
         if let Some((version, _)) = view.armed.filter(for_pass) {
@@ -704,10 +705,8 @@
         progress.disarm = armed.filter(|v| *v == self.version);
         // A rank that is armed with another version took it later, or never had this one.
         let other = armed.is_some_and(|v| v != self.version);
-        let higher = view
-            .prepared
-            .is_some_and(|v| v >= self.invalidating_version);
-        let impossible = other || higher || view.map >= self.invalidating_version;
+        let higher = view.prepared.is_some_and(|v| v >= invalidating_version);
+        let impossible = other || higher || view.map >= invalidating_version;
         progress.done = impossible && progress.disarm.is_none();
         self.unarmable |= replaced || impossible;
     }
