--- a/crates/standins/src/process/mod.rs
+++ b/crates/standins/src/process/mod.rs
@@ -106,6 +106,13 @@
             .set("first_start", json!(true))
     }
 
+    /// Sets a value of the section that [`Self::gateway`] adds, or adds one to it.
+    #[must_use]
+    pub fn gateway_setting(mut self, key: &str, value: Value) -> Self {
+        self.settings["gateway"][key] = value;
+        self
+    }
+
     fn set(mut self, key: &str, value: Value) -> Self {
         self.settings[key] = value;
         self
@@ -137,11 +144,13 @@
             .set("data_address", json!(data))
             .set("control_address", json!(control))
             .set("admin_address", json!(admin));
+        let mut others = None;
         if builder.settings.get("gateway").is_some() {
             let [ready, directory, _] = free_addresses()?;
             builder = builder.set("metrics_address", json!(admin));
             builder.settings["gateway"]["ready_address"] = json!(ready);
             builder.settings["gateway"]["directory_address"] = json!(directory);
+            others = Some((ready, directory));
         }
         let number = NEXT_FILE.fetch_add(1, Ordering::Relaxed);
         let name = format!("eelgrassholdd-{}-{number}.json", std::process::id());
@@ -161,6 +170,8 @@
             data,
             control,
             admin,
+            ready: others.map(|(ready, _)| ready),
+            directory: others.map(|(_, directory)| directory),
             child,
             settings_file,
         })
@@ -176,6 +187,10 @@
     pub control: SocketAddr,
     /// Address of the admin interface, for operators and metrics.
     pub admin: SocketAddr,
+    /// Address for readiness checks, of a gateway.
+    pub ready: Option<SocketAddr>,
+    /// Address at which callers resolve entry hosts, of a gateway.
+    pub directory: Option<SocketAddr>,
     child: Child,
     settings_file: PathBuf,
 }
