Bound the bytes that a process holds for others

Cause: a gateway kept request bodies up to max_body_bytes for as many callers as it has connections, twice while it joined their parts, and answers that callers left unread without any bound. Entry hosts and upstream processes did the same. The readiness, directory, metrics and control listeners accepted connections without a limit, heads of 400 KB and messages of 8 MiB.

Change: one budget (core::held) for request bodies, bodies in flight and buffered answers, with a quarter reserved for holds of up to 64 KiB. If there is no room, the hold with the most byte-seconds still to come is evicted; kept are those that end within 500 ms and those whose request may run. Bodies are read into one buffer. Refused requests are read up to 64 KiB, then the connection closes; it stays open for at most 1 s so that the response arrives. The other listeners close their oldest connection when a new one exceeds 48 (128 on the control port), and gateways accept calls of up to 64 KiB. Settings gateway.memory_mb and gateway.held_mib.

--- a/crates/core/src/event/catalogue.rs
+++ b/crates/core/src/event/catalogue.rs
@@ -98,6 +98,7 @@
     QuarantineLifted = 2020, "requests with something in common are no longer refused";
     RequestDelayed = 2021, "a request waits until an upstream that pauses takes requests";
     SuspectUnchecked = 2022, "whether an upstream crashed while it ran a request can't be told";
+    RequestEvicted = 2023, "a body or an answer was given up since the host held too many bytes";
     TeamShareExpired = 2101, "no share of a team's limit came and the host falls back to an even part";
 
     WorkQueued = 3001, "work was queued";
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fleet;
 pub mod gateway;
 pub mod group;
+pub mod held;
 pub mod platform;
 pub mod ranks;
 mod rendezvous;
--- a/crates/daemon/src/run/mod.rs
+++ b/crates/daemon/src/run/mod.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use eelgrasshold_core::gateway::budget::RetryBound;
+use eelgrasshold_core::held::default_capacity;
 use eelgrasshold_net::gateway::{GatewayHost, GatewayOptions};
 use eelgrasshold_net::host::{
     Drained, EngineOptions, EntryHost, HostOptions, StartError, UpstreamHost,
@@ -186,6 +187,9 @@
         allowance: gateway.retry_allowance,
     };
     let validity = Duration::from_secs_f64(gateway.answer_validity_s).min(MAX_ANSWER_VALIDITY);
+    let held_bytes = gateway
+        .held_mib
+        .map_or_else(|| default_capacity(gateway.memory_mb), |mib| mib << 20);
     GatewayOptions::builder(&settings.host, &settings.platform_url)
         .place(&settings.region, &settings.data_centre)
         .callers(settings.data_address)
@@ -199,6 +203,7 @@
         .answer_validity(validity)
         .drain_limit(Duration::from_secs(settings.drain_limit_s))
         .connections((gateway.max_descriptors - RESERVED_DESCRIPTORS) / 2)
+        .held_bytes(held_bytes)
         .lines_dropped(logs::dropped_lines)
         .build()
 }
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -10,6 +10,11 @@
 /// and a few connections.
 const MIN_DESCRIPTORS: usize = 256;
 
+/// Least memory of a gateway's machine, in MiB: the smallest budget of held bytes, and the process itself.
+const MIN_MEMORY_MB: usize = 64;
+/// Largest budget of held bytes, in MiB.
+const MAX_HELD_MIB: usize = 1 << 20;
+
 /// Returns all problems of the settings, each with its JSON path.
 pub fn problems(settings: &Settings) -> Vec<String> {
     let mut problems = Vec::new();
@@ -128,4 +133,18 @@
     if gateway.max_descriptors < MIN_DESCRIPTORS {
         report("gateway.max_descriptors", "must be 256 or more");
     }
+    if gateway.memory_mb.is_some_and(|mb| mb < MIN_MEMORY_MB) {
+        report("gateway.memory_mb", "must be 64 or more, or left out");
+    }
+    let most = gateway.memory_mb.map_or(MAX_HELD_MIB, |mb| mb / 2);
+    match gateway.held_mib {
+        Some(mib) if !(1..=MAX_HELD_MIB).contains(&mib) => {
+            report("gateway.held_mib", "must be 1 to 1048576, or left out");
+        }
+        Some(mib) if mib > most => report(
+            "gateway.held_mib",
+            "must be at most half of `gateway.memory_mb`; lower it",
+        ),
+        _ => {}
+    }
 }
--- a/crates/daemon/src/settings/model.rs
+++ b/crates/daemon/src/settings/model.rs
@@ -89,6 +89,11 @@
     pub retry_window_s: f64,
     /// Maximum number of open file descriptors, sockets and pipes included.
     pub max_descriptors: usize,
+    /// Memory of the machine, in MiB.
+    pub memory_mb: Option<usize>,
+    /// Most bytes of request bodies and answers that the host holds, in MiB; by default a quarter of
+    /// `memory_mb`.
+    pub held_mib: Option<usize>,
 }
 
 /// Settings of the role `rank`.
--- a/crates/daemon/src/settings/tests.rs
+++ b/crates/daemon/src/settings/tests.rs
@@ -86,12 +86,26 @@
         ("\"retry_allowance\": 100", "\"retry_allowance\": \"many\""),
         ("\"retry_window_s\": 10", "\"retry_window_s\": 1e9"),
         ("\"max_descriptors\": 4096", "\"max_descriptors\": 3"),
+        (
+            "\"max_descriptors\": 4096",
+            "\"max_descriptors\": 4096, \"memory_mb\": 63",
+        ),
+        (
+            "\"max_descriptors\": 4096",
+            "\"max_descriptors\": 4096, \"held_mib\": 0",
+        ),
+        (
+            "\"max_descriptors\": 4096",
+            "\"max_descriptors\": 4096, \"memory_mb\": 96, \"held_mib\": 49",
+        ),
         (
             "\"ready_address\": \"127.0.0.1:8081\"",
             "\"ready_address\": \"here\"",
         ),
     ] {
-        let name = field.split('"').nth(1).unwrap();
+        // The field is the last one that the text names.
+        let name = bad.rsplit_once("\":").unwrap().0;
+        let name = name.rsplit('"').next().unwrap();
         let text = GATEWAY.replace(field, bad);
         assert_ne!(text, GATEWAY);
         let error = parse("edge.json", &text).unwrap_err().to_string();
--- a/crates/net/src/connect/mod.rs
+++ b/crates/net/src/connect/mod.rs
@@ -3,6 +3,7 @@
 mod backlog;
 mod closing;
 mod shared_stream;
+mod tasks;
 
 use std::io;
 use std::net::SocketAddr;
@@ -14,6 +15,7 @@
 pub(crate) use backlog::close_listener;
 pub(crate) use closing::may_end;
 pub(crate) use shared_stream::SharedStream;
+pub(crate) use tasks::ConnectionTasks;
 
 /// Allows a few round trips inside a region. TCP retransmits a lost SYN only after a second, which
 /// is longer than a request can wait.
--- a/crates/net/src/entry/driver.rs
+++ b/crates/net/src/entry/driver.rs
@@ -8,6 +8,7 @@
 use eelgrasshold_core::config::Config;
 use eelgrasshold_core::entry::{AttemptEvent, Entry, Input, Output, Timer, UpstreamInfo};
 use eelgrasshold_core::event::{Event, Stamp};
+use eelgrasshold_core::held::DEFAULT_CAPACITY_BYTES;
 use eelgrasshold_core::types::{AttemptId, Refusal, RequestHandle};
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -16,6 +17,7 @@
 use super::attempt;
 use super::serve;
 use super::stored::{StoredAnswer, StoredAnswers};
+use crate::http::HeldBytes;
 use crate::http::{Body, Client};
 use crate::runtime::{Clock, Timeline, Timers};
 
@@ -71,9 +73,16 @@
     next_handle: AtomicU64,
     stored_answers: StoredAnswers,
     drained: watch::Sender<bool>,
+    /// Memory for request bodies.
+    held: HeldBytes,
 }
 
 impl EntryDriver {
+    /// Memory for request bodies.
+    pub(super) fn held(&self) -> &HeldBytes {
+        &self.held
+    }
+
     /// Creates a driver without a configuration; requests are refused until [`Self::set_config`].
     #[must_use]
     pub fn new(
@@ -96,6 +105,7 @@
             attempts: Mutex::new(BTreeMap::new()),
             next_handle: AtomicU64::new(1),
             stored_answers: StoredAnswers::default(),
+            held: HeldBytes::new(DEFAULT_CAPACITY_BYTES),
             drained: watch::Sender::new(false),
         })
     }
--- a/crates/net/src/entry/request_task.rs
+++ b/crates/net/src/entry/request_task.rs
@@ -17,7 +17,7 @@
 use super::attempt::{self, Chunk, Head, Stream};
 use super::driver::{Command, EntryDriver};
 use super::stored::{Recording, StoredAnswer};
-use crate::http::{Body, BodySender, channel_body, full};
+use crate::http::{Body, BodySender, Hold, channel_body, full};
 use crate::wire::{CallerRequest, SseEvent, headers, problem_response};
 
 /// An attempt in progress.
@@ -48,12 +48,15 @@
     /// Copy of the answer to a non-idempotent request, stored for repeats.
     recording: Option<Recording>,
     ended: bool,
+    /// Covers the body in the budget of held bytes.
+    _held: Hold,
 }
 
 /// Runs a request and answers its caller through `tx`.
 pub(super) async fn run(
     driver: Arc<EntryDriver>,
     incoming: CallerRequest,
+    held: Hold,
     tx: oneshot::Sender<Response<Body>>,
 ) {
     let (handle, mut commands) = driver.register();
@@ -67,6 +70,7 @@
         next_chunk: 0,
         recording: None,
         ended: false,
+        _held: held,
     };
     driver.handle_input(Input::Request { handle, request });
     while !task.ended {
--- a/crates/net/src/entry/serve.rs
+++ b/crates/net/src/entry/serve.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use eelgrasshold_core::event::{Event, EventKind};
 use eelgrasshold_core::types::{Refusal, RefusalKind};
 use http::{Method, Request, Response, header};
@@ -12,7 +11,7 @@
 
 use super::driver::EntryDriver;
 use super::request_task;
-use crate::http::{Body, BodyError, collect, full};
+use crate::http::{Body, BodyError, Hold, collect_held, full};
 use crate::wire::{headers, internal_error, parse_caller_request, problem_response};
 
 const ENTRY_HOSTS: &str = "/v1/entry-hosts";
@@ -28,12 +27,12 @@
         Ok(id) => id,
         Err(refusal) => return refuse(&driver, &refusal, ""),
     };
-    let incoming = match read_request(&driver, &id, request).await {
+    let (incoming, held) = match read_request(&driver, &id, request).await {
         Ok(incoming) => incoming,
         Err(refusal) => return refuse(&driver, &refusal, &id),
     };
     let (tx, rx) = oneshot::channel();
-    tokio::spawn(request_task::run(driver, incoming, tx));
+    tokio::spawn(request_task::run(driver, incoming, held, tx));
     rx.await.unwrap_or_else(|_| internal_error(&id).map(full))
 }
 
@@ -71,24 +70,25 @@
     driver: &EntryDriver,
     id: &str,
     request: Request<Incoming>,
-) -> Result<crate::wire::CallerRequest, Refusal> {
+) -> Result<(crate::wire::CallerRequest, Hold), Refusal> {
     let Some(cfg) = driver.config() else {
         let detail = "this host has no configuration yet; ask another entry host";
         let refusal = Refusal::not_run(RefusalKind::NotReady, detail);
         return Err(refusal.with_retry_after(Duration::from_secs(1)));
     };
     let (parts, body) = request.into_parts();
-    let body: Bytes = collect(body, MAX_BODY_BYTES, BODY_TIMEOUT)
+    let (body, held) = collect_held(body, MAX_BODY_BYTES, BODY_TIMEOUT, driver.held())
         .await
         .map_err(|error| {
             let kind = match error {
                 BodyError::TooLarge { .. } => RefusalKind::TooLarge,
                 BodyError::TooSlow { .. } => RefusalKind::TooSlow,
                 BodyError::Broken => RefusalKind::BadRequest,
+                BodyError::NoRoom | BodyError::Evicted => RefusalKind::Overloaded,
             };
             Refusal::not_run(kind, error.to_string())
         })?;
-    parse_caller_request(&cfg, id, parts, body)
+    Ok((parse_caller_request(&cfg, id, parts, body)?, held))
 }
 
 fn refuse(driver: &EntryDriver, refusal: &Refusal, id: &str) -> Response<Body> {
--- a/crates/net/src/gateway/callers.rs
+++ b/crates/net/src/gateway/callers.rs
@@ -1,27 +1,39 @@
 //! Accepts and serves connections of callers.
 
 use std::convert::Infallible;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::future::pending;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use eelgrasshold_core::gateway::routes::CallerLimits;
 use eelgrasshold_core::types::Now;
-use http::{HeaderValue, header};
+use eelgrasshold_platform::headers as names;
+use http::{HeaderValue, Request, header};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, watch};
 use tokio_util::sync::CancellationToken;
 
 use super::delivery::{FollowedStream, Unwritten};
 use super::intake;
 use super::shared::{OpenRequest, Shared};
 use crate::connect::{ACCEPT_RETRY_DELAY, SharedStream, close_listener, detect_dead_peer, may_end};
+use crate::http::Hold;
+use crate::wire::headers::text;
 
 /// Smallest connection buffer that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
+/// Time for which a connection stays open after a response to a request that was not read to its end, and
+/// most bytes that are read from it meanwhile.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+const LINGER_BYTES: usize = 256 << 10;
+
 /// Accepts connections until `closing` is cancelled. Open requests then run to their end.
 pub(super) async fn serve(shared: Arc<Shared>, listener: TcpListener, closing: CancellationToken) {
     let slots = Arc::new(Semaphore::new(shared.options.connections));
@@ -77,6 +89,8 @@
 #[derive(Debug)]
 struct Activity {
     in_flight: AtomicUsize,
+    /// A response says that the rest of its request is not read.
+    has_unread_request: AtomicBool,
     /// Notified at each request.
     request_began: Notify,
     last_request_end: Mutex<Now>,
@@ -102,20 +116,28 @@
     let limits = limits(&shared);
     let activity = Arc::new(Activity {
         in_flight: AtomicUsize::new(0),
+        has_unread_request: AtomicBool::new(false),
         request_began: Notify::new(),
         last_request_end: Mutex::new(shared.now()),
     });
     let unwritten = Unwritten::new();
+    // The answer that is being sent, if it counts towards the held bytes.
+    let (leaving, mut leaves) = watch::channel::<Option<Leaving>>(None);
     let service = {
         let (shared, activity) = (Arc::clone(&shared), Arc::clone(&activity));
         let unwritten = unwritten.clone();
-        service_fn(move |request| {
+        service_fn(move |request: Request<Incoming>| {
+            let leaving = leaving.clone();
             let (shared, activity) = (Arc::clone(&shared), Arc::clone(&activity));
             let (unwritten, open_request) = (unwritten.clone(), OpenRequest::new(&shared));
             activity.in_flight.fetch_add(1, Ordering::Relaxed);
             activity.request_began.notify_one();
             async move {
                 let mut response = intake::serve(Arc::clone(&shared), request).await;
+                let unread = response.headers().contains_key(header::CONNECTION);
+                activity
+                    .has_unread_request
+                    .fetch_or(unread, Ordering::Relaxed);
                 if shared.draining.load(Ordering::Relaxed) {
                     // Callers then don't send on a connection that is about to be closed.
                     let close = HeaderValue::from_static("close");
@@ -123,6 +145,16 @@
                 }
                 activity.in_flight.fetch_sub(1, Ordering::Relaxed);
                 activity.record_request_end(shared.now());
+                let answer = response.extensions_mut().remove::<Arc<Hold>>();
+                leaving.send_replace(answer.as_ref().map(|hold| {
+                    Leaving {
+                        id: text(response.headers(), &names::REQUEST_ID)
+                            .unwrap_or_default()
+                            .to_owned(),
+                        evicted: hold.evicted().clone(),
+                    }
+                }));
+                let open_request = open_request.with_answer(answer);
                 Ok::<_, Infallible>(unwritten.follow(response, open_request))
             }
         })
@@ -149,9 +181,16 @@
                 if let Err(error) = ended {
                     log::debug!("a caller's connection ended with an error: {error}");
                 }
+                if activity.has_unread_request.load(Ordering::Relaxed) {
+                    linger(stream.clone()).await;
+                }
                 return;
             }
             () = &mut caller_gone => return,
+            id = evicted(&mut leaves) => {
+                intake::record_eviction(&shared, &id, "answer");
+                return;
+            }
             () = &mut idle, if !ending => {}
             () = &mut may_end, if !ending => {}
         }
@@ -160,6 +199,49 @@
     }
 }
 
+/// Keeps a connection open whose request was not read to its end, so that its caller gets the response: the
+/// system discards it when a connection closes on which bytes arrive.
+async fn linger(mut stream: SharedStream) {
+    let mut left = LINGER_BYTES;
+    let mut buf = [0; 4 << 10];
+    let read = async {
+        while left > 0 {
+            match stream.read(&mut buf).await {
+                Ok(length) if length > 0 => left = left.saturating_sub(length),
+                _ => return,
+            }
+        }
+        stream.ended().await;
+    };
+    let _ = tokio::time::timeout(LINGER_TIME, read).await;
+}
+
+/// An answer that its caller reads.
+#[derive(Clone, Debug)]
+struct Leaving {
+    id: String,
+    evicted: CancellationToken,
+}
+
+/// Waits until an answer on a connection is evicted, and returns the id of its request.
+async fn evicted(leaves: &mut watch::Receiver<Option<Leaving>>) -> String {
+    loop {
+        let leaving = leaves.borrow_and_update().clone();
+        let evicted = async {
+            match &leaving {
+                Some(leaving) => leaving.evicted.cancelled().await,
+                None => pending().await,
+            }
+        };
+        tokio::select! {
+            () = evicted => return leaving.map(|l| l.id).unwrap_or_default(),
+            changed = leaves.changed() => if changed.is_err() {
+                return pending().await;
+            },
+        }
+    }
+}
+
 /// Waits until a connection has had no request for the configured idle timeout.
 async fn idle(shared: &Shared, activity: &Activity) {
     loop {
--- a/crates/net/src/gateway/exchange.rs
+++ b/crates/net/src/gateway/exchange.rs
@@ -22,7 +22,7 @@
 use super::relay::Relay;
 use super::shared::Shared;
 use super::{ends, notices, permits};
-use crate::http::{Body, Sender, full};
+use crate::http::{Body, Hold, Sender, full};
 use crate::wire::headers::{remove_hop_by_hop, text, value};
 
 /// Why an attempt was given up, for logs.
@@ -69,6 +69,8 @@
     uri: Uri,
     headers: HeaderMap,
     body: Bytes,
+    /// Covers `body` in the budget of held bytes.
+    _held: Hold,
     /// The end of the request was recorded.
     settled: bool,
 }
@@ -78,7 +80,7 @@
         shared: Arc<Shared>,
         admitted: Admitted,
         parts: request::Parts,
-        body: Bytes,
+        (body, held): (Bytes, Hold),
     ) -> Self {
         let mut headers = parts.headers;
         remove_hop_by_hop(&mut headers);
@@ -98,6 +100,7 @@
             uri: parts.uri,
             headers,
             body,
+            _held: held,
             settled: false,
         }
     }
@@ -408,8 +411,8 @@
                 return AnswerResult::Ended;
             }
         };
-        let body = match collected {
-            Ok(Ok(body)) => body,
+        let (body, held) = match collected {
+            Ok(Ok(collected)) => collected,
             Ok(Err(error)) => {
                 self.record_dropped_answer(
                     &in_flight.upstream.id,
@@ -440,7 +443,8 @@
             Outcome::Answered
         };
         self.end(in_flight, outcome);
-        let response = forward_answer(parts, full(body));
+        let mut response = forward_answer(parts, full(body));
+        response.extensions_mut().insert(Arc::new(held));
         if failed && self.admitted.route.kind.class() == WorkClass::Idempotent {
             return AnswerResult::Failure(response);
         }
--- a/crates/net/src/gateway/host.rs
+++ b/crates/net/src/gateway/host.rs
@@ -34,15 +34,20 @@
 use super::pool::Pool;
 use super::shared::Shared;
 use super::{GatewayOptions, callers, directory, follow, gossip, pulls, quarantine};
-use crate::connect::{ACCEPT_RETRY_DELAY, detect_dead_peer};
+use crate::connect::{ACCEPT_RETRY_DELAY, ConnectionTasks, detect_dead_peer};
 use crate::host::{Drained, StartError, new_incarnation};
-use crate::http::Body;
+use crate::http::{Body, HeldBytes};
 use crate::metrics::Metrics;
 use crate::platform::{Dialect, Platform};
 use crate::runtime::{Clock, Timeline};
 
 /// Longest time for the headers of requests about addresses, readiness or metrics to arrive.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
+/// Largest total size of those headers, in bytes.
+const HEADER_BYTES: usize = 16 << 10;
+/// Connections to one of the listeners for addresses, readiness and metrics; one more closes the oldest. All
+/// three together are within the descriptors that the process reserves.
+const MAX_PATH_CONNECTIONS: usize = 48;
 /// Time after the start of a shutdown in which new connections are still accepted, since callers
 /// may use resolved addresses until their validity ends; with a margin.
 const SERVE_WHILE_DRAINING: Duration = Duration::from_millis(3_500);
@@ -234,6 +239,7 @@
 }
 
 fn shared(options: GatewayOptions, clock: Clock, metrics: &Metrics, permits: Permits) -> Shared {
+    let held = HeldBytes::new(options.held_bytes);
     let settings = GatewaySettings {
         host: options.host.clone(),
         data_centre: options.data_centre.clone(),
@@ -259,7 +265,8 @@
         platform: platform_client(&options.platform, clock, options.seed),
         copies: Copies::default(),
         permits,
-        answer_buffers: AnswerBuffers::default(),
+        answer_buffers: AnswerBuffers::new(held.clone()),
+        held,
         connections: TaskTracker::new(),
         end_checks: EndChecks::default(),
         quarantine_news: Notify::new(),
@@ -288,6 +295,16 @@
         "Requests that are being served",
         gauge(|s| s.open_requests.load(Ordering::Relaxed) as u64),
     );
+    metrics.register_gauge(
+        "eelgrasshold_held_bytes",
+        "Bytes of request bodies and answers that are held",
+        gauge(|s| s.held.bytes() as u64),
+    );
+    metrics.register_gauge(
+        "eelgrasshold_held_bytes_limit",
+        "Most bytes of request bodies and answers that may be held",
+        gauge(|s| s.held.capacity() as u64),
+    );
     metrics.register_gauge(
         "eelgrasshold_table_version",
         "Version of the configuration in force",
@@ -408,6 +425,7 @@
 where
     F: Fn() -> Response<Body> + Clone + Send + Sync + 'static,
 {
+    let mut connections = ConnectionTasks::new(MAX_PATH_CONNECTIONS);
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -419,7 +437,7 @@
         };
         detect_dead_peer(&stream);
         let handler = handler.clone();
-        tokio::spawn(async move {
+        connections.spawn(async move {
             let service = service_fn(move |request: Request<Incoming>| {
                 let is_known = request.method() == Method::GET && request.uri().path() == path;
                 let response = if is_known {
@@ -432,6 +450,7 @@
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEADER_TIMEOUT)
+                .max_buf_size(HEADER_BYTES)
                 .serve_connection(TokioIo::new(stream), service);
             if let Err(error) = connection.await {
                 log::debug!("a connection ended with an error: {error}");
--- a/crates/net/src/gateway/intake.rs
+++ b/crates/net/src/gateway/intake.rs
@@ -8,12 +8,12 @@
 use eelgrasshold_core::gateway::{Admitted, RequestHead};
 use eelgrasshold_core::types::{Refusal, RefusalKind};
 use eelgrasshold_platform::headers as names;
-use http::{HeaderMap, Request, Response, Uri, header, request};
+use http::{HeaderMap, HeaderValue, Request, Response, Uri, header, request};
 use hyper::body::Incoming;
 
 use super::exchange::Exchange;
 use super::shared::Shared;
-use crate::http::{Body, BodyError, collect, full};
+use crate::http::{Body, BodyError, collect_held, discard, full};
 use crate::wire::headers::{parsed, text, value};
 use crate::wire::problem_response;
 
@@ -24,6 +24,13 @@
 /// Longest time for the request body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Most bytes of a refused request that are read, and the longest time for it.
+const MAX_DISCARDED_BYTES: usize = 64 << 10;
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after which a request may fit that found no room: a few bodies of the largest size have passed
+/// a fast link by then.
+const ROOM_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// Serves a request of a caller, up to the response or the refusal.
 pub(super) async fn serve(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
     let (parts, body) = request.into_parts();
@@ -33,23 +40,49 @@
         .core()
         .table()
         .map_or(DEFAULT_MAX_BODY_BYTES, |t| t.limits.body_bytes);
-    // Refused requests are read to the end too, so that the connection can be reused.
-    let time = admitted.as_ref().map_or(BODY_TIMEOUT, |a| {
-        a.deadline.saturating_sub(shared.now()).min(BODY_TIMEOUT)
-    });
-    let body = collect(body, limit, time).await;
-    let admitted = body
-        .map_err(|e| body_refusal(&e))
-        .and_then(|b| Ok((admitted?, b)));
-    match admitted {
-        Ok((mut admitted, body)) => {
+    let mut admitted = match admitted {
+        Ok(admitted) => admitted,
+        Err(refusal) => {
+            // A short body is read to its end, so that the connection can be reused.
+            let whole = discard(body, MAX_DISCARDED_BYTES, DISCARD_TIMEOUT).await;
+            let response = refuse(&shared, &refusal, id);
+            return if whole { response } else { closing(response) };
+        }
+    };
+    let time = admitted.deadline.saturating_sub(shared.now());
+    match collect_held(body, limit, time.min(BODY_TIMEOUT), &shared.held).await {
+        Ok((body, held)) => {
             admitted.set_content(content_of(&parts, &body));
-            Exchange::new(shared, admitted, parts, body).run().await
+            let exchange = Exchange::new(shared, admitted, parts, (body, held));
+            exchange.run().await
+        }
+        Err(error) => {
+            if matches!(error, BodyError::Evicted) {
+                record_eviction(&shared, id, "body");
+            }
+            closing(refuse(&shared, &body_refusal(&error), id))
         }
-        Err(refusal) => refuse(&shared, &refusal, id),
     }
 }
 
+/// Tells the caller that the connection closes after the response: the rest of its request is not read.
+fn closing(mut response: Response<Body>) -> Response<Body> {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+    response
+}
+
+/// Records that the body or the answer of a request was given up, since too many bytes were held.
+pub(super) fn record_eviction(shared: &Shared, id: &str, what: &'static str) {
+    shared.metrics.request_evicted(what);
+    let event = Event::new(EventKind::RequestEvicted, "")
+        .about_request(id)
+        .with("what", what)
+        .with("held", shared.held.bytes())
+        .with("limit", shared.held.capacity());
+    shared.timeline.record(event);
+}
+
 fn admit(shared: &Shared, id: &str, uri: &Uri, headers: &HeaderMap) -> Result<Admitted, Refusal> {
     if id.is_empty() {
         let detail = format!("the request has no {} header", names::REQUEST_ID);
@@ -80,12 +113,18 @@
 }
 
 fn body_refusal(error: &BodyError) -> Refusal {
+    let retry = matches!(error, BodyError::NoRoom | BodyError::Evicted);
     let kind = match error {
         BodyError::TooLarge { .. } => RefusalKind::TooLarge,
         BodyError::TooSlow { .. } => RefusalKind::TooSlow,
         BodyError::Broken => RefusalKind::BadRequest,
+        BodyError::NoRoom | BodyError::Evicted => RefusalKind::Overloaded,
     };
-    Refusal::not_run(kind, error.to_string())
+    let refusal = Refusal::not_run(kind, error.to_string());
+    if retry {
+        return refusal.with_retry_after(ROOM_RETRY_AFTER);
+    }
+    refusal
 }
 
 /// Hash of what a request consists of, the same when its caller repeats it.
--- a/crates/net/src/gateway/metrics.rs
+++ b/crates/net/src/gateway/metrics.rs
@@ -20,6 +20,7 @@
 pub(super) struct GatewayMetrics {
     requests: Counter<u64>,
     refusals: Counter<u64>,
+    evictions: Counter<u64>,
     attempts: Counter<u64>,
     resumes: Counter<u64>,
     moved: Counter<u64>,
@@ -58,6 +59,11 @@
                 "eelgrasshold_refusals",
                 "Refused requests by reason",
             ),
+            evictions: counter(
+                &meter,
+                "eelgrasshold_requests_evicted",
+                "Requests or answers given up since the held bytes exceeded their limit",
+            ),
             attempts: counter(
                 &meter,
                 "eelgrasshold_attempts",
@@ -118,6 +124,11 @@
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a request whose `what`, body or answer, was given up for lack of memory.
+    pub(super) fn request_evicted(&self, what: &'static str) {
+        self.evictions.add(1, &[KeyValue::new("what", what)]);
+    }
+
     pub(super) fn attempt_ended(&self, outcome: Outcome) {
         self.attempts
             .add(1, &[KeyValue::new("outcome", outcome.name())]);
--- a/crates/net/src/gateway/options.rs
+++ b/crates/net/src/gateway/options.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use eelgrasshold_core::gateway::budget::RetryBound;
+use eelgrasshold_core::held::DEFAULT_CAPACITY_BYTES;
 use eelgrasshold_core::types::{DataCentreId, HostId, RegionId};
 
 /// Start options of a gateway; see the methods of [`GatewayOptionsBuilder`].
@@ -25,6 +26,7 @@
     pub(super) answer_validity: Duration,
     pub(super) drain_limit: Duration,
     pub(super) connections: usize,
+    pub(super) held_bytes: usize,
     pub(super) lines_dropped: fn() -> u64,
     pub(super) seed: u64,
 }
@@ -63,6 +65,7 @@
                 answer_validity: Duration::from_secs(2),
                 drain_limit: Duration::from_secs(6),
                 connections: 1_000,
+                held_bytes: DEFAULT_CAPACITY_BYTES,
                 lines_dropped: || 0,
                 seed: rand::random(),
             },
@@ -160,6 +163,13 @@
         self
     }
 
+    /// Sets the most bytes of request bodies and answers that the host holds.
+    #[must_use]
+    pub fn held_bytes(mut self, bytes: usize) -> Self {
+        self.options.held_bytes = bytes;
+        self
+    }
+
     /// Sets the function that returns the number of dropped log lines, for a gauge.
     #[must_use]
     pub fn lines_dropped(mut self, read: fn() -> u64) -> Self {
--- a/crates/net/src/gateway/pulls.rs
+++ b/crates/net/src/gateway/pulls.rs
@@ -22,6 +22,8 @@
 
 /// Time limit of a pull; a configuration of a megabyte takes a fraction of it.
 const PULL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest call of another host, in bytes; those that hosts send have some hundred.
+const MAX_CALL_BYTES: usize = 64 << 10;
 
 /// A host's copy of the store's contents, served to entry hosts with older versions.
 #[tarpc::service]
@@ -62,7 +64,8 @@
 }
 
 async fn answer(server: PullServer, stream: TcpStream) {
-    let handled = BaseChannel::with_defaults(rpc::link(stream)).execute(server.serve());
+    let link = rpc::server_link(stream, MAX_CALL_BYTES);
+    let handled = BaseChannel::with_defaults(link).execute(server.serve());
     handled.for_each_concurrent(None, |handled| handled).await;
 }
 
--- a/crates/net/src/gateway/shared.rs
+++ b/crates/net/src/gateway/shared.rs
@@ -25,7 +25,7 @@
 use super::metrics::GatewayMetrics;
 use super::permits::Permits;
 use super::pool::Pool;
-use crate::http::Sender;
+use crate::http::{HeldBytes, Hold, Sender};
 use crate::platform::Platform;
 use crate::runtime::{Clock, Timeline};
 
@@ -42,6 +42,8 @@
     pub(super) platform: Platform,
     pub(super) copies: Copies,
     pub(super) permits: Permits,
+    /// Memory for request bodies and answers.
+    pub(super) held: HeldBytes,
     pub(super) answer_buffers: AnswerBuffers,
     /// Connections of callers.
     pub(super) connections: TaskTracker,
@@ -211,19 +213,35 @@
 }
 
 /// Counts a request as open until dropped, which is when its answer is written.
-pub(super) struct OpenRequest(Arc<Shared>);
+pub(super) struct OpenRequest {
+    shared: Arc<Shared>,
+    /// Bytes of the answer.
+    answer: Option<Arc<Hold>>,
+}
 
 impl OpenRequest {
     pub(super) fn new(shared: &Arc<Shared>) -> Self {
         shared.open_requests.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(shared))
+        Self {
+            shared: Arc::clone(shared),
+            answer: None,
+        }
+    }
+
+    /// Adds the bytes of an answer, which its caller reads from now on.
+    pub(super) fn with_answer(mut self, answer: Option<Arc<Hold>>) -> Self {
+        if let Some(hold) = &answer {
+            hold.leave();
+        }
+        self.answer = answer;
+        self
     }
 }
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
-        if self.0.open_requests.fetch_sub(1, Ordering::Relaxed) == 1 {
-            self.0.requests_ended.notify_waiters();
+        if self.shared.open_requests.fetch_sub(1, Ordering::Relaxed) == 1 {
+            self.shared.requests_ended.notify_waiters();
         }
     }
 }
--- a/crates/net/src/upstream/driver.rs
+++ b/crates/net/src/upstream/driver.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use eelgrasshold_core::event::Stamp;
+use eelgrasshold_core::held::DEFAULT_CAPACITY_BYTES;
 use eelgrasshold_core::serving::queue::Policy;
 use eelgrasshold_core::types::{AttemptId, Incarnation, Load, Run};
 use eelgrasshold_core::upstream::{Bounce, Input, Output, Timer, Upstream};
@@ -16,6 +17,7 @@
 use super::engine::Engine;
 use super::work;
 use crate::http::Body;
+use crate::http::HeldBytes;
 use crate::runtime::{Clock, Timeline, Timers};
 
 /// Interval of connection attempts to an engine that is down.
@@ -42,9 +44,16 @@
     attempts: Mutex<BTreeMap<AttemptId, mpsc::UnboundedSender<Command>>>,
     probing: AtomicBool,
     drained: watch::Sender<bool>,
+    /// Memory for the bodies of dispatches.
+    held: HeldBytes,
 }
 
 impl UpstreamDriver {
+    /// Memory for the bodies of dispatches.
+    pub(super) fn held(&self) -> &HeldBytes {
+        &self.held
+    }
+
     /// Creates a driver; dispatches must name `incarnation`.
     #[must_use]
     pub fn new(
@@ -63,6 +72,7 @@
             attempts: Mutex::new(BTreeMap::new()),
             probing: AtomicBool::new(false),
             drained: watch::Sender::new(false),
+            held: HeldBytes::new(DEFAULT_CAPACITY_BYTES),
         })
     }
 
--- a/crates/net/src/upstream/work.rs
+++ b/crates/net/src/upstream/work.rs
@@ -15,7 +15,7 @@
 use tokio::sync::mpsc;
 
 use super::driver::{Command, UpstreamDriver};
-use crate::http::{Body, BodySender, channel_body, collect, empty};
+use crate::http::{Body, BodySender, Hold, channel_body, collect_held, empty};
 use crate::wire::{SseSplitter, headers};
 
 /// Largest body of a dispatch, in bytes; entry hosts accept no larger one.
@@ -54,6 +54,8 @@
     alone: bool,
     parts: Parts,
     body: Bytes,
+    /// Covers `body` in the budget of held bytes.
+    _held: Hold,
 }
 
 pub(super) async fn serve(
@@ -164,7 +166,8 @@
         _ => Duration::ZERO,
     };
     let alone = parts.headers.contains_key(headers::ALONE);
-    let Ok(body) = collect(body, MAX_BODY_BYTES, BODY_TIMEOUT).await else {
+    let read = collect_held(body, MAX_BODY_BYTES, BODY_TIMEOUT, driver.held());
+    let Ok((body, held)) = read.await else {
         return Err(Box::new(failure_response(headers::FAILED_NOT_RUN)));
     };
     Ok(Dispatch {
@@ -174,6 +177,7 @@
         alone,
         parts,
         body,
+        _held: held,
     })
 }
 
