--- a/crates/core/src/held/mod.rs
+++ b/crates/core/src/held/mod.rs
@@ -84,7 +84,7 @@
     fn cost(&self, now: Now) -> Option<f64> {
         let left = self.time_left(now);
         let may_end = self.phase != Phase::Kept && self.reserved > 0 && left > IN_TIME;
-        may_end.then(|| self.reserved as f64 * left.as_secs_f64())
+        may_end.then_some(self.reserved as f64 * left.as_secs_f64())
     }
 }
 
--- a/crates/daemon/tests/misuse/main.rs
+++ b/crates/daemon/tests/misuse/main.rs
@@ -274,6 +274,31 @@
     serde_json::to_string(&request).unwrap()
 }
 
+// Guards against refusals that leave open whether the request has run, or a connection on which the rest of
+// a body is taken for another request.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusals_before_the_end_of_a_body_say_that_it_has_not_run() {
+    let _alone = ALONE.lock().await;
+    let gateway = Gateway::start().await;
+    let address = gateway.daemon.data;
+    let announced = format!("Content-Length: {}", BODY_BYTES + 1);
+    let too_large = fleet::send(address, &head("/safe/x", "large", &announced)).await;
+    let slow = head("/safe/x", "slow", "Content-Length: 9").replace("60000", "300");
+    let too_slow = fleet::send(address, &(slow + "part")).await;
+    let framing = format!("Content-Length: {BODY_BYTES}");
+    let all = MEMORY_MB as usize / 4 * (1 << 20) / BODY_BYTES;
+    let name = |n: usize| head("/safe/x", &format!("first-{n}"), &framing);
+    let open = send_all(address, all, name, Body::Pieces(BODY_BYTES - MISSING)).await;
+    let no_room = fleet::send(address, &head("/safe/x", "more", &framing)).await;
+    drop(open);
+    for (answer, status) in [(too_large, 413), (too_slow, 408), (no_room, 503)] {
+        let answer = answer.unwrap();
+        assert_eq!(answer.status, status, "{}", answer.head);
+        assert_eq!(answer.header("connection"), "close", "{}", answer.head);
+        assert!(answer.body.contains("not_run"), "{}", answer.body);
+    }
+}
+
 // Guards against a bound that refuses what the configuration permits.
 #[tokio::test(flavor = "multi_thread")]
 async fn largest_permitted_body_is_served() {
