Copy parts of read buffers that a slow caller leaves waiting

Cause: of the memory that endless::unread_bodies_of_engines_without_end measures (200 unread answers through an entry host and an upstream process), a part is read buffers of 32 KiB that a waiting piece of 8 KiB keeps whole.

Change: both processes copy the pieces of a body that they pass on.

--- a/crates/net/src/entry/attempt.rs
+++ b/crates/net/src/entry/attempt.rs
@@ -168,7 +168,9 @@
             match self.body.frame().await {
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) if self.is_draft => self.splitter.push(&data),
-                    Ok(data) => return Chunk::Bytes(data),
+                    // A part of the connection's read buffer, which all streams share, would keep the whole
+                    // of it.
+                    Ok(data) => return Chunk::Bytes(Bytes::copy_from_slice(&data)),
                     Err(frame) => {
                         let trailers = frame.into_trailers().unwrap_or_default();
                         if let Some(event) = reported_failure(&trailers) {
--- a/crates/net/src/upstream/work.rs
+++ b/crates/net/src/upstream/work.rs
@@ -293,6 +293,8 @@
                         break;
                     }
                 }
+                // A part of the connection's read buffer would keep the whole of it.
+                let frame = frame.map_data(|data| Bytes::copy_from_slice(&data));
                 if tx.send(Ok(frame)).await.is_err() {
                     break;
                 }
