Run the tests with faulty engines one at a time

Cause: tests of endless.rs measure the memory of the process, but only those that measure it excluded each other, and their fleets began before that. The answers without end of other tests counted too.

Change: each fleet holds the lock from its start to its end. Bounds and load are as before.

--- a/crates/standins/tests/faulty_engines/endless.rs
+++ b/crates/standins/tests/faulty_engines/endless.rs
@@ -8,7 +8,6 @@
 use eelgrasshold_core::config::ServiceKind;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Mutex;
 use tokio::task::JoinHandle;
 
 use super::engine::read_request;
@@ -27,9 +26,6 @@
 /// callers have left.
 const SOUND_TIME: Duration = Duration::from_secs(3);
 
-/// Held by a test that measures memory.
-static ALONE: Mutex<()> = Mutex::const_new(());
-
 /// Where the bytes without end begin.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Place {
@@ -181,7 +177,6 @@
     let (address, task, answers) = start(place).await;
     let concurrency = u32::try_from(ANSWERS).unwrap();
     let fleet = Fleet::beside(place.kind(), concurrency, vec![(address, task)]).await;
-    let _alone = ALONE.lock().await;
     let before = resident_bytes();
     let mut callers = Vec::new();
     let requests = match place {
--- a/crates/standins/tests/faulty_engines/main.rs
+++ b/crates/standins/tests/faulty_engines/main.rs
@@ -13,6 +13,7 @@
 use eelgrasshold_standins::platform::Platform;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::{Mutex, MutexGuard};
 use tokio::task::JoinHandle;
 
 use self::engine::{End, Scripts};
@@ -30,8 +31,12 @@
     upstreams: Vec<UpstreamHost>,
     entry: EntryHost,
     scripts: Scripts,
+    _alone: MutexGuard<'static, ()>,
 }
 
+/// Held by each fleet: some tests measure the memory of the process, which all tests share.
+static ALONE: Mutex<()> = Mutex::const_new(());
+
 /// What a caller got: the status, the body without its framing, and whether it ended as framed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Answer {
@@ -60,6 +65,7 @@
         concurrency: u32,
         engines: Vec<(SocketAddr, JoinHandle<()>)>,
     ) -> Self {
+        let alone = ALONE.lock().await;
         let platform = Platform::builder().start().unwrap();
         let url = format!("http://{}", platform.address());
         let mut cfg = Config::default();
@@ -95,6 +101,7 @@
             upstreams,
             entry,
             scripts: Scripts::default(),
+            _alone: alone,
         };
         fleet.wait_until_ready().await;
         fleet
