--- a/crates/core/src/event/catalogue.rs
+++ b/crates/core/src/event/catalogue.rs
@@ -100,6 +100,7 @@
     SuspectUnchecked = 2022, "whether an upstream crashed while it ran a request can't be told";
     LimitBegun = 2023, "requests begin to wait for the limit of streams that keeps pauses short";
     LimitEnded = 2024, "requests no longer wait for the limit of streams that keeps pauses short";
+    RequestEvicted = 2025, "a body or an answer was given up since the host held too many bytes";
     TeamShareExpired = 2101, "no share of a team's limit came and the host falls back to an even part";
 
     WorkQueued = 3001, "work was queued";
@@ -146,9 +147,9 @@
     UpstreamPaused = 5107, "an upstream wants no requests from this host for a while";
     NoticeUnreadable = 5108, "what an upstream said of itself can't be read";
     UpstreamLimited = 5109, "an upstream named another limit of requests a second, or none any more";
-    UpstreamCold = 5115, "an upstream became cold, so that its requests are limited, or warm again";
     EvacuationBegun = 5110, "a data centre is evacuated and its upstreams get no requests";
     EvacuationEnded = 5111, "a data centre is no longer evacuated";
+    UpstreamCold = 5115, "an upstream became cold, so that its requests are limited, or warm again";
 
     ConfigApplied = 6001, "a configuration came into force";
     ConfigRefused = 6002, "a configuration was refused";
--- a/crates/daemon/src/settings/model.rs
+++ b/crates/daemon/src/settings/model.rs
@@ -105,6 +105,11 @@
     /// Whether streams wait here as far as is needed for pauses between events within the targets.
     #[serde(default)]
     pub pause_control: bool,
+    /// Memory of the machine, in MiB.
+    pub memory_mb: Option<usize>,
+    /// Most bytes of request bodies and answers that the host holds, in MiB; by default two fifths of
+    /// `memory_mb`.
+    pub held_mib: Option<usize>,
 }
 
 /// Settings of the role `rank`.
--- a/crates/daemon/src/settings/tests.rs
+++ b/crates/daemon/src/settings/tests.rs
@@ -103,12 +103,26 @@
         ("\"cold_overage\": 1.5", "\"cold_overage\": -1"),
         ("\"cold_slack\": 5", "\"cold_slack\": \"some\""),
         ("\"max_descriptors\": 4096", "\"max_descriptors\": 3"),
+        (
+            "\"max_descriptors\": 4096",
+            "\"max_descriptors\": 4096, \"memory_mb\": 63",
+        ),
+        (
+            "\"max_descriptors\": 4096",
+            "\"max_descriptors\": 4096, \"held_mib\": 0",
+        ),
+        (
+            "\"max_descriptors\": 4096",
+            "\"max_descriptors\": 4096, \"memory_mb\": 96, \"held_mib\": 49",
+        ),
         (
             "\"ready_address\": \"127.0.0.1:8081\"",
             "\"ready_address\": \"here\"",
         ),
     ] {
-        let name = field.split('"').nth(1).unwrap();
+        // The field is the last one that the text names.
+        let name = bad.rsplit_once("\":").unwrap().0;
+        let name = name.rsplit('"').next().unwrap();
         let text = GATEWAY.replace(field, bad);
         assert_ne!(text, GATEWAY);
         let error = parse("edge.json", &text).unwrap_err().to_string();
