--- a/crates/standins/tests/gateway/pause_control.rs
+++ b/crates/standins/tests/gateway/pause_control.rs
@@ -238,11 +238,7 @@
 #[tokio::test]
 async fn a_wait_for_paused_upstreams_does_not_keep_the_gateway_busy() {
     let limited = Limited::start().await;
-<<<<<<< HEAD
-    let until = Instant::now() + Duration::from_secs(1);
-=======
     let until = Instant::now() + Duration::from_millis(600);
->>>>>>> pause-control
     for replica in &limited.cluster.replicas {
         replica.clear_replies();
         replica.pause_until(until);
