--- a/crates/core/src/gateway/concurrency/mod.rs
+++ b/crates/core/src/gateway/concurrency/mod.rs
@@ -3,7 +3,7 @@
 //! All streams of a group wait for the same passes, and a pass takes longer the more streams it serves. Streams
 //! beyond what keeps the pauses within the target would therefore make all others late, too. Each host limits
 //! its own streams by the pauses that it observes itself; what exceeds the limit waits here, in the order of
-//! [`waiting`], or is refused at once if it could not begin in time. See `docs/design/pause-control.md`.
+//! [`waiting`], or is refused at once if it could not begin well before its caller leaves. See `docs/design/pause-control.md`.
 
 pub mod limit;
 pub mod refused;
@@ -73,7 +73,7 @@
     Start,
     /// It waits, for this time at most until it is decided on again.
     Wait(Duration),
-    /// It can't begin in time; there will be capacity after this time.
+    /// It can't begin well before its caller leaves; there will be capacity after this time.
     Refuse(Duration),
 }
 
@@ -106,7 +106,7 @@
 pub struct Counts {
     /// Requests that had to wait.
     pub delayed: u64,
-    /// Requests that were refused since they could not begin in time.
+    /// Requests that were refused since they could not begin well before their callers leave.
     pub refused: u64,
     /// Requests that were recognized as repetitions of refused ones.
     pub retries: u64,
@@ -176,7 +176,9 @@
         self.last_ticket += 1;
         let id = self.last_ticket;
         let team = request.team.cloned().unwrap_or_default();
-        if request.has_begun || service.has_place(request.priority) {
+        let in_time_until = service.start_by(request, request.in_time_by);
+        let is_late = now > in_time_until;
+        if request.has_begun || service.has_place(request.priority, is_late) {
             service.start(now, id, request.priority, &team, request.work);
             *ticket = Some(id);
             return Verdict::Start;
@@ -193,7 +195,7 @@
             team,
             work: request.work,
             leaves_at: request.leaves_at,
-            in_time_until: service.start_by(request, request.in_time_by),
+            in_time_until,
             start_by: service.start_by(request, request.begin_by),
         };
         if now + service.expected_wait(now, &waiting) > waiting.start_by {
@@ -360,8 +362,12 @@
     }
 
     /// Whether a new request may start at once. Requests that would fit if there were no less urgent ones do not
-    /// wait for those: they may exceed the limit a little, and others start later instead.
-    fn has_place(&self, priority: u8) -> bool {
+    /// wait for those: they may exceed the limit a little, and others start later instead. Requests that will be
+    /// late have no such place.
+    fn has_place(&self, priority: u8, is_late: bool) -> bool {
+        if is_late {
+            return self.waiting.is_empty() && self.allows_late();
+        }
         let in_flight = self.in_flight.len();
         if self.waiting.is_empty() && self.limit.allows(in_flight) {
             return true;
@@ -433,6 +439,9 @@
 
     fn time_for(&mut self, now: Now, before: f64) -> Duration {
         let places = before + self.limit.excess(self.in_flight.len());
+        if places <= 0.0 {
+            return Duration::ZERO;
+        }
         let time = Duration::try_from_secs_f64(places / self.rate(now));
         time.unwrap_or(Duration::from_secs(3_600))
     }
--- a/crates/core/src/gateway/tests/pause_control/world.rs
+++ b/crates/core/src/gateway/tests/pause_control/world.rs
@@ -36,7 +36,8 @@
 const SHARES: [f64; 3] = [0.25, 0.25, 0.5];
 const LATENCIES_MS: [u64; 3] = [500, 500, 1_000];
 const TIMEOUT: Duration = Duration::from_secs(8);
-const PATIENCE: Duration = Duration::from_secs(4);
+/// Time without an event after which callers leave: four times the target latency.
+const PATIENCES_MS: [u64; 3] = [2_000, 2_000, 4_000];
 /// Mean events of an answer and tokens of a prompt, whose lengths have heavy tails up to these multiples.
 const MEAN_EVENTS: f64 = 28.0;
 const MAX_EVENT_RATIO: f64 = 8.0;
@@ -79,8 +80,10 @@
     pub done: bool,
     pub refusals: u32,
     pub work: f64,
-    prompt: u32,
-    events: u32,
+    pub prompt: u32,
+    pub events: u32,
+    /// Draws of the hosts of both tries, from 0 to 1.
+    hosts: [f64; 2],
 }
 
 impl Caller {
@@ -266,22 +269,24 @@
         let usual = rate * self.ranks.len() as f64;
         for (kind, share) in SHARES.into_iter().enumerate() {
             let bursts: Vec<Burst> = self.setup.bursts.clone();
+            // Callers of a kind are the same whatever the bursts of other kinds are.
+            let mut rng = SmallRng::seed_from_u64(self.setup.seed * 16 + 1 + kind as u64);
             let mut at = ms(0);
             while at < self.setup.length {
                 let burst = |b: &&Burst| b.kind == kind && (b.from..b.until).contains(&at);
                 let ratio = bursts.iter().find(burst).map_or(1.0, |b| b.ratio);
-                let gap = -self.rng.random_range(0.0001_f64..1.0).ln() / (usual * share * ratio);
+                let gap = -rng.random_range(0.0001_f64..1.0).ln() / (usual * share * ratio);
                 at += Duration::from_secs_f64(gap);
-                self.add_caller(at, kind);
+                self.add_caller(&mut rng, at, kind);
             }
         }
     }
 
-    fn add_caller(&mut self, at: Now, kind: usize) {
+    fn add_caller(&mut self, rng: &mut SmallRng, at: Now, kind: usize) {
         // A third of the calls comes from the first team, and the last ones make few.
-        let team = (TEAMS as f64).powf(self.rng.random_range(0.0_f64..1.0)) - 1.0;
-        let events = length(&mut self.rng, MEAN_EVENTS, MAX_EVENT_RATIO);
-        let prompt = length(&mut self.rng, MEAN_PROMPT, MAX_PROMPT_RATIO);
+        let team = (TEAMS as f64).powf(rng.random_range(0.0_f64..1.0)) - 1.0;
+        let events = length(rng, MEAN_EVENTS, MAX_EVENT_RATIO);
+        let prompt = length(rng, MEAN_PROMPT, MAX_PROMPT_RATIO);
         self.callers.push(Caller {
             kind,
             team: team as usize,
@@ -293,16 +298,18 @@
             work: 0.0,
             prompt,
             events,
+            hosts: [rng.random_range(0.0..1.0), rng.random_range(0.0..1.0)],
         });
         self.schedule(at, Step::Call(self.callers.len() - 1));
     }
 
-    fn draw_host(&mut self) -> usize {
+    /// Host of a draw from 0 to 1.
+    fn host_of(&self, draw: f64) -> usize {
         let weights = &self.setup.weights;
         if weights.is_empty() {
-            return self.rng.random_range(0..self.hosts.len());
+            return (draw * self.hosts.len() as f64) as usize;
         }
-        let mut left = self.rng.random_range(0.0..weights.iter().sum());
+        let mut left = draw * weights.iter().sum::<f64>();
         for (n, weight) in weights.iter().enumerate() {
             left -= weight;
             if left < 0.0 {
@@ -313,7 +320,8 @@
     }
 
     fn call(&mut self, now: Now, n: usize) {
-        let host = self.draw_host();
+        let draw = self.callers[n].hosts[self.callers[n].refusals as usize];
+        let host = self.host_of(draw);
         let caller = &mut self.callers[n];
         let (id, path) = (
             format!("{n}-{}", caller.refusals),
@@ -436,8 +444,11 @@
                     stream.event_at = now;
                     stream.events_left -= 1;
                 }
+                let caller_kind = self.callers[stream.caller].kind;
                 let expired = now >= stream.request.deadline
-                    || now >= stream.event_at.max(stream.request.arrived) + PATIENCE;
+                    || now
+                        >= stream.event_at.max(stream.request.arrived)
+                            + ms(PATIENCES_MS[caller_kind]);
                 if stream.events_left == 0 {
                     self.callers[stream.caller].done = true;
                 }
