Let requests wait for upstreams without occupying a thread

A request that had its place in flight and waited for upstreams that can take nothing, such as paused ones, asked again without a pause until it could be sent, since only the place was looked at to tell this wait from the one for a turn.

The wait for a turn is now recognized by the decision itself, under the same lock. Tests with a gateway on loopback and the setting on: requests wait and are woken, callers that leave give up their turns and places, a shutdown while requests wait, a stream that breaks while others wait, and a wait for paused upstreams.

--- a/crates/net/src/gateway/exchange.rs
+++ b/crates/net/src/gateway/exchange.rs
@@ -178,11 +178,15 @@
             if let Err(refusal) = self.take_in_shutdown(now) {
                 return SendResult::Refused(refusal);
             }
-            let next = self.shared.core().next(now, &mut self.admitted);
+            let (next, waits_for_turn) = {
+                let mut core = self.shared.core();
+                let next = core.next(now, &mut self.admitted);
+                (next, core.is_waiting(&self.admitted))
+            };
             match next {
                 Next::Send(upstream, reasons) => break (now, upstream, reasons),
                 Next::Ask(upstream, accountant) => self.ask(&upstream, &accountant).await,
-                Next::Wait(time) if self.admitted.ticket().is_some() => {
+                Next::Wait(time) if waits_for_turn => {
                     turns::wait(&self.shared, &self.admitted, time).await;
                 }
                 Next::Wait(time) => {
--- a/crates/standins/tests/gateway/main.rs
+++ b/crates/standins/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod late_ends;
 mod limits;
 mod notices;
+mod pause_control;
 mod ranks;
 mod restored;
 mod silent_channels;
