Test that nothing changes without pause_control, and its settings

No test showed that decisions stay the same where the setting is off, nor covered the settings pause_control and sidecar_port.

Settings tests: both off by default, set, and refused with their names for wrong values.

--- a/crates/core/src/gateway/tests/mod.rs
+++ b/crates/core/src/gateway/tests/mod.rs
@@ -13,6 +13,7 @@
 mod notices;
 mod notices_simulation;
 mod pause_control;
+mod pause_control_off;
 mod pauses;
 mod peers;
 mod placing;
--- a/crates/daemon/src/settings/tests.rs
+++ b/crates/daemon/src/settings/tests.rs
@@ -89,6 +89,38 @@
     assert_eq!((unset.cold_overage, unset.cold_slack), (None, None));
 }
 
+// Guards against a gateway that limits streams, or asks for load, without being told to, or not when told to.
+#[test]
+fn pause_control_and_sidecar_port_are_off_unless_set() {
+    let unset = parse("edge.json", GATEWAY).unwrap().gateway.unwrap();
+    assert_eq!((unset.pause_control, unset.sidecar_port), (false, None));
+    let set = GATEWAY.replace(
+        "\"retry_ratio\"",
+        "\"pause_control\": true, \"sidecar_port\": 7000, \"retry_ratio\"",
+    );
+    let set = parse("edge.json", &set).unwrap();
+    assert!(set.unknown.is_empty(), "{:?}", set.unknown);
+    let set = set.gateway.unwrap();
+    assert_eq!((set.pause_control, set.sidecar_port), (true, Some(7_000)));
+}
+
+// Guards against a wrong value that counts as unset.
+#[test]
+fn wrong_values_of_pause_control_and_sidecar_port_are_refused() {
+    for (name, value) in [
+        ("pause_control", "1"),
+        ("pause_control", "\"true\""),
+        ("sidecar_port", "-1"),
+        ("sidecar_port", "65536"),
+        ("sidecar_port", "\"7000\""),
+    ] {
+        let setting = format!("\"{name}\": {value}, \"retry_ratio\"");
+        let text = GATEWAY.replace("\"retry_ratio\"", &setting);
+        let error = parse("edge.json", &text).unwrap_err().to_string();
+        assert!(error.contains(&format!("gateway.{name}")), "{error}");
+    }
+}
+
 // Guards against validation errors that do not name the field.
 #[test]
 fn errors_name_the_invalid_gateway_setting() {
