Keep pauses at 0.81 of their target, and limit streams of one group only

Change: the set point is 0.81, sidecars report a hash of their group, and a service with several groups has no limit.

--- a/crates/core/src/gateway/concurrency/limit.rs
+++ b/crates/core/src/gateway/concurrency/limit.rs
@@ -7,7 +7,7 @@
 
 /// Share of the target pause that the upper quartile of the observations is kept at. The rest is for passes
 /// that read more prompts than usual: one pause of some twenty above the target makes a stream late.
-const SET_POINT_SHARE: f64 = 0.7;
+const SET_POINT_SHARE: f64 = 0.81;
 /// Smallest limit.
 const MIN_LIMIT: f64 = 2.0;
 /// Events that arrive within this time are one observation: a pass yields an event of each stream.
@@ -43,8 +43,8 @@
 /// Adaptive limit of one service.
 #[derive(Clone, Debug)]
 pub struct Limit {
-    /// Upper quartile of the pauses above which the limit decreases.
-    set_point: Duration,
+    /// Longest pause with which streams are in time.
+    target: Duration,
     /// The limit; `None` before enough was observed.
     value: Option<f64>,
     /// Whether pauses have been too long, or requests have waited, since the limit was set.
@@ -63,7 +63,7 @@
     #[must_use]
     pub fn new(target: Duration) -> Self {
         Self {
-            set_point: target.mul_f64(SET_POINT_SHARE),
+            target,
             value: None,
             is_tested: false,
             peak: 0.0,
@@ -76,7 +76,7 @@
 
     /// Changes the target pause.
     pub fn set_target(&mut self, target: Duration) {
-        self.set_point = target.mul_f64(SET_POINT_SHARE);
+        self.target = target;
     }
 
     /// The limit; `None` if there is none.
@@ -154,7 +154,8 @@
         if pause.is_zero() {
             return;
         }
-        let ratio = pause.as_secs_f64() / self.set_point.as_secs_f64().max(0.001);
+        let target = self.target.as_secs_f64().max(0.001);
+        let ratio = pause.as_secs_f64() / (target * SET_POINT_SHARE);
         self.peak = (in_flight as f64).max(self.peak * PEAK_DECAY);
         if ratio > 1.0 {
             self.is_tested = true;
--- a/crates/core/src/gateway/load_reports/mod.rs
+++ b/crates/core/src/gateway/load_reports/mod.rs
@@ -7,7 +7,7 @@
 
 mod publisher;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -27,6 +27,9 @@
 /// Requests at an upstream, relative to its slots, beyond which a report is not believed: queues are shorter.
 const MAX_REQUESTS_PER_SLOT: u32 = 16;
 
+/// Hash of the name of a group.
+pub type GroupKey = u64;
+
 /// Load of an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -41,6 +44,8 @@
     pub queued: u32,
     /// Time that it needs for its work, relative to a healthy one.
     pub pace: f64,
+    /// Hash of the name of the group of ranks that it belongs to.
+    pub group: Option<GroupKey>,
 }
 
 /// Message between a host and a sidecar.
@@ -58,6 +63,7 @@
     /// Requests of other hosts.
     others: u32,
     pace: f64,
+    group: Option<GroupKey>,
     at: Now,
 }
 
@@ -81,6 +87,7 @@
         let reported = Reported {
             others: requests.saturating_sub(own),
             pace: report.pace.max(1.0),
+            group: report.group,
             at: now,
         };
         self.reports.insert(upstream.id.clone(), reported);
@@ -104,6 +111,12 @@
         self.newest(now, id).map_or(1.0, |r| r.pace)
     }
 
+    /// Number of groups of ranks that some upstreams belong to, as far as they report it.
+    pub fn groups<'a>(&self, now: Now, ids: impl Iterator<Item = &'a UpstreamId>) -> usize {
+        let groups = ids.filter_map(|id| self.newest(now, id)?.group);
+        groups.collect::<BTreeSet<_>>().len()
+    }
+
     /// Drops the reports of upstreams that are no longer known.
     pub fn retain(&mut self, known: impl Fn(&UpstreamId) -> bool) {
         self.reports.retain(|id, _| known(id));
--- a/crates/core/src/gateway/state/holding.rs
+++ b/crates/core/src/gateway/state/holding.rs
@@ -41,7 +41,10 @@
     /// Makes a request wait, or refuses it, if the limit of its service allows no more streams. `None` if it may
     /// be sent now.
     pub(super) fn hold(&mut self, now: Now, request: &mut Admitted) -> Option<Next> {
-        if !self.settings.pause_control || !request.route.kind.is_stream() {
+        if !self.settings.pause_control
+            || !request.route.kind.is_stream()
+            || self.has_several_groups(now, &request.service)
+        {
             return None;
         }
         let (service, patience) = (&request.service, request.route.patience());
@@ -84,6 +87,13 @@
         }
     }
 
+    /// Whether the upstreams of a service belong to several groups. The pauses of one of them say nothing of the
+    /// others, and one limit for all would hold back streams that don't lengthen them.
+    fn has_several_groups(&self, now: Now, service: &str) -> bool {
+        let subset = self.subsets.get(service).map(|s| &s.1);
+        self.load_reports.groups(now, subset.into_iter().flatten()) > 1
+    }
+
     /// Records a refusal for overload, so that the request is recognized when its caller retries.
     pub(super) fn record_refusal(&mut self, now: Now, request: &Admitted, delay: Duration) {
         if let (true, Some(key)) = (self.settings.pause_control, request.retry_key()) {
--- a/crates/core/src/gateway/tests/load_reports.rs
+++ b/crates/core/src/gateway/tests/load_reports.rs
@@ -11,6 +11,7 @@
         active,
         queued: 0,
         pace: 1.0,
+        group: None,
     }
 }
 
@@ -136,3 +137,21 @@
     let recipients = publisher.recipients(ms(4_000), report(1, 4)).len();
     assert!(recipients as f64 * 64.0 / interval.as_secs_f64() <= 3_001.0);
 }
+
+// Guards against a limit of streams that follows the pauses of one group and holds back the streams of another.
+#[test]
+fn groups_are_told_apart_while_their_reports_are_new() {
+    let mut reports = LoadReports::default();
+    let ids = ["u-1".to_owned(), "u-2".to_owned(), "u-3".to_owned()];
+    assert_eq!(reports.groups(ms(0), ids.iter()), 0);
+    for (n, group) in [(1, 7), (2, 7), (3, 9)] {
+        let report = LoadReport {
+            group: Some(group),
+            ..report(n, 1)
+        };
+        reports.record(ms(0), &upstream(n), &report, 0);
+    }
+    assert_eq!(reports.groups(ms(0), ids[..2].iter()), 1);
+    assert_eq!(reports.groups(ms(0), ids.iter()), 2);
+    assert_eq!(reports.groups(ms(1_000), ids.iter()), 0);
+}
--- a/crates/core/src/gateway/tests/placing.rs
+++ b/crates/core/src/gateway/tests/placing.rs
@@ -96,6 +96,7 @@
                 },
                 queued: 0,
                 pace: 1.0,
+                group: None,
             };
             assert_eq!(host.record_load(now, &report), is_possible);
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,7 +14,7 @@
 pub mod held;
 pub mod platform;
 pub mod ranks;
-mod rendezvous;
+pub mod rendezvous;
 pub mod serving;
 pub mod types;
 pub mod upstream;
