--- a/crates/daemon/tests/misuse/main.rs
+++ b/crates/daemon/tests/misuse/main.rs
@@ -286,7 +286,7 @@
     let slow = head("/safe/x", "slow", "Content-Length: 9").replace("60000", "300");
     let too_slow = fleet::send(address, &(slow + "part")).await;
     let framing = format!("Content-Length: {BODY_BYTES}");
-    let all = MEMORY_MB as usize / 4 * (1 << 20) / BODY_BYTES;
+    let all = MEMORY_MB as usize * 2 / 5 * (1 << 20) / BODY_BYTES;
     let name = |n: usize| head("/safe/x", &format!("first-{n}"), &framing);
     let open = send_all(address, all, name, Body::Pieces(BODY_BYTES - MISSING)).await;
     let no_room = fleet::send(address, &head("/safe/x", "more", &framing)).await;
