Remember for a minute that a service has several groups

Cause: a host whose sidecars fall silent forgot after a second that a service has two groups, and limited its streams as those of one, from a limit of four on, as the streams in flight had not been counted. Change: the group of a report counts for a minute.

--- a/crates/core/src/gateway/load_reports/mod.rs
+++ b/crates/core/src/gateway/load_reports/mod.rs
@@ -22,6 +22,9 @@
 pub const SUBSCRIBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Age up to which a report is used.
 const MAX_AGE: Duration = Duration::from_secs(1);
+/// Age up to which a report tells the group of its upstream: groups change rarely, and a host that forgot them
+/// while sidecars are silent would limit the streams of all groups as those of one.
+const MAX_GROUP_AGE: Duration = Duration::from_secs(60);
 /// Highest pace that is believed.
 const MAX_PACE: f64 = 100.0;
 /// Requests at an upstream, relative to its slots, beyond which a report is not believed: queues are shorter.
@@ -113,7 +116,9 @@
 
     /// Number of groups of ranks that some upstreams belong to, as far as they report it.
     pub fn groups<'a>(&self, now: Now, ids: impl Iterator<Item = &'a UpstreamId>) -> usize {
-        let groups = ids.filter_map(|id| self.newest(now, id)?.group);
+        let reports = ids.filter_map(|id| self.reports.get(id));
+        let known = reports.filter(|r| now < r.at + MAX_GROUP_AGE);
+        let groups = known.filter_map(|r| r.group);
         groups.collect::<BTreeSet<_>>().len()
     }
 
