--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -7,6 +7,7 @@
 use std::thread;
 use std::time::Duration;
 
+#[derive(Clone)]
 pub struct Request {
     pub method: String,
     pub path: String,
--- a/review/standins-2/src/rank_groups.rs
+++ b/review/standins-2/src/rank_hold.rs
@@ -1,12 +1,12 @@
-//! Two services, each with a group of ranks, the platform's store and the sidecars of the ranks.
+//! Three groups of four ranks, the platform's store, the sidecars of the ranks, and callers of the first group.
 //!
-//! One replica of each service crashes for good. Its address goes to a new replica of the other service, which
-//! takes the vacant rank there. The engines check at the begin of each pass whether all ranks of the group have
-//! the same map.
+//! Two sidecars of the first group are killed, each right after it has held a pass. The replicas serve a request
+//! with the next three passes of their group; the callers call them directly.
 
 #[allow(dead_code)]
 #[path = "http.rs"]
 mod http;
+#[allow(dead_code)]
 #[path = "json.rs"]
 mod json;
 #[allow(dead_code)]
@@ -15,7 +15,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -24,11 +25,11 @@
 use json::Json;
 use place::{Place, Process};
 
-const GROUPS: usize = 2;
-const SIZE: usize = 7;
-const SERVICES: [&str; GROUPS] = ["scribe", "teller"];
+const GROUPS: usize = 3;
+const SIZE: usize = 4;
+const SERVICES: [&str; GROUPS] = ["scribe", "teller", "clerk"];
 const SETS: usize = 2;
-const EXPERTS: usize = 28;
+const EXPERTS: usize = 16;
 const PLACEMENTS: usize = 7;
 const SPARE: usize = 4;
 const EXPERT_MB: f64 = 2_200.0;
@@ -39,14 +40,17 @@
 const SHIFT: Duration = Duration::from_millis(3_500);
 /// Choices in a set and a pass, over all ranks.
 const CHOICES: u64 = 24_000;
-/// Rank that crashes in each group.
-const CRASHED: usize = 2;
-const CRASH_AT: Duration = Duration::from_secs(14);
-/// Time after which the address of a replica that has ended is used again.
-const REUSE_AFTER: Duration = Duration::from_millis(2_300);
-const LENGTH: Duration = Duration::from_secs(40);
-/// Silence after which the store drops an entry: three check-in intervals.
-const ENTRY_LIFE: Duration = Duration::from_millis(3_600);
+/// Time limit of a request.
+const TIME_LIMIT: Duration = Duration::from_secs(8);
+/// When the trouble begins, and when the last attempt at it does.
+const TROUBLE_AT: Duration = Duration::from_secs(8);
+const LAST_ATTEMPT: Duration = Duration::from_secs(55);
+/// Time after which an order that was left unanswered is carried out.
+const LATE: Duration = Duration::from_millis(2_500);
+/// `recover_s` of the site.
+const RECOVER: Duration = Duration::from_secs(12);
+/// Time in which requests count after that.
+const COUNTED: Duration = Duration::from_secs(9);
 
 type Experts = Vec<BTreeSet<usize>>;
 /// Experts by set and rank.
@@ -112,6 +116,15 @@
     entries: BTreeMap<String, Entry>,
     rev: u64,
     record: String,
+    /// Rank whose prepares are left unanswered once at each rank.
+    drop_of: Option<u64>,
+    dropped: BTreeSet<usize>,
+    /// Accepted orders: operation, owner of the version or of the hold, rank.
+    accepted: Vec<(String, u64, usize)>,
+    /// When the counts of each rank of the first group were last read.
+    counts_read: [Option<Instant>; SIZE],
+    /// Requests: when they were sent, and the status of the answer.
+    requests: Vec<(Instant, u16)>,
 }
 
 fn unix_ms() -> u128 {
@@ -175,22 +188,6 @@
         }
     }
 
-    fn crash(&mut self, index: usize) -> Option<Server> {
-        let engine = &mut self.engines[index];
-        let (id, server) = (engine.id.clone(), engine.server.take());
-        if let Some((group, rank)) = engine.place.take() {
-            self.groups[group].members[rank] = None;
-            self.groups[group].open = false;
-            self.groups[group].opens_at = None;
-            self.groups[group].held_since = None;
-        }
-        if let Some(entry) = self.entries.get_mut(&id) {
-            entry.until = Some(Instant::now() + ENTRY_LIFE);
-        }
-        self.note(&format!("replica {id} crashes"));
-        server
-    }
-
     /// Begins the next pass of a group unless it is held.
     fn pass(&mut self, group: usize) {
         let now = Instant::now();
@@ -346,7 +343,7 @@
     }
 
     /// Executes an order as the pages say; returns the status.
-    fn order(&mut self, index: usize, request: &Request) -> u16 {
+    fn order(&mut self, index: usize, request: &Request, late: bool) -> u16 {
         let expected = request.header("x-expect-instance");
         if expected.is_some_and(|id| id != self.engines[index].id) {
             return 421;
@@ -364,6 +361,23 @@
         }
         let begun = g.step;
         let version = order.get("version").number().unwrap_or(0);
+        let op = order.get("op").text().unwrap_or("?");
+        let owner = version % 1024;
+        let unanswered = match op {
+            "prepare" => self.drop_of == Some(owner) && self.dropped.insert(rank),
+            "arm" => {
+                self.drop_of.is_some()
+                    && (owner == 1 || owner == 3)
+                    && rank as u64 == owner
+                    && self.dropped.insert(100 + rank)
+            }
+            _ => false,
+        };
+        if unanswered && !late {
+            let line = format!("order {op} version {version} at rank {rank} is left unanswered");
+            self.note(&line);
+            return 0;
+        }
         let step = order.get("step").number().unwrap_or(0);
         let now = Instant::now();
         let engine = &mut self.engines[index];
@@ -441,6 +455,15 @@
         if status == 202 {
             engine.seq += 1;
         }
+        if status < 300 {
+            let op = order.get("op").text().unwrap_or("?").to_owned();
+            let owner = if op == "hold" || op == "go" {
+                ((rank + SIZE - 1) % SIZE) as u64
+            } else {
+                version % 1024
+            };
+            self.accepted.push((op, owner, rank));
+        }
         let line = format!(
             "order {} version {version} step {step} epoch {} at {} (group {}, rank {rank}, pass {begun}): {status}",
             order.get("op").text().unwrap_or("?"),
@@ -473,13 +496,55 @@
         .collect()
 }
 
-fn answer(world: &Mutex<World>, index: usize, request: &Request) -> (u16, String) {
-    let mut world = world.lock().unwrap();
+/// A request that a replica serves with three passes of its group, if they begin within eight seconds.
+fn work(shared: &Mutex<World>, index: usize) -> (u16, String) {
+    let step = || {
+        let world = shared.lock().unwrap();
+        world.engines[index].place.map(|p| world.groups[p.0].step)
+    };
+    let (began, first) = (Instant::now(), step());
+    while began.elapsed() < TIME_LIMIT {
+        thread::sleep(Duration::from_millis(20));
+        if step()
+            .zip(first)
+            .is_some_and(|(now, first)| now >= first + 3)
+        {
+            return (200, String::new());
+        }
+    }
+    (504, String::new())
+}
+
+fn answer(shared: &Arc<Mutex<World>>, index: usize, request: &Request) -> (u16, String) {
+    if request.path == "/work" {
+        return work(shared, index);
+    }
+    let mut world = shared.lock().unwrap();
     match (request.method.as_str(), request.path.as_str()) {
         ("GET", "/report") => (200, world.report(index)),
-        ("GET", "/picked") => (200, world.picked(index, false)),
-        ("GET", path) if path.starts_with("/picked?lists") => (200, world.picked(index, true)),
-        ("POST", "/order") => (world.order(index, request), String::new()),
+        ("GET", "/picked") => {
+            if index < SIZE {
+                world.counts_read[index] = Some(Instant::now());
+            }
+            (200, world.picked(index, false))
+        }
+        ("GET", path) if path.starts_with("/picked?lists") => {
+            if index < SIZE {
+                world.counts_read[index] = Some(Instant::now());
+            }
+            (200, world.picked(index, true))
+        }
+        ("POST", "/order") => {
+            let status = world.order(index, request, false);
+            if status == 0 {
+                let (shared, request) = (Arc::clone(shared), request.clone());
+                thread::spawn(move || {
+                    thread::sleep(LATE);
+                    shared.lock().unwrap().order(index, &request, true);
+                });
+            }
+            (status, String::new())
+        }
         _ => (404, String::new()),
     }
 }
@@ -547,7 +612,6 @@
 
 fn main() {
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    let own_groups = std::env::var("OWN_GROUPS").as_deref() == Ok("1");
     let count = GROUPS * SIZE;
     let place = Place::new(count + 1);
     let ip = |index: usize| place.ip(index);
@@ -581,6 +645,11 @@
         entries: BTreeMap::new(),
         rev: 2,
         record: String::new(),
+        drop_of: None,
+        dropped: BTreeSet::new(),
+        accepted: Vec::new(),
+        counts_read: [None; SIZE],
+        requests: Vec::new(),
     }));
     let platform = SocketAddr::new(ip(count), place.port(2));
     let store = {
@@ -611,65 +680,185 @@
         let settings = settings(&place, index, platform, index / SIZE);
         sidecars.push(place.daemon(&format!("side-{index:02}"), &settings));
     }
-    wait_until(began + CRASH_AT);
+    let mut back_at = None;
+    for index in 0..SIZE {
+        let (world, address) = (
+            Arc::clone(&world),
+            SocketAddr::new(place.ip(index), place.port(0)),
+        );
+        thread::spawn(move || {
+            loop {
+                thread::sleep(Duration::from_millis(250));
+                let world = Arc::clone(&world);
+                thread::spawn(move || {
+                    let sent = Instant::now();
+                    let status = ask(address);
+                    world.lock().unwrap().requests.push((sent, status));
+                });
+            }
+        });
+    }
+    wait_until(began + TROUBLE_AT);
+    let wait_for = |what: &dyn Fn(&World) -> bool, limit: u64| -> bool {
+        let until = Instant::now() + Duration::from_millis(limit);
+        while Instant::now() < until {
+            if what(&world.lock().unwrap()) {
+                return true;
+            }
+            thread::sleep(Duration::from_micros(300));
+        }
+        false
+    };
+    let note = |line: &str| world.lock().unwrap().note(line);
+    let restart = |sidecars: &mut Vec<Process>, r: usize| {
+        let settings = settings(&place, r, platform, 0)
+            .replace("\"first_start\":true", "\"first_start\":false");
+        sidecars[r] = place.daemon(&format!("side-{r:02}"), &settings);
+    };
     if trouble {
-        let crashed: Vec<usize> = (0..GROUPS).map(|g| g * SIZE + CRASHED).collect();
-        let servers: Vec<Server> = {
-            let mut world = world.lock().unwrap();
-            crashed.iter().filter_map(|i| world.crash(*i)).collect()
-        };
-        servers.iter().for_each(Server::close);
-        wait_until(began + CRASH_AT + REUSE_AFTER);
-        for (group, index) in crashed.iter().enumerate() {
-            let group = if own_groups {
-                group
-            } else {
-                GROUPS - 1 - group
+        for attempt in 0..9 {
+            if began.elapsed() > LAST_ATTEMPT {
+                break;
+            }
+            note(&format!(
+                "attempt {attempt}: sidecars 0, 1 and 2 are killed"
+            ));
+            for r in 0..3 {
+                sidecars[r].signal("-KILL");
+            }
+            let led = wait_for(
+                &|w: &World| w.accepted.iter().rev().take(4).any(|a| a.1 == 3),
+                4000,
+            );
+            note(&format!("rank 3 leads: {led}"));
+            thread::sleep(Duration::from_millis(500));
+            for r in 0..3 {
+                restart(&mut sidecars, r);
+            }
+            note("sidecars 0, 1 and 2 start again");
+            thread::sleep(Duration::from_millis(4000));
+            world.lock().unwrap().accepted.clear();
+            let prepared = wait_for(
+                &|w: &World| {
+                    (0..SIZE).all(|r| {
+                        w.accepted
+                            .iter()
+                            .any(|a| a.0 == "prepare" && a.1 == 3 && a.2 == r)
+                    })
+                },
+                6000,
+            );
+            if !prepared {
+                note("no rollout of rank 3");
+                continue;
+            }
+            sidecars[3].signal("-STOP");
+            sidecars[0].signal("-STOP");
+            note("sidecars 3 and 0 freeze");
+            {
+                let mut w = world.lock().unwrap();
+                w.accepted.clear();
+                w.dropped.clear();
+                w.drop_of = Some(1);
+            }
+            let frozen_at = Instant::now();
+            let leads = wait_for(
+                &|w: &World| {
+                    [1, 2].iter().any(|r| {
+                        w.counts_read[*r]
+                            .is_some_and(|at| at > frozen_at + Duration::from_millis(500))
+                    })
+                },
+                2500,
+            );
+            sidecars[0].signal("-CONT");
+            note(&format!("sidecar 0 wakes; rank 1 leads: {leads}"));
+            let planned = wait_for(&|w: &World| !w.dropped.is_empty(), 4000);
+            sidecars[3].signal("-CONT");
+            note(&format!("sidecar 3 wakes; rank 1 has planned: {planned}"));
+            let held = wait_for(
+                &|w: &World| w.accepted.iter().any(|a| a.0 == "hold" && a.1 == 3),
+                400,
+            );
+            sidecars[3].signal("-KILL");
+            note(&format!(
+                "sidecar 3 is killed; a pass is held at rank 0: {held}"
+            ));
+            let second = wait_for(
+                &|w: &World| w.accepted.iter().any(|a| a.0 == "hold" && a.1 == 1),
+                2500,
+            );
+            sidecars[1].signal("-KILL");
+            note(&format!(
+                "sidecar 1 is killed; a pass is held at rank 2: {second}"
+            ));
+            world.lock().unwrap().drop_of = None;
+            thread::sleep(Duration::from_millis(1200));
+            for r in [1, 3] {
+                restart(&mut sidecars, r);
+            }
+            back_at = Some(Instant::now());
+            let views: Vec<String> = {
+                let w = world.lock().unwrap();
+                (0..SIZE)
+                    .map(|r| {
+                        format!(
+                            "held {:?} armed {:?}",
+                            w.engines[r].rank.held, w.engines[r].rank.armed
+                        )
+                    })
+                    .collect()
             };
-            World::start(&world, *index, &format!("i-{index:02}-new"), group);
-            if !own_groups {
-                // The replica beside which the sidecar runs is of another service now.
-                let settings = settings(&place, *index, platform, group);
-                place.write(&format!("side-{index:02}"), &settings);
-                sidecars[*index].signal("-HUP");
+            note(&format!("sidecars 1 and 3 start again; {views:?}"));
+            let step = world.lock().unwrap().groups[0].step;
+            let goes_on = wait_for(&|w: &World| w.groups[0].step > step + 5, 3000);
+            note(&format!("passes go on: {goes_on}"));
+            if !goes_on {
+                break;
             }
         }
     }
-    wait_until(began + LENGTH);
+    let back_at = back_at.unwrap_or(began + Duration::from_secs(12));
+    wait_until(back_at + RECOVER + COUNTED + TIME_LIMIT);
     let ended = sidecars.iter_mut().map(Process::has_ended);
     let ended = ended.filter(|ended| *ended).count();
     sidecars.into_iter().for_each(Process::end);
     store.close();
     let mut world = world.lock().unwrap();
     let mut summary = String::new();
-    let (mut mixed, mut fewest) = (0, u32::MAX);
-    for g in &world.groups {
-        mixed += g.mixed;
-        fewest = fewest.min(g.switches);
-        let _ = writeln!(
-            summary,
-            "group {}: epoch {}, {} passes, {} changes of map, {} passes begun with different maps, held {:.1} s at most",
-            g.name,
-            g.epoch,
-            g.step,
-            g.switches,
-            g.mixed,
-            g.longest_hold.as_secs_f64()
-        );
-    }
+    let counted = |from: Instant, until: Instant| {
+        let sent = world.requests.iter().filter(|r| r.0 >= from && r.0 < until);
+        let all: Vec<u16> = sent.map(|r| r.1).collect();
+        (all.iter().filter(|s| **s == 200).count(), all.len())
+    };
+    let before = counted(began + Duration::from_secs(2), began + TROUBLE_AT);
+    let after = counted(back_at + RECOVER, back_at + RECOVER + COUNTED);
+    let g = &world.groups[0];
+    let held = g.held_since.map_or(0.0, |at| at.elapsed().as_secs_f64());
     let _ = writeln!(
         summary,
-        "sidecars that ended by themselves: {ended}; trouble: {trouble}; back where they were: {own_groups}"
+        "group {}: epoch {}, {} passes, {} changes of map, held for {held:.1} s at the end",
+        g.name, g.epoch, g.step, g.switches
     );
-    let result = if mixed > 0 {
-        ("MAP is broken", 1)
-    } else if fewest == 0 || ended > 0 {
-        (
-            "the case could not run: no change of map, or a sidecar ended",
-            2,
-        )
+    let _ = writeln!(
+        summary,
+        "requests served: {} of {} before the trouble, {} of {} that were sent later than {} s after all were back",
+        before.0,
+        before.1,
+        after.0,
+        after.1,
+        RECOVER.as_secs()
+    );
+    let _ = writeln!(
+        summary,
+        "sidecars that ended by themselves: {ended}; trouble: {trouble}"
+    );
+    let result = if before.0 * 4 < before.1 || after.1 == 0 || g.switches == 0 {
+        ("the case could not run", 2)
+    } else if after.0 * 4 < after.1 {
+        ("RECOVER is broken", 1)
     } else {
-        ("MAP held", 0)
+        ("RECOVER held", 0)
     };
     let _ = writeln!(summary, "{}", result.0);
     print!("{summary}");
@@ -693,6 +882,18 @@
     )
 }
 
+/// Sends a request to a replica; 0 if there is no answer.
+fn ask(address: SocketAddr) -> u16 {
+    let request = b"GET /work HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n";
+    let Ok(mut stream) = TcpStream::connect(address) else {
+        return 0;
+    };
+    let mut head = [0; 12];
+    let answered = stream.write_all(request).is_ok() && stream.read_exact(&mut head).is_ok();
+    let status = String::from_utf8_lossy(&head[9..]).parse();
+    status.ok().filter(|_| answered).unwrap_or(0)
+}
+
 fn wait_until(at: Instant) {
     thread::sleep(at.saturating_duration_since(Instant::now()));
 }
