Review: keep every attempt of case 6 inside the site's doses

Cause: attempts of the script that came to nothing went past the limits that its claim quotes: a sidecar frozen for 5.1 s (3.5 allowed), kills of 4.2 s (2.0), two of 12 machines frozen (share 0.11).

--- a/review/standins-2/src/rank_hold.rs
+++ b/review/standins-2/src/rank_hold.rs
@@ -1,4 +1,4 @@
-//! Three groups of four ranks, the platform's store, the sidecars of the ranks, and callers of the first group.
+//! Five groups of four ranks, the platform's store, the sidecars of the ranks, and callers of the first group.
 //!
 //! Two sidecars of the first group are killed, each right after it has held a pass. The replicas serve a request
 //! with the next three passes of their group; the callers call them directly.
@@ -25,9 +25,9 @@
 use json::Json;
 use place::{Place, Process};
 
-const GROUPS: usize = 3;
+const GROUPS: usize = 5;
 const SIZE: usize = 4;
-const SERVICES: [&str; GROUPS] = ["scribe", "teller", "clerk"];
+const SERVICES: [&str; GROUPS] = ["scribe", "teller", "clerk", "broker", "usher"];
 const SETS: usize = 2;
 const EXPERTS: usize = 16;
 const PLACEMENTS: usize = 7;
@@ -45,6 +45,8 @@
 /// When the trouble begins, and when the last attempt at it does.
 const TROUBLE_AT: Duration = Duration::from_secs(8);
 const LAST_ATTEMPT: Duration = Duration::from_secs(55);
+/// Longest time for which a sidecar is frozen, within the 3.5 s of the site.
+const LONGEST_FREEZE: Duration = Duration::from_millis(3_300);
 /// Time after which an order that was left unanswered is carried out.
 const LATE: Duration = Duration::from_millis(2_500);
 /// `recover_s` of the site.
@@ -728,7 +730,7 @@
             }
             let led = wait_for(
                 &|w: &World| w.accepted.iter().rev().take(4).any(|a| a.1 == 3),
-                4000,
+                2800,
             );
             note(&format!("rank 3 leads: {led}"));
             thread::sleep(Duration::from_millis(500));
@@ -769,32 +771,39 @@
                             .is_some_and(|at| at > frozen_at + Duration::from_millis(500))
                     })
                 },
-                2500,
+                2000,
             );
             sidecars[0].signal("-CONT");
             note(&format!("sidecar 0 wakes; rank 1 leads: {leads}"));
-            let planned = wait_for(&|w: &World| !w.dropped.is_empty(), 4000);
+            let left = LONGEST_FREEZE.saturating_sub(frozen_at.elapsed());
+            let left = u64::try_from(left.as_millis()).unwrap_or(0);
+            let planned = wait_for(&|w: &World| !w.dropped.is_empty(), left);
             sidecars[3].signal("-CONT");
             note(&format!("sidecar 3 wakes; rank 1 has planned: {planned}"));
-            let held = wait_for(
-                &|w: &World| w.accepted.iter().any(|a| a.0 == "hold" && a.1 == 3),
-                400,
-            );
+            let held = planned
+                && wait_for(
+                    &|w: &World| w.accepted.iter().any(|a| a.0 == "hold" && a.1 == 3),
+                    400,
+                );
+            if !held {
+                world.lock().unwrap().drop_of = None;
+                note("sidecar 3 holds no pass: the attempt is left");
+                thread::sleep(Duration::from_millis(500));
+                continue;
+            }
             sidecars[3].signal("-KILL");
-            note(&format!(
-                "sidecar 3 is killed; a pass is held at rank 0: {held}"
-            ));
+            note("sidecar 3 is killed; a pass is held at rank 0");
             let second = wait_for(
                 &|w: &World| w.accepted.iter().any(|a| a.0 == "hold" && a.1 == 1),
-                2500,
+                1700,
             );
-            sidecars[1].signal("-KILL");
-            note(&format!(
-                "sidecar 1 is killed; a pass is held at rank 2: {second}"
-            ));
+            if second {
+                sidecars[1].signal("-KILL");
+                note("sidecar 1 is killed; a pass is held at rank 2");
+            }
             world.lock().unwrap().drop_of = None;
             thread::sleep(Duration::from_millis(1200));
-            for r in [1, 3] {
+            for r in [1, 3].into_iter().filter(|r| second || *r == 3) {
                 restart(&mut sidecars, r);
             }
             back_at = Some(Instant::now());
@@ -809,7 +818,7 @@
                     })
                     .collect()
             };
-            note(&format!("sidecars 1 and 3 start again; {views:?}"));
+            note(&format!("what was killed starts again; {views:?}"));
             let step = world.lock().unwrap().groups[0].step;
             let goes_on = wait_for(&|w: &World| w.groups[0].step > step + 5, 3000);
             note(&format!("passes go on: {goes_on}"));
