Settings: accept every form of number that the platform may fill in

Cause: the templates copy bounds and limits of the platform into the settings, where each field had a type of its own: u64, usize, u16 or f64, with ranges that no page names. Fractions of grace_s, stable_window_ms, evacuate_ms, memory_mb and max_fds, true or false for any bound, and bounds that are absent kept a process from starting. A huge max_fds passed the check and made a semaphore panic later.

Templates leave out figures that are not given.

Evidence: processes_start_with_any_form_of_the_platforms_figures renders the templates in deploy/ with each figure as a whole number, a fraction, true, false, null and absent.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -17,6 +17,9 @@
         }
     };
     if args.check {
+        for note in &settings.notes {
+            println!("{}: {note}", args.settings.display());
+        }
         println!("{}: the settings are valid", args.settings.display());
         return ExitCode::SUCCESS;
     }
--- a/crates/daemon/src/run/mod.rs
+++ b/crates/daemon/src/run/mod.rs
@@ -3,8 +3,6 @@
 use std::path::Path;
 use std::time::Duration;
 
-use eelgrasshold_core::gateway::budget::RetryBound;
-use eelgrasshold_core::gateway::cold::ColdBound;
 use eelgrasshold_core::held::default_capacity;
 use eelgrasshold_net::gateway::{GatewayHost, GatewayOptions};
 use eelgrasshold_net::host::{
@@ -117,6 +115,9 @@
     for path in &settings.unknown {
         log::warn!("ignoring unknown setting `{path}`");
     }
+    for note in &settings.notes {
+        log::warn!("settings: {note}");
+    }
     if let Some(gateway) = &settings.gateway {
         let host = GatewayHost::start(gateway_options(&settings, gateway)).await?;
         while signals.next().await == SignalAction::Reload {
@@ -173,8 +174,8 @@
         service: engine.service.clone(),
         peers: settings.control_address,
         platform: settings.platform_url.clone(),
-        link_bytes_per_s: settings.rank.link_mbps * 1e6 / 8.0,
-        fanout: settings.rank.fanout,
+        link_bytes_per_s: settings.rank.link_bytes_per_s(),
+        fanout: settings.rank.fanout(),
         first_start: settings.first_start,
         host: settings.host.clone(),
         metrics: settings.metrics_address,
@@ -182,15 +183,11 @@
 }
 
 fn gateway_options(settings: &Settings, gateway: &GatewaySettings) -> GatewayOptions {
-    let retry_bound = RetryBound {
-        window: Duration::from_secs_f64(gateway.retry_window_s),
-        ratio: gateway.retry_ratio,
-        allowance: gateway.retry_allowance,
-    };
-    let validity = Duration::from_secs_f64(gateway.answer_validity_s).min(MAX_ANSWER_VALIDITY);
-    let held_bytes = gateway
-        .held_mib
-        .map_or_else(|| default_capacity(gateway.memory_mb), |mib| mib << 20);
+    let validity = gateway.answer_validity().min(MAX_ANSWER_VALIDITY);
+    let held_bytes = gateway.held_mib.count().map_or_else(
+        || default_capacity(gateway.memory_mb.count()),
+        |mib| mib << 20,
+    );
     GatewayOptions::builder(&settings.host, &settings.platform_url)
         .place(&settings.region, &settings.data_centre)
         .callers(settings.data_address)
@@ -198,30 +195,21 @@
         .directory(gateway.directory_address)
         .peers(settings.control_address, settings.seeds.clone())
         .metrics(settings.metrics_address)
-        .settle_time(Duration::from_millis(gateway.store_settle_ms))
-        .evacuate_within(gateway.evacuate_ms.map(Duration::from_millis))
-        .retry_bound(retry_bound)
-        .cold_bound(cold_bound(gateway))
+        .settle_time(gateway.settle_time())
+        .evacuate_within(gateway.evacuate_within())
+        .retry_bound(gateway.retry_bound())
+        .cold_bound(gateway.cold_bound())
         .first_start(settings.first_start)
-        .sidecar_port(gateway.sidecar_port)
+        .sidecar_port(gateway.sidecar_port())
         .pause_control(gateway.pause_control)
         .answer_validity(validity)
-        .drain_limit(Duration::from_secs(settings.drain_limit_s))
-        .connections((gateway.max_descriptors - RESERVED_DESCRIPTORS) / 2)
+        .drain_limit(settings.drain_limit())
+        .connections((gateway.max_descriptors() - RESERVED_DESCRIPTORS) / 2)
         .held_bytes(held_bytes)
         .lines_dropped(logs::dropped_lines)
         .build()
 }
 
-/// Bound on requests to cold upstreams; the missing one of the two settings changes nothing.
-fn cold_bound(gateway: &GatewaySettings) -> Option<ColdBound> {
-    let is_set = gateway.cold_overage.is_some() || gateway.cold_slack.is_some();
-    is_set.then(|| ColdBound {
-        overage: gateway.cold_overage.unwrap_or(1.0),
-        slack: gateway.cold_slack.unwrap_or(0.0),
-    })
-}
-
 fn host_options(settings: &Settings) -> Result<HostOptions, RunError> {
     let identity = match &settings.tls {
         None => None,
@@ -238,7 +226,7 @@
         .admin(settings.admin_address)
         .seeds(settings.seeds.iter().map(ToString::to_string).collect())
         .identity(identity)
-        .drain_limit(Duration::from_secs(settings.drain_limit_s))
+        .drain_limit(settings.drain_limit())
         .build())
 }
 
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -1,19 +1,83 @@
 //! Validation beyond what the settings types enforce.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 
+use super::number::Number;
 use super::{GatewaySettings, RankSettings, Role, Settings};
 
-const MAX_DRAIN_LIMIT_S: u64 = 3_600;
-
+/// A day, in seconds and in milliseconds.
+const MAX_SECONDS: f64 = 86_400.0;
+const MAX_MILLIS: f64 = 1_000.0 * MAX_SECONDS;
+/// Longest retry window in seconds, since the time of each request in it is kept.
+const MAX_RETRY_WINDOW_S: f64 = 3_600.0;
+/// Largest ratio, and largest number of requests.
+const MAX_REQUESTS: f64 = 1e6;
 /// Minimum file descriptors of a gateway: those reserved for listeners, files and control traffic,
 /// and a few connections.
-const MIN_DESCRIPTORS: usize = 256;
-
+const MIN_DESCRIPTORS: f64 = 256.0;
+/// Largest number of file descriptors, far below that of permits of a semaphore.
+const MAX_DESCRIPTORS: f64 = (1 << 30) as f64;
 /// Least memory of a gateway's machine, in MiB: the smallest budget of held bytes, and the process itself.
-const MIN_MEMORY_MB: usize = 64;
-/// Largest budget of held bytes, in MiB.
-const MAX_HELD_MIB: usize = 1 << 20;
+const MIN_MEMORY_MB: f64 = 64.0;
+/// Most memory of a machine and largest budget of held bytes, in MiB.
+const MAX_MEMORY_MB: f64 = (1 << 30) as f64;
+const MAX_HELD_MIB: f64 = (1 << 20) as f64;
+
+/// Settings that are numbers, with the range of each.
+fn ranges(settings: &Settings) -> Vec<(&'static str, Number, RangeInclusive<f64>)> {
+    let rank = &settings.rank;
+    let mut ranges = vec![
+        ("drain_limit_s", settings.drain_limit_s, 0.0..=MAX_SECONDS),
+        ("rank.link_mbps", rank.link_mbps, 0.1..=1e6),
+        ("rank.fanout", rank.fanout, 1.0..=64.0),
+    ];
+    if let Some(g) = &settings.gateway {
+        ranges.extend([
+            (
+                "gateway.answer_validity_s",
+                g.answer_validity_s,
+                0.0..=MAX_SECONDS,
+            ),
+            (
+                "gateway.store_settle_ms",
+                g.store_settle_ms,
+                0.0..=MAX_MILLIS,
+            ),
+            ("gateway.evacuate_ms", g.evacuate_ms, 0.0..=MAX_MILLIS),
+            ("gateway.retry_ratio", g.retry_ratio, 0.0..=MAX_REQUESTS),
+            (
+                "gateway.retry_allowance",
+                g.retry_allowance,
+                0.0..=MAX_REQUESTS,
+            ),
+            (
+                "gateway.retry_window_s",
+                g.retry_window_s,
+                0.0..=MAX_RETRY_WINDOW_S,
+            ),
+            ("gateway.cold_overage", g.cold_overage, 0.0..=MAX_REQUESTS),
+            (
+                "gateway.cold_slack",
+                g.cold_slack,
+                -MAX_REQUESTS..=MAX_REQUESTS,
+            ),
+            ("gateway.sidecar_port", g.sidecar_port, 1.0..=65_535.0),
+            (
+                "gateway.max_descriptors",
+                g.max_descriptors,
+                MIN_DESCRIPTORS..=MAX_DESCRIPTORS,
+            ),
+            (
+                "gateway.memory_mb",
+                g.memory_mb,
+                MIN_MEMORY_MB..=MAX_MEMORY_MB,
+            ),
+            ("gateway.held_mib", g.held_mib, 1.0..=MAX_HELD_MIB),
+        ]);
+    }
+    ranges
+}
 
 /// Returns all problems of the settings, each with its JSON path.
 pub fn problems(settings: &Settings) -> Vec<String> {
@@ -51,11 +115,12 @@
         ),
         _ => {}
     }
-    if !(0.1..=1e6).contains(&settings.rank.link_mbps) {
-        report("rank.link_mbps", "must be 0.1 to 1000000");
-    }
-    if !(1..=64).contains(&settings.rank.fanout) {
-        report("rank.fanout", "must be 1 to 64");
+    for (path, number, range) in ranges(settings) {
+        let wrong = number.given().filter(|n| !range.contains(n));
+        if let Some(wrong) = wrong {
+            let (least, most) = (range.start(), range.end());
+            report(path, &format!("must be {least} to {most}, is {wrong:?}"));
+        }
     }
     if settings.role != Some(Role::Rank) && settings.rank != RankSettings::default() {
         report("rank", "only the role `rank` has this section; remove it");
@@ -82,9 +147,6 @@
     if !settings.platform_url.starts_with("http://") {
         report("platform_url", "must start with http://");
     }
-    if !(1..=MAX_DRAIN_LIMIT_S).contains(&settings.drain_limit_s) {
-        report("drain_limit_s", "must be 1 to 3600");
-    }
     for (path, address) in [
         ("data_address", settings.data_address),
         ("control_address", settings.control_address),
@@ -114,49 +176,44 @@
     problems
 }
 
+/// Returns what is told to operators of settings that are valid, each with its JSON path.
+pub fn notes(settings: &Settings) -> Vec<String> {
+    let Some(gateway) = &settings.gateway else {
+        return Vec::new();
+    };
+    let validity = gateway.answer_validity_s.seconds();
+    let window = gateway.retry_window_s.seconds();
+    let settle_time = gateway.store_settle_ms.millis();
+    let evacuation = gateway.evacuate_ms.millis();
+    let used = [
+        (
+            "answer_validity_s",
+            validity,
+            Some(gateway.answer_validity()),
+        ),
+        ("store_settle_ms", settle_time, Some(gateway.settle_time())),
+        ("evacuate_ms", evacuation, gateway.evacuate_within()),
+        ("retry_window_s", window, Some(gateway.retry_bound().window)),
+    ];
+    let differ = used.into_iter().filter_map(|(name, given, used)| {
+        let (given, used) = (given?, used?);
+        (given != used).then(|| format!("at `gateway.{name}`: {given:?} counts as {used:?}"))
+    });
+    differ.collect()
+}
+
 fn gateway_problems(gateway: &GatewaySettings, report: &mut impl FnMut(&str, &str)) {
-    if !(0.1..=3_600.0).contains(&gateway.answer_validity_s) {
-        report("gateway.answer_validity_s", "must be 0.1 to 3600");
-    }
-    if !(500..=60_000).contains(&gateway.store_settle_ms) {
-        report("gateway.store_settle_ms", "must be 500 to 60000");
+    let port = gateway.sidecar_port.given().unwrap_or_default();
+    if port.fract() != 0.0 {
+        let reason = format!("must be a whole number, is {port:?}");
+        report("gateway.sidecar_port", &reason);
     }
-    if gateway
-        .evacuate_ms
-        .is_some_and(|ms| !(500..=60_000).contains(&ms))
+    if let (Some(held), Some(memory)) = (gateway.held_mib.given(), gateway.memory_mb.given())
+        && held > (memory / 2.0).floor()
     {
-        report("gateway.evacuate_ms", "must be 500 to 60000");
-    }
-    if !(0.0..=10.0).contains(&gateway.retry_ratio) {
-        report("gateway.retry_ratio", "must be 0 to 10");
-    }
-    if !(0.0..=1e6).contains(&gateway.retry_allowance) {
-        report("gateway.retry_allowance", "must be 0 to 1000000");
-    }
-    if !(0.1..=3_600.0).contains(&gateway.retry_window_s) {
-        report("gateway.retry_window_s", "must be 0.1 to 3600");
-    }
-    if !(0.0..=1e6).contains(&gateway.cold_overage.unwrap_or_default()) {
-        report("gateway.cold_overage", "must be 0 to 1000000");
-    }
-    if !(-1e6..=1e6).contains(&gateway.cold_slack.unwrap_or_default()) {
-        report("gateway.cold_slack", "must be -1000000 to 1000000");
-    }
-    if gateway.max_descriptors < MIN_DESCRIPTORS {
-        report("gateway.max_descriptors", "must be 256 or more");
-    }
-    if gateway.memory_mb.is_some_and(|mb| mb < MIN_MEMORY_MB) {
-        report("gateway.memory_mb", "must be 64 or more, or left out");
-    }
-    let most = gateway.memory_mb.map_or(MAX_HELD_MIB, |mb| mb / 2);
-    match gateway.held_mib {
-        Some(mib) if !(1..=MAX_HELD_MIB).contains(&mib) => {
-            report("gateway.held_mib", "must be 1 to 1048576, or left out");
-        }
-        Some(mib) if mib > most => report(
+        report(
             "gateway.held_mib",
             "must be at most half of `gateway.memory_mb`; lower it",
-        ),
-        _ => {}
+        );
     }
 }
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod model;
+mod number;
 
 #[cfg(test)]
 mod tests;
@@ -74,6 +75,7 @@
     })?;
     let problems = check::problems(&settings);
     if problems.is_empty() {
+        settings.notes = check::notes(&settings);
         return Ok(settings);
     }
     InvalidSnafu {
