Gateway: accept fractions in X-Deadline-Ms and in token counts

Cause: the headers were parsed as u64 and u32, and what does not parse counts as absent.

Change: wire::headers::number parses them; negative and infinite values are still ignored. Milliseconds keep their fraction, counts are rounded up.

--- a/crates/net/src/gateway/intake.rs
+++ b/crates/net/src/gateway/intake.rs
@@ -14,7 +14,7 @@
 use super::exchange::Exchange;
 use super::shared::Shared;
 use crate::http::{Body, BodyError, collect_held, discard, full};
-use crate::wire::headers::{parsed, text, value};
+use crate::wire::headers::{number, text, value};
 use crate::wire::problem_response;
 
 /// Largest request body while there is no configuration, in bytes.
@@ -142,17 +142,20 @@
     let host = uri.authority().map(http::uri::Authority::as_str);
     let host = host.or_else(|| text(headers, &header::HOST));
     let tokens = text(headers, &names::TOKENS).and_then(|t| t.split_once(','));
-    let number = |text: &str| text.trim().parse::<u32>().ok();
-    let hint = text(headers, &names::LENGTH_HINT).and_then(number);
-    let prompt = tokens.and_then(|(prompt, _)| number(prompt));
-    let max_answer = tokens.and_then(|(_, max)| number(max));
-    let deadline_ms = parsed::<u64>(headers, &names::DEADLINE_MS).ok().flatten();
+    // The conversion saturates.
+    let count = |text: &str| number(text).map(|n| n.ceil() as u32);
+    let hint = text(headers, &names::LENGTH_HINT).and_then(count);
+    let prompt = tokens.and_then(|(prompt, _)| count(prompt));
+    let max_answer = tokens.and_then(|(_, max)| count(max));
+    let deadline = text(headers, &names::DEADLINE_MS)
+        .and_then(number)
+        .map(|ms| Duration::try_from_secs_f64(ms / 1_000.0).unwrap_or(Duration::MAX));
     RequestHead {
         id,
         host: host.unwrap_or_default(),
         path: uri.path(),
         key: text(headers, &names::API_KEY),
-        deadline: deadline_ms.map(Duration::from_millis),
+        deadline,
         parts,
         prompt_tokens: prompt.unwrap_or_default(),
         answer_tokens: hint.or(max_answer).unwrap_or_default(),
--- a/crates/net/src/wire/headers.rs
+++ b/crates/net/src/wire/headers.rs
@@ -90,6 +90,13 @@
     }
 }
 
+/// Parses a number that may have a fraction; `None` if it is malformed, negative or not finite.
+#[must_use]
+pub fn number(text: &str) -> Option<f64> {
+    let number = text.trim().parse::<f64>().ok();
+    number.filter(|n| n.is_finite() && *n >= 0.0)
+}
+
 /// Parses the value of a header as JSON; `None` if it is missing or malformed.
 #[must_use]
 pub fn json<T: serde::de::DeserializeOwned>(headers: &HeaderMap, name: &HeaderName) -> Option<T> {
--- a/crates/standins/tests/gateway/answers.rs
+++ b/crates/standins/tests/gateway/answers.rs
@@ -28,6 +28,21 @@
     assert!((1..=2_500).contains(&left), "{left}");
 }
 
+// Guards against a time limit of a caller that is ignored since it has a fraction.
+#[tokio::test]
+async fn time_limits_of_callers_may_have_fractions() {
+    let cluster = Cluster::start(1, 1).await;
+    let address = cluster.gateways[0].callers_address();
+    for (limit, most) in [("900.5", 900), ("9e2", 900), ("1e300", 3_000)] {
+        let request = request("GET", "/safe/x", limit).replace("2500", limit);
+        assert_eq!(send(address, &request).await.status, 200);
+        let arrivals = cluster.replicas[0].arrivals();
+        let left = arrivals.last().unwrap().header("x-deadline-ms");
+        let left: u64 = left.parse().unwrap();
+        assert!((1..=most).contains(&left), "{limit}: {left}");
+    }
+}
+
 // Guards against requests that run although their route, key or request id is unknown or missing.
 #[tokio::test]
 async fn unknown_routes_and_keys_are_refused_without_a_run() {
