Sidecars: reads for evidence no longer keep others from leading

Cause: two sidecars each held a pass and were lost before any rank was armed. The sidecars beside the holds read the other ranks every 50 ms for evidence that they may release them. These reads named their caller as the leader, so every sidecar was polled by one of the two, nobody led, and only a leader takes over a pass that no rank is armed for.

Change: reads name a leader only if the sidecar leads or drives a rollout (Leader::polling_rank). The format of calls has a value for that already, so sidecars of earlier builds understand the new ones. Whether a map change is safe does not depend on who leads.

--- a/crates/core/src/ranks/leader.rs
+++ b/crates/core/src/ranks/leader.rs
@@ -129,7 +129,7 @@
 pub enum Input {
     /// State of the local rank, at the start and after it could not be read.
     OwnView(RankView),
-    /// The sidecar of the given rank, which leads, called the local one.
+    /// The sidecar of the given rank, which leads or drives a rollout, called the local one.
     PolledBy(RankIndex),
     /// A rank was read.
     Read {
@@ -357,6 +357,14 @@
         self.leads
     }
 
+    /// Rank in whose name reads count as polls: that of a sidecar that leads or drives a rollout. Reads for
+    /// evidence must not keep others from leading, since only a leader releases a pass without evidence.
+    #[must_use]
+    pub fn polling_rank(&self) -> Option<RankIndex> {
+        let polls = self.leads || self.rollout.is_some();
+        self.own_rank.filter(|_| polls)
+    }
+
     fn step(&mut self, now: Now) {
         let Some(own_rank) = self.own_rank else {
             return;
--- a/crates/core/src/ranks/tests/leader.rs
+++ b/crates/core/src/ranks/tests/leader.rs
@@ -113,3 +113,48 @@
         assert!(orders.is_empty(), "{armed:?}: {orders:?}");
     }
 }
+
+/// Guards against a group without a leader since the sidecars beside two held passes, which look for evidence that
+/// nobody has, are taken for leaders by the others.
+#[test]
+fn sidecars_that_look_for_evidence_do_not_keep_others_from_leading() {
+    let size = 4;
+    // The sidecars of ranks 1 and 3 held a pass each, and were lost before any rank was armed.
+    let held = [Some(305), None, Some(309), None];
+    let view = |rank: usize| RankView {
+        size,
+        held: held[rank],
+        ..view(rank, 0)
+    };
+    let mut sidecars: Vec<Leader> = (0..size).map(|_| leader()).collect();
+    let mut reads = 0;
+    for at in (0..6_000).step_by(10) {
+        let mut inputs: Vec<(usize, Input)> = (0..size)
+            .map(|rank| (rank, Input::OwnView(view(rank))))
+            .collect();
+        while let Some((caller, input)) = inputs.pop() {
+            let outputs = sidecars[caller].handle(ms(at), input);
+            if sidecars[caller].leads() {
+                assert!(reads > 0, "no sidecar looked for evidence");
+                return;
+            }
+            let polling_rank = sidecars[caller].polling_rank();
+            for output in outputs {
+                let Output::Read(rank, _) = output else {
+                    continue;
+                };
+                reads += 1;
+                if let Some(leader) = polling_rank.filter(|leader| *leader != rank) {
+                    inputs.push((rank, Input::PolledBy(leader)));
+                }
+                let read = Input::Read {
+                    requested_at: ms(at),
+                    view: view(rank),
+                    held: None,
+                };
+                inputs.push((caller, read));
+            }
+        }
+    }
+    panic!("no sidecar leads");
+}
--- a/crates/core/tests/rank_fuzz.rs
+++ b/crates/core/tests/rank_fuzz.rs
@@ -389,10 +389,13 @@
 }
 
 /// Seeds of simulations that found a fault.
-const REGRESSIONS: [u64; 1] = [
+const REGRESSIONS: [u64; 2] = [
     // Two sidecars each left a held pass. A third one waited for the later pass, which the group
     // cannot reach, and never released the earlier one.
     21_006_527,
+    // Two passes were held before any rank was armed. The sidecars beside them looked for evidence, which kept all
+    // from leading, so nobody released the passes.
+    9_102_034_423,
 ];
 
 /// Guards against the return of faults that the fuzzer found.
--- a/crates/core/tests/rank_fuzz/tree.rs
+++ b/crates/core/tests/rank_fuzz/tree.rs
@@ -94,13 +94,14 @@
 
     pub fn read(&mut self, sidecar: usize, ranks: Vec<usize>, scope: ReadScope) {
         let now = self.now;
+        let polling_rank = self.sidecars[sidecar].leader.polling_rank();
         let mut selections = Selections::default();
         for (rank, fate) in self.call(sidecar, ranks) {
             if !matches!(fate, Fate::Delivered { .. }) {
                 continue;
             }
-            if sidecar != rank {
-                let polled = Event::Input(rank, Box::new(Input::PolledBy(sidecar)));
+            if let Some(leader) = polling_rank.filter(|leader| *leader != rank) {
+                let polled = Event::Input(rank, Box::new(Input::PolledBy(leader)));
                 self.schedule(now + STEP, polled);
             }
             if scope == ReadScope::Counts {
--- a/crates/net/src/ranks/group/mod.rs
+++ b/crates/net/src/ranks/group/mod.rs
@@ -223,9 +223,14 @@
             .collect();
         lock(&self.reads).end(scope, &left_out);
         let (direct, trees): (Vec<_>, Vec<_>) = branches.into_iter().partition(|b| b.child.suspect);
+        let leader = lock(&self.leader).polling_rank();
+        let call = Call {
+            leader,
+            task: Task::Read(scope),
+        };
         let mut calls: FuturesUnordered<_> = trees
             .into_iter()
-            .map(|branch| self.call_branch(branch, Task::Read(scope)))
+            .map(|branch| self.call_branch(branch, call.clone()))
             .collect();
         let mut selections = Selections::default();
         let in_tree = async {
@@ -245,13 +250,18 @@
         };
         let directly = direct
             .into_iter()
-            .map(|b| self.read_directly(requested_at, b.child, scope));
+            .map(|b| self.read_directly(requested_at, leader, b.child, scope));
         tokio::join!(in_tree, futures::future::join_all(directly));
     }
 
-    async fn read_directly(&self, requested_at: Now, to: Addressee, scope: ReadScope) {
-        let own = self.local.rank();
-        let reading = to.remote.read(own, to.rank, scope).await;
+    async fn read_directly(
+        &self,
+        requested_at: Now,
+        leader: Option<RankIndex>,
+        to: Addressee,
+        scope: ReadScope,
+    ) {
+        let reading = to.remote.read(leader, to.rank, scope).await;
         lock(&self.reads).end(scope, &[to.rank]);
         if let Some(reading) = reading {
             let lag = if reading.from_engine {
@@ -265,7 +275,7 @@
     }
 
     /// Calls the members of a branch; those that do not answer become suspects.
-    async fn call_branch(&self, branch: Branch<Addressee>, task: Task) -> (Vec<RankIndex>, Reply) {
+    async fn call_branch(&self, branch: Branch<Addressee>, call: Call) -> (Vec<RankIndex>, Reply) {
         let member = |a: &Addressee| Member {
             rank: a.rank,
             sidecar: a.remote.sidecar(),
@@ -274,10 +284,6 @@
         let child = member(&branch.child);
         let mut called = vec![child.rank];
         called.extend(members.iter().map(|m| m.rank));
-        let call = Call {
-            leader: self.local.rank(),
-            task,
-        };
         let deadline = Instant::now() + TREE_TIMEOUT;
         let answer = self.links.call(child, call, members, deadline).await;
         let reply = answer.unwrap_or_else(|error| {
@@ -362,11 +368,13 @@
                 None => Vec::new(),
             }
         };
+        let leader = self.local.rank();
         let call = |branch: Branch<Addressee>| {
             let (task, encoded) = (task.clone(), encoded.clone());
             async move {
                 if !branch.child.suspect {
-                    return self.call_branch(branch, task).await.1.ranks;
+                    let call = Call { leader, task };
+                    return self.call_branch(branch, call).await.1.ranks;
                 }
                 let rank = branch.child.rank;
                 let order = RankOrder {
@@ -374,8 +382,7 @@
                     epoch,
                     order: order.clone(),
                 };
-                let own = self.local.rank();
-                let result = branch.child.remote.execute(own, &order, encoded).await;
+                let result = branch.child.remote.execute(leader, &order, encoded).await;
                 vec![(rank, RankReply::Result(result))]
             }
         };
--- a/crates/net/src/ranks/wire/mod.rs
+++ b/crates/net/src/ranks/wire/mod.rs
@@ -22,7 +22,8 @@
 /// A call to any number of ranks.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct Call {
-    /// Rank of the sidecar that leads; `None` if the caller only searches for ranks.
+    /// Rank of the sidecar that leads or drives a rollout; `None` if the caller only looks for ranks or for
+    /// evidence.
     pub(super) leader: Option<RankIndex>,
     pub(super) task: Task,
 }
