Sidecars: tell the ranks of a group from those of others

Cause: a rank was recognized by its position and the number of its epoch, at an address that a leader kept over epochs. Two groups of a service have the same positions, and the same epoch numbers if both were formed as often. Orders name no group, and engines compare only the epoch. A leader whose own engine moved dropped its views and went on to lead the group that it had left.

Change: the state machine keeps the name of its group, ignores views of others and starts anew when its engine joins another one. Calls between sidecars name service and group. Before each order the engine is read on the same connection, which ends when the engine restarts; if it is not that rank of that group, nothing is sent and the result is unknown. Answers for a group that was left are dropped.

Groups of two services with the same name are not tested.

--- a/crates/core/src/ranks/leader.rs
+++ b/crates/core/src/ranks/leader.rs
@@ -209,6 +209,8 @@
     settings: LeaderSettings,
     started_at: Now,
     rng: SmallRng,
+    /// Name of the group that the local rank belongs to.
+    group: String,
     own_rank: Option<RankIndex>,
     size: usize,
     epoch: GroupEpoch,
@@ -252,6 +254,7 @@
         Self {
             started_at: now,
             rng: SmallRng::seed_from_u64(settings.seed),
+            group: String::new(),
             own_rank: None,
             size: 0,
             epoch: 0,
@@ -283,6 +286,9 @@
     pub fn handle(&mut self, now: Now, input: Input) -> Vec<Output> {
         match input {
             Input::OwnView(view) => {
+                if view.group != self.group {
+                    self.join_group(now, &view);
+                }
                 if self.own_rank.is_none() {
                     // A sidecar that leads already, or that of the lowest rank, polls first. After
                     // the loss of all hosts, passes are long until the first plan.
@@ -309,7 +315,12 @@
                 requested_at,
                 view,
                 held,
-            } => self.read(now, requested_at, view, held),
+            } => {
+                // The epochs of two groups may be equal, so they do not tell them apart.
+                if view.group == self.group {
+                    self.read(now, requested_at, view, held);
+                }
+            }
             Input::Selected(selections) => {
                 self.demand.record(&selections);
                 self.demand.finish_reading();
@@ -351,6 +362,12 @@
         self.current_map.clone()
     }
 
+    /// Name of the group that the outputs are for; empty before the local rank was read.
+    #[must_use]
+    pub fn group(&self) -> &str {
+        &self.group
+    }
+
     /// Whether this sidecar leads its group.
     #[must_use]
     pub fn leads(&self) -> bool {
@@ -507,6 +524,17 @@
         }
     }
 
+    /// Forgets the group that the local engine was a rank of before. The rollout ends without further orders: its
+    /// group has lost a rank, so it opens again with nothing prepared, armed or held.
+    fn join_group(&mut self, now: Now, view: &RankView) {
+        self.group.clone_from(&view.group);
+        self.own_rank = None;
+        self.rollout = None;
+        self.observations.clear();
+        self.demand = Demand::default();
+        self.new_epoch(now, view);
+    }
+
     fn new_epoch(&mut self, now: Now, view: &RankView) {
         self.saw_epoch_begin = !self.observations.is_empty();
         self.epoch = view.epoch;
--- a/crates/core/src/ranks/tests/leader.rs
+++ b/crates/core/src/ranks/tests/leader.rs
@@ -158,3 +158,48 @@
     }
     panic!("no sidecar leads");
 }
+
+/// Guards against reports of a rank of another group, whose epoch may have the same number, that count as those of the
+/// rank with the same position here.
+#[test]
+fn views_of_another_group_are_ignored() {
+    let mut leader = leader();
+    leader.handle(ms(0), Input::OwnView(view(0, 313)));
+    let mut taken_over = Vec::new();
+    for at in (0..2_000).step_by(100) {
+        let other = RankView {
+            group: "other".into(),
+            ..view(1, 299)
+        };
+        for view in [view(0, 313), other] {
+            let read = Input::Read {
+                requested_at: ms(at),
+                view,
+                held: None,
+            };
+            let outputs = leader.handle(ms(at), read);
+            taken_over.extend(outputs.into_iter().filter_map(|output| match output {
+                Output::Event(LeaderEvent::RolloutTakenOver { pass, .. }) => Some(pass),
+                _ => None,
+            }));
+        }
+    }
+    assert!(taken_over.is_empty(), "{taken_over:?}");
+}
+
+/// Guards against a leader that goes on to lead its former group after its engine has joined another one.
+#[test]
+fn a_leader_whose_engine_joins_another_group_starts_anew() {
+    let mut leader = leader();
+    for at in (0..2_000).step_by(100) {
+        leader.handle(ms(at), Input::OwnView(view(0, 313)));
+    }
+    assert!(leader.leads());
+    let moved = RankView {
+        group: "other".into(),
+        ..view(1, 299)
+    };
+    leader.handle(ms(2_000), Input::OwnView(moved));
+    assert_eq!(leader.group(), "other");
+    assert!(!leader.leads());
+}
--- a/crates/net/src/ranks/engine.rs
+++ b/crates/net/src/ranks/engine.rs
@@ -101,23 +101,54 @@
         }
     }
 
-    /// Sends an order to the rank, again if no answer comes.
-    pub(super) async fn execute(&self, order: &RankOrder) -> OrderResult {
+    /// Sends an order to the rank, again if no answer comes. Nothing is sent to an engine that is not this
+    /// rank of `group`.
+    pub(super) async fn execute(&self, group: &str, order: &RankOrder) -> OrderResult {
         for _ in 0..ORDER_ATTEMPTS {
-            let request = match engine::order_request(&self.address.to_string(), order) {
-                Ok(request) => request,
-                Err(error) => {
-                    log::warn!("can't build the request for an order: {error}");
-                    return OrderResult::Refused;
-                }
-            };
-            if let Some((status, _)) = self.call(request, ORDER_TIMEOUT).await {
-                return engine::order_result(status);
+            if let Some(result) = self.execute_once(group, order).await {
+                return result;
             }
         }
         OrderResult::Unknown
     }
 
+    /// Reads the rank and sends the order on the same connection, which ends when the engine restarts: only
+    /// then can it join another group. The order names the epoch, which is no different in another group.
+    async fn execute_once(&self, group: &str, order: &RankOrder) -> Option<OrderResult> {
+        let name = self.address.to_string();
+        let requests = (
+            engine::report_request(&name),
+            engine::order_request(&name, order),
+        );
+        let (report, request) = match requests {
+            (Ok(report), Ok(request)) => (report, request),
+            (Err(error), _) | (_, Err(error)) => {
+                log::warn!("can't build the request for an order: {error}");
+                return Some(OrderResult::Refused);
+            }
+        };
+        let mut idle = self.connection.lock().await;
+        let (status, report) = self.call_on(&mut idle, report, ORDER_TIMEOUT).await?;
+        let view = match engine::rank_view(&report) {
+            Ok(view) if status == StatusCode::OK => view,
+            _ => return Some(OrderResult::Unknown),
+        };
+        if view.group != group || view.rank != order.rank {
+            log::info!(
+                "the engine at {name} is rank {} of group {} and not rank {} of {group}",
+                view.rank,
+                view.group,
+                order.rank
+            );
+            return Some(OrderResult::Unknown);
+        }
+        let sender = idle.take()?;
+        let sending = send(sender, request, ORDER_TIMEOUT);
+        let (sender, status, _) = tokio::time::timeout(ORDER_TIMEOUT, sending).await.ok()??;
+        *idle = Some(sender);
+        Some(engine::order_result(status))
+    }
+
     async fn get(&self, request: Request<Bytes>) -> Option<Bytes> {
         let (status, body) = self.call(request, READ_TIMEOUT).await?;
         (status == StatusCode::OK).then_some(body)
@@ -126,16 +157,22 @@
     /// Makes a call; `None` without a complete answer, in which case its effect is unknown.
     async fn call(&self, request: Request<Bytes>, limit: Duration) -> Option<(StatusCode, Bytes)> {
         let mut idle = self.connection.lock().await;
+        self.call_on(&mut idle, request, limit).await
+    }
+
+    async fn call_on(
+        &self,
+        idle: &mut Option<Sender>,
+        request: Request<Bytes>,
+        limit: Duration,
+    ) -> Option<(StatusCode, Bytes)> {
         let calling = async {
             let ready = idle.as_ref().is_some_and(Sender::is_ready);
-            let mut sender = match idle.take().filter(|_| ready) {
+            let sender = match idle.take().filter(|_| ready) {
                 Some(sender) => sender,
                 None => self.open().await?,
             };
-            let response = sender.send_request(request.map(Full::new)).await.ok()?;
-            let (parts, body) = response.into_parts();
-            let body = collect(body, MAX_ANSWER_BYTES, limit).await.ok()?;
-            Some((sender, parts.status, body))
+            send(sender, request, limit).await
         };
         // A call that times out drops its connection, so that its late answer can't be mistaken for
         // the answer to the next call.
@@ -150,3 +187,16 @@
         handshake(stream).await.ok()
     }
 }
+
+/// Makes a call on a connection, once that is ready; `None` without a complete answer.
+async fn send(
+    mut sender: Sender,
+    request: Request<Bytes>,
+    limit: Duration,
+) -> Option<(Sender, StatusCode, Bytes)> {
+    sender.ready().await.ok()?;
+    let response = sender.send_request(request.map(Full::new)).await.ok()?;
+    let (parts, body) = response.into_parts();
+    let body = collect(body, MAX_ANSWER_BYTES, limit).await.ok()?;
+    Some((sender, parts.status, body))
+}
--- a/crates/net/src/ranks/group/mod.rs
+++ b/crates/net/src/ranks/group/mod.rs
@@ -25,7 +25,7 @@
 use super::lock;
 use super::overlay::Links;
 use super::remote::RemoteRank;
-use super::wire::{Call, Member, RankReply, Reply, Task, WireOrder};
+use super::wire::{Call, Caller, Member, RankReply, Reply, Task, WireOrder};
 use crate::runtime::{Clock, Timeline};
 
 /// Interval at which a sidecar that does not lead reads its local rank.
@@ -82,7 +82,7 @@
     leader: Mutex<Leader>,
     ranks: Mutex<BTreeMap<RankIndex, KnownRank>>,
     reads: Mutex<ReadsInFlight>,
-    outputs: tokio::sync::mpsc::UnboundedSender<Vec<Output>>,
+    outputs: tokio::sync::mpsc::UnboundedSender<(String, Vec<Output>)>,
 }
 
 impl Group {
@@ -91,7 +91,7 @@
     pub(super) fn new(
         surroundings: Surroundings,
         settings: LeaderSettings,
-        outputs: tokio::sync::mpsc::UnboundedSender<Vec<Output>>,
+        outputs: tokio::sync::mpsc::UnboundedSender<(String, Vec<Output>)>,
     ) -> Self {
         let Surroundings {
             clock,
@@ -117,12 +117,32 @@
         }
     }
 
-    /// Passes an input to the state machine and queues its outputs.
+    /// Passes an input to the state machine and queues its outputs, with the group that they are for.
     pub(super) fn handle_input(&self, input: Input) {
-        let outputs = lock(&self.leader).handle(self.clock.now(), input);
+        self.handle_locked(&mut lock(&self.leader), input);
+    }
+
+    fn handle_locked(&self, leader: &mut Leader, input: Input) {
+        let outputs = leader.handle(self.clock.now(), input);
         if !outputs.is_empty() {
             // The receiver is dropped only when the process stops.
-            let _ = self.outputs.send(outputs);
+            let _ = self.outputs.send((leader.group().to_owned(), outputs));
+        }
+    }
+
+    /// Passes on what a call to the ranks of a group yielded, unless the local engine has left that group.
+    fn handle_answer(&self, group: &str, input: Input) {
+        let mut leader = lock(&self.leader);
+        if leader.group() == group {
+            self.handle_locked(&mut leader, input);
+        }
+    }
+
+    fn caller(&self, group: &str, leader: Option<RankIndex>) -> Caller {
+        Caller {
+            service: self.local.service().to_owned(),
+            group: group.to_owned(),
+            leader,
         }
     }
 
@@ -141,7 +161,7 @@
                         FIRST_READ_INTERVAL
                     };
                 if let Some((view, before)) = self.local.refresh().await {
-                    if before.is_some_and(|b| b.epoch != view.epoch) {
+                    if before.is_some_and(|b| b.epoch != view.epoch || b.group != view.group) {
                         // Other engines may form the group in the new epoch.
                         lock(&self.ranks).clear();
                     }
@@ -154,9 +174,9 @@
         }
     }
 
-    /// Executes outputs of the state machine. Reads of the same scope, and equal orders, are sent
+    /// Executes outputs of the state machine that are for `name`. Reads of the same scope, and equal orders, are sent
     /// to all their ranks together.
-    pub(super) fn execute_outputs(self: &Arc<Self>, outputs: Vec<Output>) {
+    pub(super) fn execute_outputs(self: &Arc<Self>, name: &str, outputs: Vec<Output>) {
         let mut reads: BTreeMap<ReadScope, Vec<RankIndex>> = BTreeMap::new();
         let mut orders: Vec<(GroupEpoch, Order, Vec<RankIndex>)> = Vec::new();
         for output in outputs {
@@ -176,12 +196,12 @@
             if ranks.is_empty() {
                 continue;
             }
-            let group = Arc::clone(self);
-            tokio::spawn(async move { group.read(ranks, scope).await });
+            let (group, name) = (Arc::clone(self), name.to_owned());
+            tokio::spawn(async move { group.read(&name, ranks, scope).await });
         }
         for (epoch, order, ranks) in orders {
-            let group = Arc::clone(self);
-            tokio::spawn(async move { group.order(epoch, order, ranks).await });
+            let (group, name) = (Arc::clone(self), name.to_owned());
+            tokio::spawn(async move { group.order(&name, epoch, order, ranks).await });
         }
     }
 
@@ -208,7 +228,7 @@
         (local, branches)
     }
 
-    async fn read(&self, ranks: Vec<RankIndex>, scope: ReadScope) {
+    async fn read(&self, group: &str, ranks: Vec<RankIndex>, scope: ReadScope) {
         let requested_at = self.clock.now();
         let (local, branches) = self.branches(ranks.clone());
         let called: BTreeSet<RankIndex> = branches
@@ -225,7 +245,7 @@
         let (direct, trees): (Vec<_>, Vec<_>) = branches.into_iter().partition(|b| b.child.suspect);
         let leader = lock(&self.leader).polling_rank();
         let call = Call {
-            leader,
+            caller: self.caller(group, leader),
             task: Task::Read(scope),
         };
         let mut calls: FuturesUnordered<_> = trees
@@ -235,33 +255,34 @@
         let mut selections = Selections::default();
         let in_tree = async {
             if let Some(rank) = local {
-                let answers = self.local.carry_out(rank, &Task::Read(scope)).await;
+                let answers = self.local.carry_out(rank, &call).await;
                 selections.add(&answers.selections);
-                self.handle_readings(requested_at, answers.ranks);
+                self.follow_local_engine(group, rank, &answers.ranks);
+                self.handle_readings(group, requested_at, answers.ranks);
             }
             while let Some((called, reply)) = calls.next().await {
                 lock(&self.reads).end(scope, &called);
                 selections.add(&reply.selections());
-                self.handle_readings(requested_at, reply.ranks);
+                self.handle_readings(group, requested_at, reply.ranks);
             }
             if !selections.is_empty() {
-                self.handle_input(Input::Selected(selections));
+                self.handle_answer(group, Input::Selected(selections));
             }
         };
         let directly = direct
             .into_iter()
-            .map(|b| self.read_directly(requested_at, leader, b.child, scope));
+            .map(|b| self.read_directly(requested_at, &call.caller, b.child, scope));
         tokio::join!(in_tree, futures::future::join_all(directly));
     }
 
     async fn read_directly(
         &self,
         requested_at: Now,
-        leader: Option<RankIndex>,
+        caller: &Caller,
         to: Addressee,
         scope: ReadScope,
     ) {
-        let reading = to.remote.read(leader, to.rank, scope).await;
+        let reading = to.remote.read(caller, to.rank, scope).await;
         lock(&self.reads).end(scope, &[to.rank]);
         if let Some(reading) = reading {
             let lag = if reading.from_engine {
@@ -270,7 +291,7 @@
                 Duration::ZERO
             };
             let requested_at = requested_at.saturating_sub(lag);
-            self.handle_readings(requested_at, vec![(to.rank, reading.reply)]);
+            self.handle_readings(&caller.group, requested_at, vec![(to.rank, reading.reply)]);
         }
     }
 
@@ -306,7 +327,31 @@
         (called, reply)
     }
 
-    fn handle_readings(&self, requested_at: Now, replies: Vec<(RankIndex, RankReply)>) {
+    /// Takes over the position of the local engine if it is not `rank` of `group` any more. A leader reads it
+    /// only as one of the ranks that it polls.
+    fn follow_local_engine(
+        &self,
+        group: &str,
+        rank: RankIndex,
+        replies: &[(RankIndex, RankReply)],
+    ) {
+        let views = replies.iter().filter_map(|(_, reply)| match reply {
+            RankReply::View(view) | RankReply::Held(view, ..) => Some(view),
+            RankReply::Result(_) | RankReply::UnknownBase => None,
+        });
+        for view in views.filter(|v| v.rank != rank || v.group != group) {
+            lock(&self.ranks).clear();
+            self.local.record(view.clone());
+            self.handle_input(Input::OwnView(view.clone()));
+        }
+    }
+
+    fn handle_readings(
+        &self,
+        group: &str,
+        requested_at: Now,
+        replies: Vec<(RankIndex, RankReply)>,
+    ) {
         for (rank, reply) in replies {
             let (view, held): (RankView, Option<(MapVersion, _)>) = match reply {
                 RankReply::View(view) => (view, None),
@@ -314,7 +359,7 @@
                 RankReply::Result(_) | RankReply::UnknownBase => continue,
             };
             let mut ranks = lock(&self.ranks);
-            if view.rank != rank {
+            if view.rank != rank || view.group != group {
                 // The engine is a different rank now.
                 ranks.remove(&rank);
                 continue;
@@ -325,28 +370,29 @@
             drop(ranks);
             // The map may have changed between the reads of the state and of the held experts.
             let held = held.filter(|h| h.0 == view.map).map(|h| h.1);
-            self.handle_input(Input::Read {
+            let read = Input::Read {
                 requested_at,
                 view,
                 held,
-            });
+            };
+            self.handle_answer(group, read);
         }
     }
 
-    async fn order(&self, epoch: GroupEpoch, order: Order, ranks: Vec<RankIndex>) {
+    async fn order(&self, group: &str, epoch: GroupEpoch, order: Order, ranks: Vec<RankIndex>) {
         let base = lock(&self.leader).current_map();
         let encoded = WireOrder::encode(&order, base.as_ref());
         let mut unknown = ranks.clone();
         let lacking = self
-            .order_all(epoch, &order, encoded, ranks, &mut unknown)
+            .order_all(group, epoch, &order, encoded, ranks, &mut unknown)
             .await;
         if !lacking.is_empty() {
             let whole = WireOrder::Whole(order.clone());
-            self.order_all(epoch, &order, whole, lacking, &mut unknown)
+            self.order_all(group, epoch, &order, whole, lacking, &mut unknown)
                 .await;
         }
         for rank in unknown {
-            self.handle_result(rank, epoch, &order, OrderResult::Unknown);
+            self.handle_result(group, rank, epoch, &order, OrderResult::Unknown);
         }
     }
 
@@ -354,6 +400,7 @@
     /// ranks that do not know the map to which the encoded order refers.
     async fn order_all(
         &self,
+        group: &str,
         epoch: GroupEpoch,
         order: &Order,
         encoded: WireOrder,
@@ -361,20 +408,21 @@
         unknown: &mut Vec<RankIndex>,
     ) -> Vec<RankIndex> {
         let (local, branches) = self.branches(ranks);
-        let task = Task::Execute(epoch, encoded.clone());
+        let call = &Call {
+            caller: self.caller(group, self.local.rank()),
+            task: Task::Execute(epoch, encoded.clone()),
+        };
         let own = async {
             match local {
-                Some(rank) => self.local.carry_out(rank, &task).await.ranks,
+                Some(rank) => self.local.carry_out(rank, call).await.ranks,
                 None => Vec::new(),
             }
         };
-        let leader = self.local.rank();
-        let call = |branch: Branch<Addressee>| {
-            let (task, encoded) = (task.clone(), encoded.clone());
+        let send = |branch: Branch<Addressee>| {
+            let encoded = encoded.clone();
             async move {
                 if !branch.child.suspect {
-                    let call = Call { leader, task };
-                    return self.call_branch(branch, call).await.1.ranks;
+                    return self.call_branch(branch, call.clone()).await.1.ranks;
                 }
                 let rank = branch.child.rank;
                 let order = RankOrder {
@@ -382,7 +430,8 @@
                     epoch,
                     order: order.clone(),
                 };
-                let result = branch.child.remote.execute(leader, &order, encoded).await;
+                let remote = branch.child.remote;
+                let result = remote.execute(&call.caller, &order, encoded).await;
                 vec![(rank, RankReply::Result(result))]
             }
         };
@@ -392,14 +441,14 @@
                 match reply {
                     RankReply::Result(result) if unknown.contains(&rank) => {
                         unknown.retain(|r| *r != rank);
-                        self.handle_result(rank, epoch, order, result);
+                        self.handle_result(group, rank, epoch, order, result);
                     }
                     RankReply::UnknownBase => lacking.push(rank),
                     _ => {}
                 }
             }
         };
-        let mut calls: FuturesUnordered<_> = branches.into_iter().map(call).collect();
+        let mut calls: FuturesUnordered<_> = branches.into_iter().map(send).collect();
         handle(own.await);
         while let Some(replies) = calls.next().await {
             handle(replies);
@@ -409,6 +458,7 @@
 
     fn handle_result(
         &self,
+        group: &str,
         rank: RankIndex,
         epoch: GroupEpoch,
         order: &Order,
@@ -420,6 +470,6 @@
             order: order.clone(),
         };
         self.record_order(&order, result);
-        self.handle_input(Input::Result(order, result));
+        self.handle_answer(group, Input::Result(order, result));
     }
 }
--- a/crates/net/src/ranks/group/search.rs
+++ b/crates/net/src/ranks/group/search.rs
@@ -83,11 +83,12 @@
         let others = candidates
             .into_iter()
             .filter(|c| !known.contains(&c.sidecar));
+        let caller = &self.caller(&local_view.group, None);
         let reads = others.map(|candidate| async move {
             let links = Arc::clone(&self.links);
             let remote = RemoteRank::new(candidate.engine, candidate.sidecar, self.experts, links);
             // The rank is not known yet; the state that is read has it.
-            let reading = remote.read(None, RankIndex::MAX, ReadScope::View).await?;
+            let reading = remote.read(caller, RankIndex::MAX, ReadScope::View).await?;
             match reading.reply {
                 RankReply::View(view) => Some((view, remote, candidate.data_centre)),
                 _ => None,
--- a/crates/net/src/ranks/host.rs
+++ b/crates/net/src/ranks/host.rs
@@ -121,7 +121,13 @@
         seed: rand::random(),
     };
     let (sets, experts) = (settings.layout.sets, settings.layout.experts);
-    let local = LocalRank::new(clock, options.engine, sets as usize, experts as usize);
+    let local = LocalRank::new(
+        clock,
+        &options.service,
+        options.engine,
+        sets as usize,
+        experts as usize,
+    );
     let (local, links) = (Arc::new(local), Arc::new(Links::default()));
     let reports = load_reports::publish(clock, Arc::clone(&local), reports);
     let (outputs_tx, mut outputs) = mpsc::unbounded_channel();
@@ -146,7 +152,7 @@
         async move {
             loop {
                 tokio::select! {
-                    Some(outputs) = outputs.recv() => group.execute_outputs(outputs),
+                    Some((name, outputs)) = outputs.recv() => group.execute_outputs(&name, outputs),
                     Some(input) = inputs.recv() => group.handle_input(input),
                     else => break,
                 }
--- a/crates/net/src/ranks/overlay/mod.rs
+++ b/crates/net/src/ranks/overlay/mod.rs
@@ -183,12 +183,15 @@
 
 impl RankSidecar for Overlay {
     async fn call(self, cx: Context, rank: RankIndex, call: Call, members: Vec<Member>) -> Reply {
-        if let Some(leader) = call.leader {
+        let view = self.local.view();
+        let is_member = |group: &str| view.as_ref().is_some_and(|view| view.group == group);
+        let leader = call.caller.leader;
+        if let Some(leader) = leader.filter(|_| is_member(&call.caller.group)) {
             // The receiver is dropped only when the process stops.
             let _ = self.inputs.send(Input::PolledBy(leader));
         }
         let deadline = cx.deadline.checked_sub(HOP_TIME).unwrap_or(cx.deadline);
-        let own = self.local.carry_out(rank, &call.task);
+        let own = self.local.carry_out(rank, &call);
         let own = async {
             let own = tokio::time::timeout_at(deadline.into(), own).await;
             own.unwrap_or_default()
--- a/crates/net/src/ranks/remote/mod.rs
+++ b/crates/net/src/ranks/remote/mod.rs
@@ -9,7 +9,7 @@
 use super::engine::{Engine, RankReading};
 use super::lock;
 use super::overlay::{CallError, Links};
-use super::wire::{Call, Member, RankReply, Reply, Task, WireOrder};
+use super::wire::{Call, Caller, Member, RankReply, Reply, Task, WireOrder};
 
 /// Time limit of a call: the other sidecar's call to its engine and a round trip.
 const CALL_TIMEOUT: Duration = Duration::from_millis(220);
@@ -93,11 +93,11 @@
     /// pauses.
     pub(super) async fn read(
         &self,
-        leader: Option<RankIndex>,
+        caller: &Caller,
         rank: RankIndex,
         scope: ReadScope,
     ) -> Option<RemoteReading> {
-        if let Some(Ok(mut reply)) = self.call(leader, rank, Task::Read(scope)).await {
+        if let Some(Ok(mut reply)) = self.call(caller, rank, Task::Read(scope)).await {
             let (_, reply) = reply.ranks.pop()?;
             let from_engine = false;
             return Some(RemoteReading { reply, from_engine });
@@ -119,20 +119,22 @@
     /// sidecar. `encoded` is the same order as it is sent to sidecars.
     pub(super) async fn execute(
         &self,
-        leader: Option<RankIndex>,
+        caller: &Caller,
         order: &RankOrder,
         encoded: WireOrder,
     ) -> OrderResult {
         let (rank, epoch) = (order.rank, order.epoch);
-        let mut answer = self.call(leader, rank, Task::Execute(epoch, encoded)).await;
+        let mut answer = self.call(caller, rank, Task::Execute(epoch, encoded)).await;
         if let Some(Ok(Reply { ranks, .. })) = &answer
             && matches!(ranks.as_slice(), [(_, RankReply::UnknownBase)])
         {
             let whole = WireOrder::Whole(order.order.clone());
-            answer = self.call(leader, rank, Task::Execute(epoch, whole)).await;
+            answer = self.call(caller, rank, Task::Execute(epoch, whole)).await;
         }
         match answer {
-            None | Some(Err(CallError::Unreachable(_))) => self.engine.execute(order).await,
+            None | Some(Err(CallError::Unreachable(_))) => {
+                self.engine.execute(&caller.group, order).await
+            }
             Some(Err(CallError::NoAnswer(_))) => OrderResult::Unknown,
             Some(Ok(reply)) => match reply.ranks.as_slice() {
                 [(_, RankReply::Result(result))] => *result,
@@ -144,7 +146,7 @@
     /// Calls the sidecar; `None` while it is bypassed.
     async fn call(
         &self,
-        leader: Option<RankIndex>,
+        caller: &Caller,
         rank: RankIndex,
         task: Task,
     ) -> Option<Result<Reply, CallError>> {
@@ -155,7 +157,10 @@
             rank,
             sidecar: self.address,
         };
-        let call = Call { leader, task };
+        let call = Call {
+            caller: caller.clone(),
+            task,
+        };
         let deadline = Instant::now() + CALL_TIMEOUT;
         let answer = self.links.call(child, call, Vec::new(), deadline).await;
         let mut responsiveness = lock(&self.responsiveness);
--- a/crates/net/src/ranks/wire/mod.rs
+++ b/crates/net/src/ranks/wire/mod.rs
@@ -14,17 +14,26 @@
 /// Calls that a sidecar answers.
 #[tarpc::service]
 pub(super) trait RankSidecar {
-    /// Carries a call out at the sidecar's own rank, which the caller takes for `rank`, and passes
-    /// it on to `members`.
+    /// Carries a call out at the sidecar's own rank, which the caller takes for `rank` of its group, and
+    /// passes it on to `members`.
     async fn call(rank: RankIndex, call: Call, members: Vec<Member>) -> Reply;
 }
 
-/// A call to any number of ranks.
+/// The sidecar that makes a call.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(super) struct Call {
+pub(super) struct Caller {
+    pub(super) service: String,
+    /// Group whose ranks it calls. An engine at a known address may have moved to another one.
+    pub(super) group: String,
     /// Rank of the sidecar that leads or drives a rollout; `None` if the caller only looks for ranks or for
     /// evidence.
     pub(super) leader: Option<RankIndex>,
+}
+
+/// A call to any number of ranks.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct Call {
+    pub(super) caller: Caller,
     pub(super) task: Task,
 }
 
--- a/crates/standins/src/users/group.rs
+++ b/crates/standins/src/users/group.rs
@@ -34,6 +34,7 @@
 #[derive(Debug)]
 struct State {
     ranks: Vec<Rank>,
+    epoch: u64,
     /// Latest pass that started.
     pass: u64,
     /// Passes in which ranks used different maps.
@@ -43,6 +44,7 @@
 /// A group of ranks with a single set of experts.
 #[derive(Debug)]
 pub struct RankGroup {
+    name: String,
     experts: usize,
     state: Mutex<State>,
 }
@@ -51,16 +53,13 @@
     /// Starts a group and the task that runs a pass every 20 ms. Expert 0 is by far the most
     /// popular; the initial map assigns the experts to the ranks round-robin.
     #[must_use]
-    pub fn start(ranks: usize, experts: usize) -> (Arc<Self>, JoinHandle<()>) {
-        let round_robin = |rank: usize| Rank {
-            experts: vec![(rank..experts).step_by(ranks).collect()],
-            counts: vec![0; experts],
-            ..Rank::default()
-        };
+    pub fn start(name: &str, ranks: usize, experts: usize) -> (Arc<Self>, JoinHandle<()>) {
         let group = Arc::new(Self {
+            name: name.to_owned(),
             experts,
             state: Mutex::new(State {
-                ranks: (0..ranks).map(round_robin).collect(),
+                ranks: initial(ranks, experts),
+                epoch: 1,
                 pass: 0,
                 mixed_map_passes: 0,
             }),
@@ -77,6 +76,14 @@
         (group, passes)
     }
 
+    /// Opens the group in a new epoch, as after the loss of a rank.
+    pub fn reopen(&self) {
+        let mut state = self.lock();
+        state.ranks = initial(state.ranks.len(), self.experts);
+        state.epoch += 1;
+        state.pass = 0;
+    }
+
     /// Version of the map that the first rank uses; 0 is the initial map.
     #[must_use]
     pub fn map_version(&self) -> u64 {
@@ -144,17 +151,25 @@
     /// Handles a request to a rank; returns the status and the body of the answer.
     pub(super) fn answer(&self, rank: usize, arrival: &Arrival) -> (u16, Value) {
         let mut state = self.lock();
-        let (pass, group_size) = (state.pass, state.ranks.len());
+        let (pass, epoch, group_size) = (state.pass, state.epoch, state.ranks.len());
         let rank_state = &mut state.ranks[rank];
         match arrival.path.as_str() {
-            "/report" => (200, rank_report(rank_state, rank, group_size, pass)),
+            "/report" => {
+                let mut report = rank_report(rank_state, rank, group_size, pass);
+                report["group"]["name"] = self.name.as_str().into();
+                report["group"]["epoch"] = epoch.into();
+                (200, report)
+            }
             "/picked" => (
                 200,
-                json!({ "step": pass, "epoch": 1, "counts": rank_state.counts }),
+                json!({ "step": pass, "epoch": epoch, "counts": rank_state.counts }),
             ),
             "/order" => {
                 let order: Value = serde_json::from_slice(&arrival.body).unwrap_or_default();
                 rank_state.orders += 1;
+                if order["epoch"].as_u64().is_some_and(|named| named != epoch) {
+                    return (409, Value::Null);
+                }
                 (apply_order(rank_state, rank, pass, &order), Value::Null)
             }
             _ => {
@@ -162,7 +177,7 @@
                     json!({ "version": rank_state.map_version, "experts": rank_state.experts });
                 (
                     200,
-                    json!({ "step": pass, "epoch": 1, "map": map, "prepared": null }),
+                    json!({ "step": pass, "epoch": epoch, "map": map, "prepared": null }),
                 )
             }
         }
@@ -175,10 +190,20 @@
     }
 }
 
+/// Ranks with the initial map, which assigns the experts round-robin.
+fn initial(ranks: usize, experts: usize) -> Vec<Rank> {
+    let round_robin = |rank: usize| Rank {
+        experts: vec![(rank..experts).step_by(ranks).collect()],
+        counts: vec![0; experts],
+        ..Rank::default()
+    };
+    (0..ranks).map(round_robin).collect()
+}
+
 fn rank_report(rank_state: &Rank, rank: usize, group_size: usize, pass: u64) -> Value {
     json!({
         "stage": "both",
-        "group": { "name": "g", "epoch": 1, "rank": rank, "state": "open" },
+        "group": { "rank": rank, "state": "open" },
         "size": group_size,
         "active": 2,
         "seq": 0,
--- a/crates/standins/tests/gateway/ranks.rs
+++ b/crates/standins/tests/gateway/ranks.rs
@@ -35,26 +35,35 @@
 
 struct RankCluster {
     _store: ObjectStore,
-    _replicas: Vec<Replica>,
+    /// Replicas of the first group in the order of their ranks, then those of the next one.
+    replicas: Vec<Replica>,
     group: Arc<RankGroup>,
-    passes: JoinHandle<()>,
+    /// Further groups of the same service.
+    others: Vec<Arc<RankGroup>>,
+    passes: Vec<JoinHandle<()>>,
     hosts: Vec<RankHost>,
 }
 
 impl RankCluster {
     async fn start() -> Self {
+        Self::start_groups(1).await
+    }
+
+    async fn start_groups(groups: usize) -> Self {
         let store = ObjectStore::start().unwrap();
         store.put("config", "main", config());
-        let (group, passes) = RankGroup::start(RANKS, EXPERTS);
+        let started = (0..groups).map(|n| RankGroup::start(&format!("g-{n}"), RANKS, EXPERTS));
+        let (groups, passes): (Vec<_>, Vec<_>) = started.unzip();
+        let ranks = RANKS * groups.len();
         let mut hosts = Vec::new();
         let mut replicas = Vec::new();
-        let first_ip = NEXT_IP.fetch_add(u8::try_from(RANKS).unwrap(), Ordering::Relaxed);
-        for rank in 0..RANKS {
+        let first_ip = NEXT_IP.fetch_add(u8::try_from(ranks).unwrap(), Ordering::Relaxed);
+        for rank in 0..ranks {
             // Each sidecar has its own address and the same port, as on the platform.
             let ip = [127, 0, 0, first_ip + u8::try_from(rank).unwrap()];
             let any = SocketAddr::from((ip, 0));
             let replica = Replica::start_on(any, &format!("i-{rank}")).await.unwrap();
-            replica.join_group(rank, &group);
+            replica.join_group(rank % RANKS, &groups[rank / RANKS]);
             store.put(
                 "servers",
                 &format!("i-{rank}"),
@@ -79,8 +88,9 @@
         }
         Self {
             _store: store,
-            _replicas: replicas,
-            group,
+            replicas,
+            group: Arc::clone(&groups[0]),
+            others: groups[1..].to_vec(),
             passes,
             hosts,
         }
@@ -102,7 +112,9 @@
         for host in self.hosts {
             host.close();
         }
-        self.passes.abort();
+        for passes in self.passes {
+            passes.abort();
+        }
     }
 }
 
@@ -153,6 +165,63 @@
     cluster.close();
 }
 
+// Guards against a leader that takes a replica that returned in another group, under its known address and with the
+// same epoch number, for the rank of its own group that it was before: passes would begin with different maps.
+#[tokio::test]
+async fn replicas_that_return_in_each_others_group_are_not_taken_for_their_former_ranks() {
+    let cluster = RankCluster::start_groups(2).await;
+    let groups = [Arc::clone(&cluster.group), Arc::clone(&cluster.others[0])];
+    let balanced = |_: &RankGroup| groups.iter().all(|g| g.holders(0) >= RANKS);
+    cluster
+        .wait_until("better maps are rolled out", balanced)
+        .await;
+    let last = RANKS - 1;
+    cluster.replicas[last].join_group(last, &groups[1]);
+    cluster.replicas[RANKS + last].join_group(last, &groups[0]);
+    for group in &groups {
+        group.reopen();
+    }
+    let mixed = |_: &RankGroup| groups.iter().any(|g| g.mixed_map_passes() > 0);
+    cluster
+        .wait_until("maps are rolled out in the new epoch", |g| {
+            balanced(g) || mixed(g)
+        })
+        .await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for group in &groups {
+        assert_eq!(group.mixed_map_passes(), 0);
+        assert!(group.map_version() > 0);
+    }
+    cluster.close();
+}
+
+// The same for the first ranks, whose sidecars lead.
+#[tokio::test]
+async fn leaders_follow_their_engines_to_another_group() {
+    let cluster = RankCluster::start_groups(2).await;
+    let groups = [Arc::clone(&cluster.group), Arc::clone(&cluster.others[0])];
+    let balanced = |_: &RankGroup| groups.iter().all(|g| g.holders(0) >= RANKS);
+    cluster
+        .wait_until("better maps are rolled out", balanced)
+        .await;
+    cluster.replicas[0].join_group(0, &groups[1]);
+    cluster.replicas[RANKS].join_group(0, &groups[0]);
+    for group in &groups {
+        group.reopen();
+    }
+    let mixed = |_: &RankGroup| groups.iter().any(|g| g.mixed_map_passes() > 0);
+    cluster
+        .wait_until("maps are rolled out in the new epoch", |g| {
+            balanced(g) || mixed(g)
+        })
+        .await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for group in &groups {
+        assert_eq!(group.mixed_map_passes(), 0);
+    }
+    cluster.close();
+}
+
 fn free_port() -> u16 {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     listener.local_addr().unwrap().port()
