Show that hosts with different seeds do not share what they refuse

Cause: hosts learn of others from seeds and from each other only, and read the store for what others have decided only while they hear nobody or miss a host that they know. Two groups that never met do neither.

--- a/review/drill-3/src/cases.rs
+++ b/review/drill-3/src/cases.rs
@@ -176,6 +176,60 @@
     judge_retries(record, POISON, in_touch)
 }
 
+/// Hosts that were started with one list of seeds, and hosts that were started with another one, never meet. A
+/// request crashes three replicas, through the former, and then comes at the latter.
+pub fn apart(record: &Arc<Record>, folder: &Path, trouble: bool) -> Verdict {
+    let store = Store::start();
+    let act = |request: &crate::http::Request| {
+        if request.target == POISON {
+            Act::Crash(ms(20))
+        } else {
+            Act::Work(ms(30))
+        }
+    };
+    let replicas: Vec<Arc<Replica>> = (0..12)
+        .map(|n| Replica::start(&format!("i-{n:08x}"), "books", 6, record, act))
+        .collect();
+    publish(&store, &[("/books/", "books", 1)], &replicas);
+    let mut gateways: Vec<Gateway> = (0..4)
+        .map(|n| {
+            Gateway::new(
+                &format!("edge-{n}"),
+                LFX_WOOL,
+                store.address,
+                folder,
+                record,
+            )
+        })
+        .collect();
+    // Two seeds of each list are down.
+    let down = [crate::ports::free(), crate::ports::free()];
+    let old = vec![gateways[0].control, down[0], down[1]];
+    let new = vec![gateways[2].control, down[0], down[1]];
+    for gateway in &mut gateways[..2] {
+        gateway.start(false, &old);
+    }
+    for gateway in &mut gateways[2..] {
+        gateway.start(false, if trouble { &new } else { &old });
+    }
+    for gateway in &gateways {
+        gateway.wait_until_ready();
+    }
+    sleep(ms(15_000));
+    let poison = |gateway: &Gateway| {
+        send(record, gateway.callers, &gateway.name, POISON, ms(2_500));
+        sleep(ms(400));
+    };
+    for n in 0..8 {
+        poison(&gateways[n % 2]);
+    }
+    sleep(STABLE_WINDOW);
+    for n in 0..12 {
+        poison(&gateways[2 + n % 2]);
+    }
+    judge_retries(record, POISON, Duration::ZERO)
+}
+
 /// A request crashes replicas a little while after they begin to run it. Its caller has left by then, each time.
 pub fn leave(record: &Arc<Record>, folder: &Path, trouble: bool) -> Verdict {
     let store = Store::start();
--- a/review/drill-3/src/main.rs
+++ b/review/drill-3/src/main.rs
@@ -28,6 +28,7 @@
         "restart" => cases::restart,
         "seeds" => cases::seeds,
         "cold" => cases::cold,
+        "apart" => cases::apart,
         "leave" => cases::leave,
         _ => {
             eprintln!("no case `{case}`");
